--- /dev/null
+++ b/charts/charts.go
@@ -0,0 +1,53 @@
+// Package charts holds the state charts of fuchsiahub, one TOML file per lifecycle, embedded in the programs.
+//
+// README.md in this folder explains the format. The code that owns a lifecycle loads its chart here and binds the
+// chart's guards and actions to functions.
+package charts
+
+import (
+	"embed"
+	"path"
+	"strings"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+	"fuchsiahub.example/fuchsiahub/internal/chartfile"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+//go:embed *.toml
+var files embed.FS
+
+// Params are values of "$name" delays.
+type Params map[string]time.Duration
+
+// Load reads and checks the chart of one lifecycle. Params replace the defaults of DefaultParams.
+func Load(name string, params Params) (*chart.Chart, error) {
+	file := name + ".toml"
+	text, err := files.ReadFile(file)
+	if err != nil {
+		return nil, fault.New(fault.NotFound, "use a name that Names returns", "chart %q does not exist", name)
+	}
+	spec, err := chartfile.Read(path.Join("charts", file), text)
+	if err != nil {
+		return nil, err
+	}
+	merged := DefaultParams()
+	for key, value := range params {
+		merged[key] = value
+	}
+	return chart.Compile(spec, merged)
+}
+
+// Names returns the names of all charts.
+func Names() []string {
+	entries, err := files.ReadDir(".")
+	if err != nil {
+		return nil
+	}
+	var names []string
+	for _, entry := range entries {
+		names = append(names, strings.TrimSuffix(entry.Name(), ".toml"))
+	}
+	return names
+}
--- /dev/null
+++ b/cmd/fuchsiahubd/main.go
@@ -0,0 +1,4 @@
+// Command fuchsiahubd is the load balancer daemon.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/chart/bind.go
@@ -0,0 +1,96 @@
+package chart
+
+import (
+	"slices"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+// Bindings gives the code behind the names of a chart. C is what guards read and actions change.
+type Bindings[C any] struct {
+	Guards  map[string]func(C) bool
+	Actions map[string]func(C)
+}
+
+// Bound is a chart with its guards and actions. It is immutable and may be shared between tasks.
+type Bound[C any] struct {
+	chart  *Chart
+	states []boundState[C]
+	// entry holds the entry actions of the initial state and its ancestors, outermost first.
+	entry []func(C)
+}
+
+type boundState[C any] struct {
+	rows [][]boundRow[C]
+}
+
+type boundRow[C any] struct {
+	guard  func(C) bool
+	target int
+	do     []func(C)
+	moves  bool
+}
+
+// Bind connects a chart with code. Every name of the chart must be bound, and every binding must be named.
+func Bind[C any](ch *Chart, b Bindings[C]) (*Bound[C], error) {
+	if err := checkNames(ch, b); err != nil {
+		return nil, err
+	}
+	bound := &Bound[C]{chart: ch, states: make([]boundState[C], len(ch.states))}
+	for i, st := range ch.states {
+		bound.states[i].rows = make([][]boundRow[C], len(st.rows))
+		for event, rows := range st.rows {
+			for _, r := range rows {
+				target, names := ch.follow(i, r)
+				bound.states[i].rows[event] = append(bound.states[i].rows[event], boundRow[C]{
+					guard: b.Guards[r.guard], target: target, do: actions(b, names), moves: r.target != noState,
+				})
+			}
+		}
+	}
+	for s := ch.initial; s != noState; s = ch.states[s].parent {
+		bound.entry = append(actions(b, ch.states[s].entry), bound.entry...)
+	}
+	return bound, nil
+}
+
+func actions[C any](b Bindings[C], names []string) []func(C) {
+	var list []func(C)
+	for _, name := range names {
+		list = append(list, b.Actions[name])
+	}
+	return list
+}
+
+func checkNames[C any](ch *Chart, b Bindings[C]) error {
+	guards, acts := ch.usedNames()
+	for _, g := range guards {
+		if b.Guards[g] == nil {
+			return unbound(ch, "guard", g)
+		}
+	}
+	for _, a := range acts {
+		if b.Actions[a] == nil {
+			return unbound(ch, "action", a)
+		}
+	}
+	for g := range b.Guards {
+		if !slices.Contains(guards, g) {
+			return unnamed(ch, "guard", g)
+		}
+	}
+	for a := range b.Actions {
+		if !slices.Contains(acts, a) {
+			return unnamed(ch, "action", a)
+		}
+	}
+	return nil
+}
+
+func unbound(ch *Chart, what, name string) error {
+	return fault.New(fault.Invalid, "bind it in code or correct the name in the chart", "%s: %s %q is not bound", ch.file, what, name)
+}
+
+func unnamed(ch *Chart, what, name string) error {
+	return fault.New(fault.Invalid, "use it in the chart or remove the binding", "%s: bound %s %q is not used", ch.file, what, name)
+}
--- /dev/null
+++ b/internal/chart/inspect.go
@@ -0,0 +1,108 @@
+package chart
+
+// Name returns the name of the lifecycle.
+func (ch *Chart) Name() string { return ch.name }
+
+// States returns the names of the states that a machine can be in.
+func (ch *Chart) States() []string {
+	var names []string
+	for _, st := range ch.states {
+		if !st.composite {
+			names = append(names, st.name)
+		}
+	}
+	return names
+}
+
+// Events returns the names of all events, timeouts included.
+func (ch *Chart) Events() []string { return append([]string(nil), ch.names...) }
+
+// Final reports whether no transition leaves the state.
+func (ch *Chart) Final(name string) bool {
+	i, ok := ch.byName[name]
+	return ok && ch.states[i].final
+}
+
+// Step is one transition as Walk reports it.
+type Step struct {
+	From, Event, Guard, To string
+	// Actions holds exit actions, the row's actions and entry actions, in the order of execution.
+	Actions []string
+}
+
+// Walk visits every transition of every state that a machine can be in, inherited ones included. A row that keeps
+// the state is reported with To equal to From.
+func (ch *Chart) Walk(visit func(Step)) {
+	for i, st := range ch.states {
+		if st.composite {
+			continue
+		}
+		for event, rows := range st.rows {
+			for _, r := range rows {
+				to, actions := ch.follow(i, r)
+				visit(Step{From: st.name, Event: ch.names[event], Guard: r.guard, To: ch.states[to].name, Actions: actions})
+			}
+		}
+	}
+}
+
+// follow returns the state after a row and the actions that run on the way.
+func (ch *Chart) follow(from int, r row) (int, []string) {
+	if r.target == noState {
+		return from, r.do
+	}
+	common := ch.commonAncestor(from, r.target)
+	var actions []string
+	for s := from; s != common; s = ch.states[s].parent {
+		actions = append(actions, ch.states[s].exit...)
+	}
+	actions = append(actions, r.do...)
+	var entered []int
+	for s := r.target; s != common; s = ch.states[s].parent {
+		entered = append(entered, s)
+	}
+	for i := len(entered) - 1; i >= 0; i-- {
+		actions = append(actions, ch.states[entered[i]].entry...)
+	}
+	return r.target, actions
+}
+
+// commonAncestor returns the innermost state that encloses both and is left by neither. A transition from a state to
+// itself leaves and enters the state again.
+func (ch *Chart) commonAncestor(a, b int) int {
+	for p := ch.states[a].parent; p != noState; p = ch.states[p].parent {
+		for q := ch.states[b].parent; q != noState; q = ch.states[q].parent {
+			if p == q {
+				return p
+			}
+		}
+	}
+	return noState
+}
+
+// usedNames returns the guards and actions that the chart uses.
+func (ch *Chart) usedNames() (guards, actions []string) {
+	seenGuard, seenAction := map[string]bool{"": true}, map[string]bool{}
+	addActions := func(names []string) {
+		for _, a := range names {
+			if !seenAction[a] {
+				seenAction[a] = true
+				actions = append(actions, a)
+			}
+		}
+	}
+	for _, st := range ch.states {
+		addActions(st.entry)
+		addActions(st.exit)
+		for _, rows := range st.rows {
+			for _, r := range rows {
+				addActions(r.do)
+				if !seenGuard[r.guard] {
+					seenGuard[r.guard] = true
+					guards = append(guards, r.guard)
+				}
+			}
+		}
+	}
+	return guards, actions
+}
--- /dev/null
+++ b/internal/chart/machine.go
@@ -0,0 +1,97 @@
+package chart
+
+import (
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+// Machine is one running lifecycle. It is owned by one task.
+type Machine[C any] struct {
+	bound   *Bound[C]
+	context C
+	current int
+	entered time.Time
+	// fired counts the timeouts of the current state that have been raised.
+	fired int
+}
+
+// New starts a machine in the initial state and runs its entry actions.
+func (b *Bound[C]) New(now time.Time, c C) *Machine[C] {
+	m := &Machine[C]{bound: b, context: c, current: b.chart.initial, entered: now}
+	for _, do := range b.entry {
+		do(c)
+	}
+	return m
+}
+
+// Fire handles an event. An ignored event does nothing. An event that the chart does not know is an error and
+// changes nothing. Actions must not fire events on the same machine.
+func (m *Machine[C]) Fire(now time.Time, event string) error {
+	index, ok := m.bound.chart.events[event]
+	if !ok {
+		return fault.New(fault.UnexpectedEvent, "report this as a bug", "%s: event %q is not in the chart", m.bound.chart.file, event)
+	}
+	m.fire(now, index)
+	return nil
+}
+
+func (m *Machine[C]) fire(now time.Time, event int) {
+	for _, r := range m.bound.states[m.current].rows[event] {
+		if r.guard != nil && !r.guard(m.context) {
+			continue
+		}
+		if r.moves {
+			m.current = r.target
+			m.entered = now
+			m.fired = 0
+		}
+		for _, do := range r.do {
+			do(m.context)
+		}
+		return
+	}
+}
+
+// State returns the name of the current state.
+func (m *Machine[C]) State() string { return m.bound.chart.states[m.current].name }
+
+// Since returns when the current state was entered.
+func (m *Machine[C]) Since() time.Time { return m.entered }
+
+// In reports whether the machine is in the state or in a state inside it.
+func (m *Machine[C]) In(name string) bool {
+	states := m.bound.chart.states
+	for s := m.current; s != noState; s = states[s].parent {
+		if states[s].name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Final reports whether the machine has reached a final state.
+func (m *Machine[C]) Final() bool { return m.bound.chart.states[m.current].final }
+
+// Deadline returns when the next timeout of the current state is due, and false when there is none.
+func (m *Machine[C]) Deadline() (time.Time, bool) {
+	timeouts := m.bound.chart.states[m.current].timeouts
+	if m.fired >= len(timeouts) {
+		return time.Time{}, false
+	}
+	return m.entered.Add(timeouts[m.fired].delay), true
+}
+
+// Tick raises the timeouts that are due.
+func (m *Machine[C]) Tick(now time.Time) {
+	for {
+		due, ok := m.Deadline()
+		if !ok || due.After(now) {
+			return
+		}
+		timeouts := m.bound.chart.states[m.current].timeouts
+		event := timeouts[m.fired].event
+		m.fired++
+		m.fire(now, event)
+	}
+}
--- /dev/null
+++ b/internal/document/check.go
@@ -0,0 +1,213 @@
+package document
+
+import (
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+// Problem is one fault of a document.
+type Problem struct {
+	// Key is the path of the field, such as "route[2].path".
+	Key string
+	// Message says what is wrong.
+	Message string
+	// Remedy says what to write instead.
+	Remedy string
+}
+
+// Error turns problems into one error of kind Invalid, or nil when there are none. The source names the file or
+// object.
+func Error(source string, problems []Problem) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	var lines, remedies []string
+	for _, p := range problems {
+		lines = append(lines, p.Key+": "+p.Message)
+		remedies = append(remedies, p.Key+": "+p.Remedy)
+	}
+	return fault.New(fault.Invalid, strings.Join(remedies, "; "), "%s: %s", source, strings.Join(lines, "; "))
+}
+
+// Limits of a service document.
+const (
+	maxSlots     = 10_000
+	maxBodyLimit = 64 << 20
+	maxDeadline  = time.Hour
+	maxWindow    = 24 * time.Hour
+	maxNameBytes = 63
+)
+
+type checker struct{ problems []Problem }
+
+func (c *checker) add(key, remedy, message string) {
+	c.problems = append(c.problems, Problem{Key: key, Message: message, Remedy: remedy})
+}
+
+func (c *checker) require(ok bool, key, remedy, message string) {
+	if !ok {
+		c.add(key, remedy, message)
+	}
+}
+
+func (c *checker) name(key, value string) {
+	c.require(validName(value), key, "use 1 to 63 lower-case letters, digits, dots and dashes", "name "+quote(value)+" is not valid")
+}
+
+func quote(s string) string { return `"` + s + `"` }
+
+func validName(s string) bool {
+	if s == "" || len(s) > maxNameBytes {
+		return false
+	}
+	for _, r := range s {
+		if !(r >= 'a' && r <= 'z' || r >= '0' && r <= '9' || r == '-' || r == '.') {
+			return false
+		}
+	}
+	return true
+}
+
+// Check returns the faults of a completed document.
+func (s *Service) Check() []Problem {
+	c := &checker{}
+	c.name("service", s.Name)
+	c.require(s.Owner != "", "owner", "name the team that owns the service", "owner is missing")
+	c.require(s.MaxBody > 0 && s.MaxBody <= maxBodyLimit, "max_body", "use 1 byte to 64 MiB", "value is out of range")
+	c.servers(s.Servers)
+	c.queue(s.Queue)
+	c.share("retry.budget", s.Retry.Budget)
+	c.require(s.Retry.Attempts >= 0 && s.Retry.Attempts <= 5, "retry.attempts", "use 0 to 5", "value is out of range")
+	c.share("hedge.budget", s.Hedge.Budget)
+	c.share("hedge.percentile", s.Hedge.Percentile)
+	c.routes(s.Routes)
+	c.tenants(s.Tenants)
+	return c.problems
+}
+
+func (c *checker) share(key string, value float64) {
+	c.require(value >= 0 && value <= 1, key, "use a share from 0 to 1", "value is out of range")
+}
+
+func (c *checker) servers(s Servers) {
+	found := s.FoundIn == FoundInDocument || s.FoundIn == FoundInPlatform
+	c.require(found, "servers.found_in", `use "document" or "platform"`, "value "+quote(s.FoundIn)+" is not known")
+	c.require(s.Slots >= 1 && s.Slots <= maxSlots, "servers.slots", "say how many requests one server runs at a time", "slots must be from 1 to 10000")
+	c.require(s.Connections >= 1, "servers.connections", "use at least 1", "value is out of range")
+	c.require(s.ColdAllowance >= 1, "servers.cold_allowance", "use at least 1", "value is out of range")
+	c.require(s.WarmUpStep > 0, "servers.warm_up_step", `use a positive duration such as "1s"`, "value is out of range")
+	c.require(strings.HasPrefix(s.ProbePath, "/"), "servers.probe_path", `start the path with "/"`, "path is not absolute")
+	if s.FoundIn == FoundInPlatform {
+		c.require(len(s.List) == 0, "servers.server", "remove the list or set found_in to \"document\"", "servers are listed although the platform names them")
+		return
+	}
+	c.require(len(s.List) > 0, "servers.server", "list at least one server, or set found_in to \"platform\"", "no server is listed")
+	c.problems = append(c.problems, CheckServers(s.List)...)
+}
+
+// CheckServers returns the faults of a list of servers.
+func CheckServers(list []Server) []Problem {
+	c := &checker{}
+	seen := map[string]bool{}
+	for i, server := range list {
+		key := index("servers.server", i)
+		c.name(key+".name", server.Name)
+		c.require(!seen[server.Name], key+".name", "give each server its own name", "name "+quote(server.Name)+" is used twice")
+		seen[server.Name] = true
+		_, err := netip.ParseAddrPort(server.Address)
+		c.require(err == nil, key+".address", `write an IP address and a port, such as "10.0.0.7:8080"`, "address "+quote(server.Address)+" is not valid")
+		c.name(key+".zone", server.Zone)
+		c.require(server.Slots >= 0 && server.Slots <= maxSlots, key+".slots", "use 0 to 10000", "value is out of range")
+	}
+	return c.problems
+}
+
+func (c *checker) queue(q Queue) {
+	c.require(q.Length >= 1, "queue.length", "use at least 1", "value is out of range")
+	c.require(q.PerTenant >= 1 && q.PerTenant <= q.Length, "queue.per_tenant", "use 1 to queue.length", "value is out of range")
+}
+
+func (c *checker) routes(routes []Route) {
+	c.require(len(routes) > 0, "route", "add a [[route]]", "no route is defined")
+	seen := map[string]bool{}
+	for i, r := range routes {
+		key := index("route", i)
+		c.name(key+".name", r.Name)
+		c.require(!seen[r.Name], key+".name", "give each route its own name", "name "+quote(r.Name)+" is used twice")
+		seen[r.Name] = true
+		c.route(key, r)
+	}
+}
+
+func (c *checker) route(key string, r Route) {
+	c.require(validPath(r.Path), key+".path", `start with "/"; "{name}" stands for one segment, a last "*" for the rest`, "path "+quote(r.Path)+" is not valid")
+	for _, m := range r.Methods {
+		c.require(m != "" && m == strings.ToUpper(m), key+".methods", "write methods in upper case", "method "+quote(m)+" is not valid")
+	}
+	c.require(!(r.Idempotent && r.OnceOnly), key+".once_only", "keep one of idempotent and once_only", "a route cannot be both idempotent and once-only")
+	c.require(!r.Hedge || r.Idempotent, key+".hedge", "set idempotent = true or remove hedge", "only idempotent routes may be hedged")
+	c.require(r.OnceWindow > 0 && r.OnceWindow <= maxWindow, key+".once_window", "use a duration up to 24h", "value is out of range")
+	c.require(r.OnMissingKey == MissingRefuse || r.OnMissingKey == MissingRun, key+".on_missing_key", `use "refuse" or "run"`, "value "+quote(r.OnMissingKey)+" is not known")
+	c.require(r.Deadline > 0 && r.Deadline <= maxDeadline, key+".deadline", "use a duration up to 1h", "value is out of range")
+	c.require(r.Priority >= Low && r.Priority <= High, key+".priority", `use "low", "normal" or "high"`, "value is not known")
+	c.regions(key, r.HomeRegions)
+}
+
+func (c *checker) regions(key string, regions []string) {
+	for _, r := range regions {
+		c.name(key+".home_regions", r)
+	}
+}
+
+func (c *checker) tenants(tenants []Tenant) {
+	seen := map[string]bool{}
+	for i, t := range tenants {
+		key := index("tenant", i)
+		c.name(key+".name", t.Name)
+		c.require(!seen[t.Name], key+".name", "give each tenant its own name", "name "+quote(t.Name)+" is used twice")
+		seen[t.Name] = true
+		c.regions(key, t.HomeRegions)
+	}
+}
+
+// Check returns the faults of a fleet document.
+func (f *Fleet) Check() []Problem {
+	c := &checker{}
+	c.name("fleet", f.Name)
+	c.require(len(f.Regions) > 0, "region", "add a [[region]]", "no region is defined")
+	var zones, regions []string
+	for i, r := range f.Regions {
+		key := index("region", i)
+		c.name(key+".name", r.Name)
+		c.require(!slices.Contains(regions, r.Name), key+".name", "give each region its own name", "name "+quote(r.Name)+" is used twice")
+		regions = append(regions, r.Name)
+		c.require(len(r.Zones) > 0, key+".zones", "name at least one availability zone", "region has no availability zone")
+		for _, z := range r.Zones {
+			c.name(key+".zones", z)
+			c.require(!slices.Contains(zones, z), key+".zones", "name each availability zone once", "zone "+quote(z)+" is named twice")
+			zones = append(zones, z)
+		}
+	}
+	for _, z := range f.Out {
+		c.require(slices.Contains(zones, z), "out", "name a zone of the fleet", "zone "+quote(z)+" is not part of the fleet")
+	}
+	return c.problems
+}
+
+func validPath(p string) bool {
+	if !strings.HasPrefix(p, "/") {
+		return false
+	}
+	star := strings.IndexByte(p, '*')
+	if star >= 0 && (star != len(p)-1 || p[star-1] != '/') {
+		return false
+	}
+	return !strings.ContainsAny(p, "?# ")
+}
+
+func index(key string, i int) string { return key + "[" + strconv.Itoa(i) + "]" }
--- /dev/null
+++ b/internal/document/defaults.go
@@ -0,0 +1,30 @@
+package document
+
+// Complete fills the fields that a document may leave out. A reader calls it before Check.
+func (s *Service) Complete() {
+	setDefault(&s.MaxBody, DefaultMaxBody)
+	setDefault(&s.Servers.FoundIn, FoundInDocument)
+	setDefault(&s.Servers.Connections, DefaultConnections)
+	setDefault(&s.Servers.ColdAllowance, DefaultColdAllowance)
+	setDefault(&s.Servers.WarmUpStep, DefaultWarmUpStep)
+	setDefault(&s.Servers.ProbePath, DefaultProbePath)
+	setDefault(&s.Queue.Length, DefaultQueueLength)
+	setDefault(&s.Queue.PerTenant, max(1, s.Queue.Length/2))
+	for i := range s.Routes {
+		s.Routes[i].complete()
+	}
+}
+
+func (r *Route) complete() {
+	setDefault(&r.OnceWindow, DefaultOnceWindow)
+	setDefault(&r.KeyHeader, DefaultKeyHeader)
+	setDefault(&r.OnMissingKey, MissingRefuse)
+	setDefault(&r.Deadline, DefaultDeadline)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,85 @@
+package fault
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Kind names a class of errors. Kinds are stable: callers and scripts may match on them.
+type Kind string
+
+// Error is a typed error with a remedy.
+type Error struct {
+	// Kind is the class of the error.
+	Kind Kind
+	// Message says what happened.
+	Message string
+	// Remedy says what the reader can do about it.
+	Remedy string
+	// NotRun is true only when it is certain that no backend server ran the request.
+	NotRun bool
+	// RetryAfter is how long the caller should wait before it sends again; zero means no advice.
+	RetryAfter time.Duration
+	// Regions lists the home regions that may serve the request; empty when the error is not about regions.
+	Regions []string
+	cause   error
+}
+
+// New returns an error of the given kind.
+func New(kind Kind, remedy, format string, args ...any) *Error {
+	return &Error{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy}
+}
+
+// Wrap returns an error of the given kind that keeps its cause.
+func Wrap(cause error, kind Kind, remedy, format string, args ...any) *Error {
+	e := New(kind, remedy, format, args...)
+	e.cause = cause
+	return e
+}
+
+// Refused marks the error as a refusal: no backend server ran the request.
+func (e *Error) Refused(retryAfter time.Duration) *Error {
+	e.NotRun = true
+	e.RetryAfter = retryAfter
+	return e
+}
+
+// Error returns the message, the cause and the remedy in one line.
+func (e *Error) Error() string {
+	text := e.Message
+	if e.cause != nil {
+		text += ": " + e.cause.Error()
+	}
+	if e.Remedy != "" {
+		text += " (remedy: " + e.Remedy + ")"
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// KindOf returns the kind of the first Error in the chain, or Internal when there is none.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return Internal
+}
+
+// As returns the first Error in the chain; other errors become an Error of kind Internal.
+func As(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(err, Internal, "report this as a bug with the log lines of the request", "unexpected error")
+}
+
+// Is reports whether the chain holds an Error of the given kind.
+func Is(err error, kind Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == kind
+}
--- /dev/null
+++ b/internal/task/group.go
@@ -0,0 +1,59 @@
+package task
+
+import (
+	"context"
+	"fmt"
+)
+
+// Group runs tasks under one context and waits for all of them. It is owned by one goroutine: Go and Wait must be
+// called from it.
+type Group struct {
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	ended  chan ended
+	open   int
+}
+
+type ended struct {
+	name string
+	err  error
+}
+
+// endedCapacity bounds how many ended tasks wait to be collected; more block until Wait reads them.
+const endedCapacity = 64
+
+// NewGroup returns a group whose tasks end when ctx ends.
+func NewGroup(ctx context.Context) *Group {
+	ctx, cancel := context.WithCancelCause(ctx)
+	return &Group{ctx: ctx, cancel: cancel, ended: make(chan ended, endedCapacity)}
+}
+
+// Context returns the context that ends when the group stops.
+func (g *Group) Context() context.Context { return g.ctx }
+
+// Go starts a task. The first task that returns an error stops the group.
+func (g *Group) Go(name string, run func(ctx context.Context) error) {
+	g.open++
+	go func() {
+		err := run(g.ctx)
+		if err != nil {
+			g.cancel(fmt.Errorf("task %s: %w", name, err))
+		}
+		g.ended <- ended{name: name, err: err}
+	}()
+}
+
+// Stop ends the context of all tasks.
+func (g *Group) Stop() { g.cancel(context.Canceled) }
+
+// Wait blocks until all tasks have returned and gives the first error that is not a cancellation.
+func (g *Group) Wait() error {
+	var first error
+	for ; g.open > 0; g.open-- {
+		e := <-g.ended
+		if e.err != nil && first == nil && e.err != context.Canceled {
+			first = fmt.Errorf("task %s: %w", e.name, e.err)
+		}
+	}
+	return first
+}
