--- /dev/null
+++ b/internal/backend/conn.go
@@ -0,0 +1,267 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+// dialTimeout bounds opening a connection. A worker takes about 1 ms; 16 ms is a round trip between regions.
+const dialTimeout = time.Second
+
+// Dialer opens a connection to an address.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// connection is one task that owns one socket. It is the context of charts/connection.toml.
+type connection struct {
+	address string
+	dial    Dialer
+	pool    *task.Mailbox[any]
+	jobs    chan Exchange
+	machine *chart.Machine[*connection]
+	socket  *countingConn
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	reuse   bool
+}
+
+func bindConnection(ch *chart.Chart) (*chart.Bound[*connection], error) {
+	return chart.Bind(ch, chart.Bindings[*connection]{
+		Guards: map[string]func(*connection) bool{
+			"reusable": func(c *connection) bool { return c.reuse },
+		},
+		Actions: map[string]func(*connection){
+			"close_socket":     (*connection).closeSocket,
+			"offer_retirement": func(c *connection) { c.tell(connectionExpired{c: c}) },
+		},
+	})
+}
+
+// Messages from a connection to its pool.
+type (
+	connectionIdle struct {
+		c *connection
+		// first is true when the connection has just been opened.
+		first bool
+	}
+	connectionExpired struct{ c *connection }
+	connectionClosed  struct {
+		c *connection
+		// dialError is set when the connection was never open.
+		dialError error
+	}
+)
+
+// run is the body of the connection's task. The pool outlives its connections, so telling it never blocks for long.
+func (c *connection) run(dialCtx context.Context, bound *chart.Bound[*connection]) {
+	c.machine = bound.New(time.Now(), c)
+	if err := c.open(dialCtx); err != nil {
+		c.fire("dial_failed")
+		c.tell(connectionClosed{c: c, dialError: err})
+		return
+	}
+	c.fire("dialed")
+	for first := true; !c.machine.Final(); first = false {
+		c.tell(connectionIdle{c: c, first: first})
+		c.serveNext()
+	}
+	c.tell(connectionClosed{c: c})
+}
+
+func (c *connection) fire(event string) {
+	if err := c.machine.Fire(time.Now(), event); err != nil {
+		panic(err) // events are constants of this package; a missing one is a programming error
+	}
+}
+
+// tell blocks while the pool's mailbox is full: losing a message would leak the connection.
+func (c *connection) tell(m any) {
+	_ = c.pool.Send(context.Background(), m) // a background context never ends
+}
+
+func (c *connection) open(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	socket, err := c.dial(ctx, c.address)
+	if err != nil {
+		return err
+	}
+	c.socket = &countingConn{Conn: socket}
+	c.reader = bufio.NewReader(c.socket)
+	c.writer = bufio.NewWriter(c.socket)
+	return nil
+}
+
+func (c *connection) closeSocket() {
+	if c.socket != nil {
+		_ = c.socket.Close() // the socket is given up; there is nothing to do about an error
+	}
+}
+
+// serveNext waits for one exchange. When the idle limit passes it asks the pool to retire the connection and waits
+// on, because the pool may have assigned an exchange in the meantime.
+func (c *connection) serveNext() {
+	for {
+		job, ok, expired := c.next()
+		switch {
+		case expired:
+			c.machine.Tick(time.Now())
+		case !ok:
+			c.fire("retire")
+			return
+		default:
+			c.exchange(job)
+			return
+		}
+	}
+}
+
+func (c *connection) next() (job Exchange, ok, expired bool) {
+	due, limited := c.machine.Deadline()
+	if !limited {
+		job, ok = <-c.jobs
+		return job, ok, false
+	}
+	timer := time.NewTimer(time.Until(due))
+	defer timer.Stop()
+	select {
+	case job, ok = <-c.jobs:
+		return job, ok, false
+	case <-timer.C:
+		return Exchange{}, false, true
+	}
+}
+
+func (c *connection) exchange(job Exchange) {
+	c.fire("exchange")
+	if stale(c.socket.Conn) || c.reader.Buffered() > 0 {
+		c.fire("broken")
+		job.Reply <- Result{Fate: call.NotSent, Err: errClosedWhileIdle}
+		return
+	}
+	c.socket.written = 0
+	release := context.AfterFunc(job.Ctx, func() { _ = c.socket.SetDeadline(time.Unix(1, 0)) })
+	result, body := c.roundTrip(job)
+	job.Reply <- result
+	c.reuse = body.finish() && release()
+	if !c.reuse && job.Ctx.Err() != nil {
+		c.fire("cancelled")
+		return
+	}
+	c.fire("finished")
+}
+
+var (
+	errClosedWhileIdle = errors.New("backend server closed the connection while it was idle")
+	errTruncated       = errors.New("answer of the backend server is truncated")
+)
+
+// roundTrip writes the request and reads the answer. The body is what remains to be streamed after the reply.
+func (c *connection) roundTrip(job Exchange) (Result, body) {
+	start := time.Now()
+	if err := c.write(job.Request, start); err != nil {
+		return c.lost(err), body{}
+	}
+	response, err := c.readHead()
+	if err != nil {
+		return c.lost(err), body{}
+	}
+	result := Result{Fate: call.Answered, Elapsed: time.Since(start)}
+	readServerState(&result, response.Header)
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderNotRun) == "true" {
+		result.Fate = call.DeclaredNotRun
+	}
+	return c.readBody(result, response)
+}
+
+func (c *connection) write(req *call.Request, now time.Time) error {
+	if err := encode(req, now).Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+// readHead reads the head of the answer and passes over interim answers.
+func (c *connection) readHead() (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(c.reader, nil)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+}
+
+func (c *connection) lost(err error) Result {
+	fate := call.MaybeRun
+	if c.socket.written == 0 {
+		fate = call.NotSent
+	}
+	return Result{Fate: fate, Err: err}
+}
+
+// readBody reads a short body whole. A longer one is passed on through a pipe while the connection stays busy.
+func (c *connection) readBody(result Result, response *http.Response) (Result, body) {
+	answer := &call.Answer{Status: response.StatusCode, Header: decodeHeader(response.Header), Length: response.ContentLength}
+	whole, err := io.ReadAll(io.LimitReader(response.Body, MaxWholeAnswer+1))
+	if err != nil {
+		return Result{Fate: call.MaybeRun, Err: errors.Join(errTruncated, err)}, body{}
+	}
+	result.Answer = answer
+	if len(whole) <= MaxWholeAnswer {
+		answer.Body = whole
+		return result, body{conn: c, response: response, whole: true}
+	}
+	reader, writer := io.Pipe()
+	answer.Stream = reader
+	return result, body{conn: c, response: response, head: whole, pipe: writer}
+}
+
+// body is the part of an answer that is still to be passed on.
+type body struct {
+	conn     *connection
+	response *http.Response
+	whole    bool
+	head     []byte
+	pipe     *io.PipeWriter
+}
+
+// finish passes on the rest of the body and reports whether the connection may carry another exchange.
+func (b body) finish() bool {
+	if b.response == nil {
+		return false
+	}
+	clean := b.whole || b.stream()
+	return clean && !b.response.Close && b.conn.reader.Buffered() == 0
+}
+
+func (b body) stream() bool {
+	if _, err := b.pipe.Write(b.head); err != nil {
+		return false
+	}
+	_, err := io.Copy(b.pipe, b.response.Body)
+	if err != nil {
+		b.pipe.CloseWithError(errors.Join(errTruncated, err))
+		return false
+	}
+	return b.pipe.Close() == nil
+}
+
+// countingConn counts the bytes that were written, to tell a request that was never sent.
+type countingConn struct {
+	net.Conn
+	written int
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += n
+	return n, err
+}
--- /dev/null
+++ b/internal/backend/exchange.go
@@ -0,0 +1,56 @@
+package backend
+
+import (
+	"context"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/call"
+)
+
+// Header fields between fuchsiahub and backend servers.
+const (
+	// HeaderNotRun set to "true" on a 503 says that the server did not run the request.
+	HeaderNotRun = "Backend-Not-Run"
+	// HeaderLoad carries "<running>/<slots>".
+	HeaderLoad = "Backend-Load"
+	// HeaderState carries "ready", "cold" or "draining".
+	HeaderState = "Backend-State"
+	// HeaderIncarnation differs for each start of the server.
+	HeaderIncarnation = "Backend-Incarnation"
+	// HeaderTimeout carries the time that remains, in milliseconds.
+	HeaderTimeout = "Fuchsiahub-Timeout-Ms"
+	// HeaderHops carries the nesting depth of the call.
+	HeaderHops = "Fuchsiahub-Hops"
+	// HeaderRetries carries how many resends the calls below may still make.
+	HeaderRetries = "Fuchsiahub-Retries-Left"
+	// HeaderRequestID carries the id of the request.
+	HeaderRequestID = "Fuchsiahub-Request-Id"
+)
+
+// MaxWholeAnswer is the longest answer body, in bytes, that is read whole before it is passed on.
+const MaxWholeAnswer = 64 << 10
+
+// Exchange asks for one request to be sent on a connection of the pool.
+type Exchange struct {
+	Ctx     context.Context
+	Request *call.Request
+	// Reply has room for one result, so a connection never waits for its reader.
+	Reply chan Result
+}
+
+// Result is how an exchange ended.
+type Result struct {
+	Answer *call.Answer
+	Fate   call.Fate
+	// Err says why there is no answer; nil when there is one.
+	Err error
+	// Refused is true when no connection could be opened.
+	Refused bool
+	// Draining, Incarnation, Running and Slots are what the server said about itself.
+	Draining    bool
+	Incarnation string
+	Running     int
+	Slots       int
+	// Elapsed is the time from the first byte written to the head of the answer.
+	Elapsed time.Duration
+}
--- /dev/null
+++ b/internal/backend/pool.go
@@ -0,0 +1,254 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"slices"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+// poolCapacity bounds the messages that wait at a pool. Requests are bounded by slots well below it.
+const poolCapacity = 256
+
+// Pool is the task that owns the connections to one backend server.
+type Pool struct {
+	address string
+	dial    Dialer
+	inbox   *task.Mailbox[any]
+	bound   *chart.Bound[*connection]
+
+	limit   int
+	spare   int
+	open    int // connections that are open or being opened
+	dialing int
+	idle    []*connection
+	waiting []Exchange
+	// stopping is true once the pool's context has ended; it then only waits for its connections.
+	stopping bool
+	// ended is closed after the last exchange was answered.
+	ended chan struct{}
+}
+
+// Resize changes how many connections the pool may open and how many idle ones it keeps ahead of need.
+type Resize struct{ Limit, Spare int }
+
+// NewPool returns a pool for one server. Run starts it.
+func NewPool(address string, dial Dialer, size Resize) (*Pool, error) {
+	ch, err := charts.Load("connection", nil)
+	if err != nil {
+		return nil, err
+	}
+	bound, err := bindConnection(ch)
+	if err != nil {
+		return nil, err
+	}
+	return &Pool{
+		address: address, dial: dial, bound: bound, limit: size.Limit, spare: size.Spare,
+		inbox: task.NewMailbox[any]("backend "+address, poolCapacity), ended: make(chan struct{}),
+	}, nil
+}
+
+// NetDialer opens TCP connections.
+func NetDialer(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Do sends one request and waits for its end. A full mailbox refuses the request as not sent.
+func (p *Pool) Do(ctx context.Context, req *call.Request) Result {
+	reply := make(chan Result, 1)
+	if err := p.inbox.Offer(Exchange{Ctx: ctx, Request: req, Reply: reply}); err != nil {
+		return Result{Fate: call.NotSent, Err: err}
+	}
+	select {
+	case r := <-reply:
+		return r
+	case <-p.ended:
+		return p.afterEnd(reply)
+	}
+}
+
+// afterEnd distinguishes an exchange that was answered before the pool ended from one that it never took.
+func (p *Pool) afterEnd(reply <-chan Result) Result {
+	select {
+	case r := <-reply:
+		return r
+	default:
+		return p.stopped()
+	}
+}
+
+func (p *Pool) stopped() Result {
+	return Result{Fate: call.NotSent, Err: fault.New(fault.Stopping, "send the request again", "backend server %s was removed", p.address)}
+}
+
+// Resize changes the limits of the pool.
+func (p *Pool) Resize(ctx context.Context, size Resize) error { return p.inbox.Send(ctx, size) }
+
+// Run is the body of the pool's task. After the context has ended it refuses new exchanges and waits for the
+// connections that carry one; those end by the contexts of their requests.
+func (p *Pool) Run(ctx context.Context) error {
+	defer close(p.ended)
+	p.fill(ctx)
+	done := ctx.Done()
+	for !p.stopping || p.open > 0 {
+		select {
+		case m := <-p.inbox.C():
+			p.handle(ctx, m)
+		case <-done:
+			done = nil
+			p.stop()
+		}
+	}
+	p.refuseInbox()
+	return nil
+}
+
+func (p *Pool) handle(ctx context.Context, m any) {
+	switch m := m.(type) {
+	case Exchange:
+		p.assign(ctx, m)
+	case connectionIdle:
+		p.returned(m)
+	case connectionExpired:
+		p.expired(m.c)
+	case connectionClosed:
+		p.closed(ctx, m)
+	case Resize:
+		p.limit, p.spare = m.Limit, m.Spare
+		p.fill(ctx)
+	}
+}
+
+func (p *Pool) assign(ctx context.Context, job Exchange) {
+	if p.stopping {
+		job.Reply <- p.stopped()
+		return
+	}
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1]
+		p.idle = p.idle[:n-1]
+		c.jobs <- job
+		p.fill(ctx)
+		return
+	}
+	p.waiting = append(p.waiting, job)
+	if p.dialing < len(p.waiting) && p.open < p.limit {
+		p.start(ctx)
+	}
+}
+
+// fill opens connections ahead of need.
+func (p *Pool) fill(ctx context.Context) {
+	for !p.stopping && len(p.idle)+p.dialing < p.spare && p.open < p.limit {
+		p.start(ctx)
+	}
+}
+
+func (p *Pool) start(ctx context.Context) {
+	c := &connection{address: p.address, dial: p.dial, pool: p.inbox, jobs: make(chan Exchange, 1)}
+	p.open++
+	p.dialing++
+	go c.run(ctx, p.bound)
+}
+
+func (p *Pool) returned(m connectionIdle) {
+	if m.first {
+		p.dialing--
+	}
+	if job, ok := p.nextWaiting(); ok {
+		m.c.jobs <- job
+		return
+	}
+	if p.stopping {
+		close(m.c.jobs)
+		return
+	}
+	p.idle = append(p.idle, m.c)
+}
+
+// nextWaiting returns the first waiting exchange whose caller has not gone.
+func (p *Pool) nextWaiting() (Exchange, bool) {
+	for len(p.waiting) > 0 {
+		job := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		if job.Ctx.Err() == nil {
+			return job, true
+		}
+		job.Reply <- Result{Fate: call.NotSent, Err: context.Cause(job.Ctx)}
+	}
+	return Exchange{}, false
+}
+
+// expired retires a connection that is still idle and not needed as a spare one.
+func (p *Pool) expired(c *connection) {
+	if p.forget(c) {
+		close(c.jobs)
+	}
+}
+
+// forget removes a connection from the idle ones and reports whether it was among them.
+func (p *Pool) forget(c *connection) bool {
+	i := slices.Index(p.idle, c)
+	if i < 0 {
+		return false
+	}
+	p.idle = slices.Delete(p.idle, i, i+1)
+	return true
+}
+
+func (p *Pool) closed(ctx context.Context, m connectionClosed) {
+	p.open--
+	p.forget(m.c)
+	if m.dialError != nil {
+		p.dialing--
+		p.refuseOne(m.dialError)
+	}
+	if !p.stopping && len(p.waiting) > p.dialing && p.open < p.limit {
+		p.start(ctx)
+		return
+	}
+	if m.dialError == nil {
+		p.fill(ctx)
+	}
+}
+
+// refuseOne tells one waiting exchange that no connection could be opened.
+func (p *Pool) refuseOne(err error) {
+	if job, ok := p.nextWaiting(); ok {
+		job.Reply <- Result{Fate: call.NotSent, Refused: true, Err: fault.Wrap(err, fault.NoServer,
+			"check that the backend server runs and that its address in the document is right", "backend server %s refused the connection", p.address)}
+	}
+}
+
+// stop refuses what waits and retires idle connections.
+func (p *Pool) stop() {
+	p.stopping = true
+	for _, job := range p.waiting {
+		job.Reply <- p.stopped()
+	}
+	p.waiting = nil
+	for _, c := range p.idle {
+		close(c.jobs)
+	}
+	p.idle = nil
+}
+
+// refuseInbox answers exchanges that arrived while the pool ended.
+func (p *Pool) refuseInbox() {
+	for {
+		select {
+		case m := <-p.inbox.C():
+			if job, ok := m.(Exchange); ok {
+				job.Reply <- p.stopped()
+			}
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/backend/stale.go
@@ -0,0 +1,27 @@
+package backend
+
+import (
+	"net"
+	"syscall"
+)
+
+// stale reports whether an idle connection has been closed by the server or holds bytes that nobody asked for. It
+// does not block. Connections without a file descriptor, as in tests, are taken as good.
+func stale(socket net.Conn) bool {
+	withDescriptor, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := withDescriptor.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var bad bool
+	err = raw.Read(func(descriptor uintptr) bool {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		bad = n > 0 || err != syscall.EAGAIN
+		return true
+	})
+	return err != nil || bad
+}
--- /dev/null
+++ b/internal/decide/route/policy.go
@@ -0,0 +1,119 @@
+package route
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+// MaxHops is the deepest nesting of calls that is served.
+const MaxHops = 13
+
+// Policy is what the document says about one request.
+type Policy struct {
+	Route *document.Route
+	// Regions are the only regions that may serve the request; nil means all.
+	Regions []string
+	// Deadline is when the request must be answered.
+	Deadline time.Time
+	// Resends is how many resends the request may still use.
+	Resends int
+	// Once says that the request needs a claim before it is sent.
+	Once bool
+	// Key is the caller's idempotency key.
+	Key string
+}
+
+// Decide returns the policy of a request at an instance of the given region, or the reason for a refusal. Nothing
+// has run when it refuses.
+func Decide(now time.Time, doc *document.Service, req *call.Request, region string) (Policy, error) {
+	if req.Hops > MaxHops {
+		return Policy{}, refuse(fault.New(fault.TooManyHops, "look for a cycle among the services that call each other",
+			"request is nested more than %d calls deep", MaxHops))
+	}
+	matched, ok := Match(doc, req.Method, req.Path)
+	if !ok {
+		return Policy{}, refuse(fault.New(fault.UnknownRoute, "add a [[route]] to the document of the service or correct the path",
+			"no route of service %q matches %s %s", doc.Name, req.Method, req.Path))
+	}
+	p := Policy{Route: matched, Deadline: deadline(now, req.Deadline, matched.Deadline), Resends: min(doc.Retry.Attempts, req.RetriesLeft)}
+	if err := p.homeRegions(doc, req, region); err != nil {
+		return Policy{}, err
+	}
+	if !p.Deadline.After(now) {
+		return Policy{}, refuse(fault.New(fault.DeadlineExceeded, "allow more time", "the deadline of the request has passed"))
+	}
+	return p, p.once(req)
+}
+
+func refuse(e *fault.Error) error { return e.Refused(0) }
+
+func deadline(now, callers time.Time, limit time.Duration) time.Time {
+	latest := now.Add(limit)
+	if callers.IsZero() || callers.After(latest) {
+		return latest
+	}
+	return callers
+}
+
+func (p *Policy) homeRegions(doc *document.Service, req *call.Request, region string) error {
+	p.Regions = p.Route.HomeRegions
+	if t, ok := doc.Tenant(req.Tenant); ok && len(t.HomeRegions) > 0 {
+		p.Regions = intersect(p.Regions, t.HomeRegions)
+	}
+	if p.Regions == nil || slices.Contains(p.Regions, region) {
+		return nil
+	}
+	if len(p.Regions) == 0 {
+		return refuse(fault.New(fault.WrongRegion, "make the home regions of the route and of the tenant overlap",
+			"no region may serve route %q for this tenant", p.Route.Name))
+	}
+	e := fault.New(fault.WrongRegion, "send the request to an instance in "+strings.Join(p.Regions, " or "),
+		"route %q may be served only in its home regions", p.Route.Name)
+	e.Regions = p.Regions
+	return refuse(e)
+}
+
+// intersect returns the regions in both lists; a nil list stands for all regions. The result is not nil.
+func intersect(a, b []string) []string {
+	if a == nil {
+		return b
+	}
+	both := []string{}
+	for _, r := range a {
+		if slices.Contains(b, r) {
+			both = append(both, r)
+		}
+	}
+	return both
+}
+
+func (p *Policy) once(req *call.Request) error {
+	if !p.Route.OnceOnly {
+		return nil
+	}
+	p.Key = Header(req, p.Route.KeyHeader)
+	if p.Key != "" {
+		p.Once = true
+		return nil
+	}
+	if p.Route.OnMissingKey == document.MissingRun {
+		return nil
+	}
+	return refuse(fault.New(fault.MissingKey, "send a unique "+p.Route.KeyHeader+" header and repeat it when you send the request again",
+		"route %q runs a request at most once and needs a key", p.Route.Name))
+}
+
+// Header returns the first value of a header field, or "".
+func Header(req *call.Request, name string) string {
+	for _, f := range req.Header {
+		if strings.EqualFold(f.Name, name) {
+			return f.Value
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/frontend/answer.go
@@ -0,0 +1,101 @@
+package frontend
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+func writeAnswer(w http.ResponseWriter, id string, answer *call.Answer) {
+	header := w.Header()
+	for _, f := range answer.Header {
+		header[f.Name] = append(header[f.Name], f.Value)
+	}
+	header.Set(HeaderOutcome, "answered")
+	header.Set(backend.HeaderRequestID, id)
+	if answer.Stream == nil {
+		w.WriteHeader(answer.Status)
+		_, _ = w.Write(answer.Body) // the caller has gone; there is nobody to tell
+		return
+	}
+	defer func() { _ = answer.Stream.Close() }() // what was not read is given up
+	w.WriteHeader(answer.Status)
+	if _, err := io.Copy(w, answer.Stream); err != nil {
+		// Closes the caller's connection, so that a truncated answer cannot be taken as whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// refusal is the JSON body of an answer that does not come from a backend server.
+type refusal struct {
+	Kind      fault.Kind `json:"kind"`
+	Message   string     `json:"message"`
+	Remedy    string     `json:"remedy"`
+	RequestID string     `json:"request_id"`
+	NotRun    bool       `json:"not_run"`
+	// HomeRegions lists the regions that may serve the request.
+	HomeRegions []string `json:"home_regions,omitempty"`
+}
+
+func writeError(w http.ResponseWriter, id string, err error) {
+	e := fault.As(err)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderReason, string(e.Kind))
+	header.Set(HeaderOutcome, outcome(e))
+	header.Set(backend.HeaderRequestID, id)
+	if e.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(max(1, int(e.RetryAfter.Seconds()))))
+	}
+	if len(e.Regions) > 0 {
+		header.Set(HeaderHomeRegions, strings.Join(e.Regions, ", "))
+	}
+	w.WriteHeader(Status(e))
+	_ = json.NewEncoder(w).Encode(refusal{ // the caller has gone; there is nobody to tell
+		Kind: e.Kind, Message: e.Message, Remedy: e.Remedy, RequestID: id, NotRun: e.NotRun, HomeRegions: e.Regions,
+	})
+}
+
+func outcome(e *fault.Error) string {
+	switch {
+	case e.NotRun:
+		return "not-run"
+	case e.Kind == fault.AlreadyRun:
+		return "answered"
+	}
+	return "unknown"
+}
+
+// statuses gives the HTTP status of each kind that reaches callers; others are 500.
+var statuses = map[fault.Kind]int{
+	fault.BadRequest:       http.StatusBadRequest,
+	fault.MissingKey:       http.StatusBadRequest,
+	fault.TooLarge:         http.StatusRequestEntityTooLarge,
+	fault.UnknownService:   http.StatusNotFound,
+	fault.UnknownRoute:     http.StatusNotFound,
+	fault.WrongRegion:      http.StatusMisdirectedRequest,
+	fault.Overloaded:       http.StatusServiceUnavailable,
+	fault.NoServer:         http.StatusServiceUnavailable,
+	fault.Stopping:         http.StatusServiceUnavailable,
+	fault.StoreUnavailable: http.StatusServiceUnavailable,
+	fault.DeadlineExceeded: http.StatusGatewayTimeout,
+	fault.OutcomeUnknown:   http.StatusBadGateway,
+	fault.TooManyHops:      http.StatusLoopDetected,
+	fault.InProgress:       http.StatusConflict,
+	fault.AlreadyRun:       http.StatusConflict,
+	fault.Quarantined:      http.StatusUnprocessableEntity,
+}
+
+// Status returns the HTTP status of an error.
+func Status(e *fault.Error) int {
+	if status, ok := statuses[e.Kind]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
--- /dev/null
+++ b/internal/frontend/handler.go
@@ -0,0 +1,164 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/decide/route"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+// Header fields between callers and instances.
+const (
+	// HeaderService names the service; without it the Host field does.
+	HeaderService = "Fuchsiahub-Service"
+	// HeaderTenant names the customer.
+	HeaderTenant = "Fuchsiahub-Tenant"
+	// HeaderOutcome is "not-run", "unknown" or "answered".
+	HeaderOutcome = "Fuchsiahub-Outcome"
+	// HeaderReason is the kind of a refusal.
+	HeaderReason = "Fuchsiahub-Reason"
+	// HeaderHomeRegions lists the regions that may serve the request.
+	HeaderHomeRegions = "Fuchsiahub-Home-Regions"
+)
+
+// defaultRetries is the retry allowance of a caller that names none. The document may lower it.
+const defaultRetries = 5
+
+// Server answers requests in transport-neutral form.
+type Server interface {
+	MaxBody(service string) (int64, error)
+	Do(ctx context.Context, req *call.Request) (*call.Answer, error)
+}
+
+// Handler is the HTTP front end.
+type Handler struct {
+	server Server
+	newID  func() string
+}
+
+// NewHandler returns the HTTP handler of the caller's side. NewID gives ids to requests that bring none.
+func NewHandler(server Server, newID func() string) http.Handler {
+	h := &Handler{server: server, newID: newID}
+	r := chi.NewRouter()
+	r.HandleFunc("/*", h.serve)
+	r.NotFound(h.serve)
+	r.MethodNotAllowed(h.serve)
+	return r
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
+	req, err := h.request(r)
+	if err != nil {
+		writeError(w, h.id(r), err)
+		return
+	}
+	answer, err := h.server.Do(r.Context(), req)
+	if err != nil {
+		writeError(w, req.ID, err)
+		return
+	}
+	writeAnswer(w, req.ID, answer)
+}
+
+func (h *Handler) id(r *http.Request) string {
+	if id := r.Header.Get(backend.HeaderRequestID); id != "" && len(id) <= 64 {
+		return id
+	}
+	return h.newID()
+}
+
+// request reads the whole request, so that it can be sent again when nothing ran.
+func (h *Handler) request(r *http.Request) (*call.Request, error) {
+	req := &call.Request{
+		ID: h.id(r), Service: serviceOf(r), Tenant: r.Header.Get(HeaderTenant), Method: r.Method,
+		Path: r.URL.EscapedPath(), Query: r.URL.RawQuery, Header: endToEnd(r), RetriesLeft: defaultRetries,
+	}
+	if err := readAllowances(req, r.Header); err != nil {
+		return nil, err
+	}
+	limit, err := h.server.MaxBody(req.Service)
+	if err != nil {
+		return nil, err
+	}
+	req.Body, err = readBody(r, limit)
+	return req, err
+}
+
+func serviceOf(r *http.Request) string {
+	if name := r.Header.Get(HeaderService); name != "" {
+		return name
+	}
+	host, _, err := net.SplitHostPort(r.Host)
+	if err != nil {
+		return r.Host
+	}
+	return host
+}
+
+// endToEnd returns the fields that go on to the backend server.
+func endToEnd(r *http.Request) []call.Field {
+	fields := backend.EndToEnd(r.Header)
+	kept := fields[:0]
+	for _, f := range fields {
+		if !strings.HasPrefix(f.Name, "Fuchsiahub-") || f.Name == HeaderTenant {
+			kept = append(kept, f)
+		}
+	}
+	return append(kept, call.Field{Name: "Host", Value: r.Host})
+}
+
+// readAllowances reads the deadline, the nesting depth and the resends that the caller allows.
+func readAllowances(req *call.Request, header http.Header) error {
+	if text := header.Get(backend.HeaderTimeout); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 || ms > time.Hour.Milliseconds() {
+			return badHeader(backend.HeaderTimeout, "use milliseconds from 1 to 3600000")
+		}
+		req.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
+	}
+	if text := header.Get(backend.HeaderHops); text != "" {
+		hops, err := strconv.Atoi(text)
+		if err != nil || hops < 0 {
+			return badHeader(backend.HeaderHops, "use a whole number from 0 to "+strconv.Itoa(route.MaxHops))
+		}
+		req.Hops = hops
+	}
+	if text := header.Get(backend.HeaderRetries); text != "" {
+		left, err := strconv.Atoi(text)
+		if err != nil || left < 0 {
+			return badHeader(backend.HeaderRetries, "use a whole number of at least 0")
+		}
+		req.RetriesLeft = min(left, defaultRetries)
+	}
+	return nil
+}
+
+func badHeader(name, remedy string) error {
+	return fault.New(fault.BadRequest, remedy, "header %s is not valid", name).Refused(0)
+}
+
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fault.New(fault.TooLarge, "send less or raise max_body in the document of the service", "request body is larger than %d bytes", limit).Refused(0)
+	}
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadRequest, "send the whole body", "request body could not be read").Refused(0)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/node/directory.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+// directoryCapacity bounds the document changes that wait; senders block when it is full.
+const directoryCapacity = 16
+
+// Documents is the configuration in force. It is immutable.
+type Documents struct {
+	Services map[string]*document.Service
+	// Backends holds the servers of services whose document says that the platform names them.
+	Backends map[string][]document.Server
+	Fleet    *document.Fleet
+}
+
+// servers returns the backend servers of a service.
+func (d *Documents) servers(doc *document.Service) []document.Server {
+	if doc.Servers.FoundIn == document.FoundInPlatform {
+		return d.Backends[doc.Name]
+	}
+	return doc.Servers.List
+}
+
+// Entry is one service in the directory.
+type Entry struct {
+	Doc  *document.Service
+	Task *Service
+}
+
+// Directory is the task that starts and stops the tasks of services as documents come into force. It publishes an
+// immutable map, so that a request finds its service without a message.
+type Directory struct {
+	self  balance.Place
+	dial  backend.Dialer
+	log   *slog.Logger
+	inbox *task.Mailbox[applyDocuments]
+
+	published atomic.Pointer[map[string]Entry]
+	running   map[string]*runningService
+	ended     chan string
+}
+
+type runningService struct {
+	entry Entry
+	stop  context.CancelFunc
+}
+
+// NewDirectory returns an empty directory for an instance at the given place.
+func NewDirectory(self balance.Place, dial backend.Dialer, log *slog.Logger) *Directory {
+	d := &Directory{
+		self: self, dial: dial, log: log, inbox: task.NewMailbox[applyDocuments]("directory", directoryCapacity),
+		running: map[string]*runningService{}, ended: make(chan string),
+	}
+	d.published.Store(&map[string]Entry{})
+	return d
+}
+
+type applyDocuments struct {
+	docs  *Documents
+	reply chan<- struct{}
+}
+
+// Apply brings documents into force. It returns when requests find them.
+func (d *Directory) Apply(ctx context.Context, docs *Documents) error {
+	_, err := task.Ask(ctx, d.inbox, func(reply chan<- struct{}) applyDocuments {
+		return applyDocuments{docs: docs, reply: reply}
+	})
+	return err
+}
+
+// Lookup returns a service by name.
+func (d *Directory) Lookup(name string) (Entry, bool) {
+	e, ok := (*d.published.Load())[name]
+	return e, ok
+}
+
+// Entries returns all services. The map must not be changed.
+func (d *Directory) Entries() map[string]Entry { return *d.published.Load() }
+
+// Run is the body of the directory's task. It ends after the context has ended and all service tasks have.
+func (d *Directory) Run(ctx context.Context) error {
+	open := 0
+	done := ctx.Done()
+	for done != nil || open > 0 {
+		select {
+		case m := <-d.inbox.C():
+			if done != nil {
+				open += d.apply(ctx, m.docs)
+			}
+			m.reply <- struct{}{}
+		case <-d.ended:
+			open--
+		case <-done:
+			done = nil
+			d.stopAll()
+		}
+	}
+	return nil
+}
+
+// apply starts, updates and stops service tasks, and returns how many it started.
+func (d *Directory) apply(ctx context.Context, docs *Documents) int {
+	started := 0
+	for name, doc := range docs.Services {
+		view := balance.View{Service: doc, Servers: docs.servers(doc), Zones: docs.Fleet, Self: d.self}
+		if known, ok := d.running[name]; ok {
+			known.entry.Doc = doc
+			known.entry.Task.inbox.SendUntil(known.entry.Task.ended, update{view: view})
+			continue
+		}
+		if d.start(ctx, view) {
+			started++
+		}
+	}
+	for name, known := range d.running {
+		if docs.Services[name] == nil {
+			known.stop()
+			delete(d.running, name)
+		}
+	}
+	d.publish()
+	return started
+}
+
+func (d *Directory) start(ctx context.Context, view balance.View) bool {
+	s, err := NewService(view, d.dial, d.log, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	if err != nil {
+		d.log.Error("service cannot be started", "service", view.Service.Name, "error", err)
+		return false
+	}
+	serviceCtx, stop := context.WithCancel(ctx)
+	d.running[view.Service.Name] = &runningService{entry: Entry{Doc: view.Service, Task: s}, stop: stop}
+	go func() {
+		_ = s.Run(serviceCtx) // Run has no error to report
+		d.ended <- view.Service.Name
+	}()
+	return true
+}
+
+func (d *Directory) publish() {
+	entries := make(map[string]Entry, len(d.running))
+	for name, r := range d.running {
+		entries[name] = r.entry
+	}
+	d.published.Store(&entries)
+}
+
+func (d *Directory) stopAll() {
+	for _, r := range d.running {
+		r.stop()
+	}
+	d.published.Store(&map[string]Entry{})
+}
--- /dev/null
+++ b/internal/node/do.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/decide/route"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+// Server answers requests of callers. It is used by all front ends.
+type Server struct {
+	directory *Directory
+	self      balance.Place
+	requests  *requestChart
+}
+
+// NewServer returns a server over the services of a directory.
+func NewServer(directory *Directory, self balance.Place) (*Server, error) {
+	requests, err := loadRequestChart()
+	if err != nil {
+		return nil, err
+	}
+	return &Server{directory: directory, self: self, requests: requests}, nil
+}
+
+// MaxBody returns the largest request body of a service in bytes, or an error when no document names the service.
+func (s *Server) MaxBody(service string) (int64, error) {
+	entry, ok := s.directory.Lookup(service)
+	if !ok {
+		return 0, unknownService(service)
+	}
+	return entry.Doc.MaxBody, nil
+}
+
+// Do runs one request to its end. The error is a *fault.Error; its NotRun says whether nothing ran.
+func (s *Server) Do(ctx context.Context, req *call.Request) (*call.Answer, error) {
+	entry, ok := s.directory.Lookup(req.Service)
+	if !ok {
+		return nil, unknownService(req.Service)
+	}
+	policy, err := route.Decide(time.Now(), entry.Doc, req, s.self.Region)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithDeadline(ctx, policy.Deadline)
+	answer, err := drive(s.requests, &exchange{ctx: ctx, service: entry.Task, req: req, policy: policy})
+	if answer != nil && answer.Stream != nil {
+		answer.Stream = &cancelOnClose{ReadCloser: answer.Stream, cancel: cancel}
+		return answer, err
+	}
+	cancel()
+	return answer, err
+}
+
+func unknownService(service string) error {
+	return fault.New(fault.UnknownService, "name a service in the Fuchsiahub-Service or Host header; list them with: fuchsiahub list",
+		"no document is in force for service %q", service).Refused(0)
+}
--- a/internal/task/mailbox.go
+++ b/internal/task/mailbox.go
@@ -58,3 +58,19 @@
 		return zero, ctx.Err()
 	}
 }
+
+// SendUntil adds a message and blocks while the mailbox is full. It reports false when done is closed first, which
+// tells that the receiving task has ended.
+func (b *Mailbox[M]) SendUntil(done <-chan struct{}, m M) bool {
+	select {
+	case <-done:
+		return false
+	default:
+	}
+	select {
+	case b.messages <- m:
+		return true
+	case <-done:
+		return false
+	}
+}
