Test charts, connections and the imports of decisions

Cause: the interpreter and the connection tasks had only the test of the whole path. The new tests bring about unasked, late and truncated answers, idle connections that the server closed and refused connections.

--- /dev/null
+++ b/internal/backend/pool_test.go
@@ -0,0 +1,325 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/call"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// scriptedServer accepts connections and gives each to the script with its number, counted from 1.
+func scriptedServer(t *testing.T, script func(number int, c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for number := 1; ; number++ {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				script(number, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// startPool runs a pool until the test ends and checks that it ends.
+func startPool(t *testing.T, address string, size backend.Resize) *backend.Pool {
+	t.Helper()
+	p, err := backend.NewPool(address, backend.NetDialer, size)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return p
+}
+
+func get(path string) *call.Request {
+	return &call.Request{ID: "id", Service: "atlas", Method: "GET", Path: path}
+}
+
+func readRequest(r *bufio.Reader) (string, bool) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return "", false
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	return req.URL.Path, true
+}
+
+func write(c net.Conn, text string) { _, _ = io.WriteString(c, text) }
+
+func ok(body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// echo answers every request with its path.
+func echo(_ int, c net.Conn, r *bufio.Reader) {
+	for path, more := readRequest(r); more; path, more = readRequest(r) {
+		write(c, ok(path))
+	}
+}
+
+// Guards against an answer that reaches another caller: the server sends an answer that nobody asked for, together
+// with the first answer or while the connection is idle.
+func TestUnaskedAnswerReachesNobody(t *testing.T) {
+	for _, name := range []string{"with the answer", "while idle"} {
+		t.Run(name, func(t *testing.T) {
+			strayed := make(chan struct{})
+			address := scriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				for path, more := readRequest(r); more; path, more = readRequest(r) {
+					if path != "/first" {
+						write(c, ok(path))
+						continue
+					}
+					if name == "with the answer" {
+						write(c, ok(path)+ok("stray"))
+					} else {
+						write(c, ok(path))
+						write(c, ok("stray"))
+					}
+					close(strayed)
+				}
+			})
+			p := startPool(t, address, backend.Resize{Limit: 1})
+			first := p.Do(t.Context(), get("/first"))
+			if first.Fate != call.Answered || string(first.Answer.Body) != "/first" {
+				t.Fatalf("first: %+v", first)
+			}
+			<-strayed
+			second := doUntilSent(t, p, get("/second"))
+			if second.Fate != call.Answered || string(second.Answer.Body) != "/second" {
+				t.Fatalf("second caller got %q, fate %v, error %v", body(second), second.Fate, second.Err)
+			}
+		})
+	}
+}
+
+// doUntilSent repeats a request that was not sent, as the request's task does.
+func doUntilSent(t *testing.T, p *backend.Pool, req *call.Request) backend.Result {
+	t.Helper()
+	for range 5 {
+		if result := p.Do(t.Context(), req); result.Fate != call.NotSent {
+			return result
+		}
+	}
+	t.Fatal("request was not sent in 5 attempts")
+	return backend.Result{}
+}
+
+func body(r backend.Result) string {
+	if r.Answer == nil {
+		return ""
+	}
+	return string(r.Answer.Body)
+}
+
+// Guards against a late answer of a cancelled request that reaches the next caller.
+func TestLateAnswerOfCancelledRequestIsDropped(t *testing.T) {
+	arrived := make(chan struct{})
+	address := scriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for path, more := readRequest(r); more; path, more = readRequest(r) {
+			if path == "/slow" {
+				close(arrived)
+				_, _ = r.Peek(1) // returns when the caller's connection is closed
+			}
+			write(c, ok(path))
+		}
+	})
+	p := startPool(t, address, backend.Resize{Limit: 1})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	if slow := p.Do(ctx, get("/slow")); slow.Fate != call.MaybeRun {
+		t.Fatalf("cancelled request: fate %v, body %q", slow.Fate, body(slow))
+	}
+	if next := doUntilSent(t, p, get("/next")); body(next) != "/next" {
+		t.Fatalf("next caller got %q, fate %v", body(next), next.Fate)
+	}
+}
+
+// Guards against a wrong statement about whether a request ran.
+func TestFateOfBrokenExchanges(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer string
+		fate   call.Fate
+	}{
+		{"closed before the answer", "", call.MaybeRun},
+		{"truncated head", "HTTP/1.1 200 OK\r\nContent-Le", call.MaybeRun},
+		{"truncated body", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", call.MaybeRun},
+		{"truncated chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", call.MaybeRun},
+		{"garbage", "\x00\x01\x02 not http\r\n\r\n", call.MaybeRun},
+		{"declared not run", "HTTP/1.1 503 Service Unavailable\r\nBackend-Not-Run: true\r\nContent-Length: 0\r\n\r\n", call.DeclaredNotRun},
+		{"refused without a word about running", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", call.Answered},
+		{"interim answer first", "HTTP/1.1 103 Early Hints\r\n\r\n" + ok("done"), call.Answered},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			address := scriptedServer(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				write(conn, c.answer)
+			})
+			p := startPool(t, address, backend.Resize{Limit: 1})
+			if result := p.Do(t.Context(), get("/x")); result.Fate != c.fate {
+				t.Fatalf("fate %v, want %v (error %v)", result.Fate, c.fate, result.Err)
+			}
+		})
+	}
+}
+
+// Guards against a long answer that breaks off and looks whole to the caller.
+func TestTruncatedStreamEndsWithError(t *testing.T) {
+	address := scriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 4*backend.MaxWholeAnswer))
+		write(c, strings.Repeat("x", 2*backend.MaxWholeAnswer))
+	})
+	p := startPool(t, address, backend.Resize{Limit: 1})
+	result := p.Do(t.Context(), get("/long"))
+	if result.Fate != call.Answered || result.Answer.Stream == nil {
+		t.Fatalf("result %+v", result)
+	}
+	got, err := io.ReadAll(result.Answer.Stream)
+	if err == nil || len(got) != 2*backend.MaxWholeAnswer {
+		t.Fatalf("read %d bytes, error %v", len(got), err)
+	}
+}
+
+// Guards against a connection that stays busy, or a pool that never ends, after a caller gave up a long answer.
+func TestStreamGivenUpFreesConnection(t *testing.T) {
+	address := scriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for path, more := readRequest(r); more; path, more = readRequest(r) {
+			if path == "/long" {
+				path = strings.Repeat("x", 4*backend.MaxWholeAnswer)
+			}
+			write(c, ok(path))
+		}
+	})
+	p := startPool(t, address, backend.Resize{Limit: 1})
+	long := p.Do(t.Context(), get("/long"))
+	_ = long.Answer.Stream.Close()
+	if next := doUntilSent(t, p, get("/next")); body(next) != "/next" {
+		t.Fatalf("next caller got %q, fate %v", body(next), next.Fate)
+	}
+}
+
+// Guards against a doubtful outcome for a request that met a connection which the server had closed while idle.
+func TestConnectionClosedWhileIdleIsNotSent(t *testing.T) {
+	closed := make(chan struct{})
+	address := scriptedServer(t, func(number int, c net.Conn, r *bufio.Reader) {
+		if number > 1 {
+			echo(number, c, r)
+			return
+		}
+		path, _ := readRequest(r)
+		write(c, ok(path))
+		_ = c.Close()
+		close(closed)
+	})
+	p := startPool(t, address, backend.Resize{Limit: 1})
+	if first := p.Do(t.Context(), get("/first")); body(first) != "/first" {
+		t.Fatalf("first: %+v", first)
+	}
+	<-closed
+	second := p.Do(t.Context(), get("/second"))
+	if second.Fate == call.MaybeRun {
+		t.Fatalf("fate %v, error %v", second.Fate, second.Err)
+	}
+}
+
+// Guards against a refused connection that is reported as a request that may have run.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	dial := func(context.Context, string) (net.Conn, error) { return nil, errors.New("connection refused") }
+	p, err := backend.NewPool("192.0.2.1:1", dial, backend.Resize{Limit: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- p.Run(ctx) }()
+	for range 10 {
+		if r := p.Do(t.Context(), get("/x")); r.Fate != call.NotSent || !r.Refused {
+			t.Fatalf("result %+v", r)
+		}
+	}
+	cancel()
+	<-ended
+	if r := p.Do(t.Context(), get("/x")); r.Fate != call.NotSent {
+		t.Fatalf("after the end: %+v", r)
+	}
+}
+
+// Guards against more connections than the pool's limit, and against an exchange that waits for ever.
+func TestPoolKeepsItsLimit(t *testing.T) {
+	opened := make(chan int, 100)
+	address := scriptedServer(t, func(number int, c net.Conn, r *bufio.Reader) {
+		opened <- number
+		echo(number, c, r)
+	})
+	p := startPool(t, address, backend.Resize{Limit: 3, Spare: 1})
+	const callers = 30
+	done := make(chan backend.Result, callers)
+	for range callers {
+		go func() { done <- p.Do(t.Context(), get("/x")) }()
+	}
+	for range callers {
+		if r := <-done; r.Fate != call.Answered {
+			t.Errorf("fate %v, error %v", r.Fate, r.Err)
+		}
+	}
+	if n := len(opened); n > 3 {
+		t.Fatalf("%d connections opened, limit 3", n)
+	}
+}
+
+// Guards against a request that goes on without the time, depth and resends that remain.
+func TestAllowancesGoOn(t *testing.T) {
+	headers := make(chan http.Header, 1)
+	address := scriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		headers <- req.Header
+		write(c, ok(""))
+	})
+	p := startPool(t, address, backend.Resize{Limit: 1})
+	req := get("/x")
+	req.Hops, req.RetriesLeft, req.Deadline = 4, 1, time.Now().Add(time.Hour)
+	p.Do(t.Context(), req)
+	got := <-headers
+	if got.Get(backend.HeaderHops) != "5" || got.Get(backend.HeaderRetries) != "1" || got.Get(backend.HeaderTimeout) == "" {
+		t.Fatalf("header %v", got)
+	}
+}
--- /dev/null
+++ b/internal/chart/chart_test.go
@@ -0,0 +1,219 @@
+package chart_test
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+	"fuchsiahub.example/fuchsiahub/internal/chartfile"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+const door = `name = "door"
+initial = "closed"
+events = ["open", "close", "lock", "break"]
+
+[[state]]
+name = "whole"
+entry = ["enter_whole"]
+exit = ["leave_whole"]
+
+[[state.on]]
+event = "break"
+target = "broken"
+do = ["report"]
+
+[[state]]
+name = "closed"
+parent = "whole"
+entry = ["enter_closed"]
+exit = ["leave_closed"]
+ignore = ["close"]
+
+[[state.on]]
+event = "open"
+guard = "unlocked"
+target = "opened"
+
+[[state.on]]
+event = "open"
+do = ["report"]
+
+[[state.on]]
+event = "lock"
+do = ["report"]
+
+[[state]]
+name = "opened"
+parent = "whole"
+ignore = ["open", "lock"]
+
+[[state.on]]
+event = "close"
+target = "closed"
+
+[[state.on]]
+event = "timeout"
+target = "closed"
+
+[[state.after]]
+delay = "$patience"
+event = "timeout"
+
+[[state]]
+name = "broken"
+final = true
+`
+
+// valid adds what "closed" needs to handle the event of the timeout.
+var valid = strings.Replace(door, `ignore = ["close"]`, `ignore = ["close", "timeout"]`, 1)
+
+func compile(t *testing.T, text string) (*chart.Chart, error) {
+	t.Helper()
+	spec, err := chartfile.Read("door.toml", []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	return chart.Compile(spec, map[string]time.Duration{"patience": 2 * time.Second})
+}
+
+type record struct {
+	unlocked bool
+	log      []string
+}
+
+func bindings() chart.Bindings[*record] {
+	b := chart.Bindings[*record]{
+		Guards:  map[string]func(*record) bool{"unlocked": func(r *record) bool { return r.unlocked }},
+		Actions: map[string]func(*record){},
+	}
+	for _, name := range []string{"enter_whole", "leave_whole", "enter_closed", "leave_closed", "report"} {
+		b.Actions[name] = func(r *record) { r.log = append(r.log, name) }
+	}
+	return b
+}
+
+// Guards against wrong order of entry, exit and transition actions, guards that are not consulted, and timeouts that
+// fire early, twice or not at all.
+func TestMachineFollowsChart(t *testing.T) {
+	ch, err := compile(t, valid)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bound, err := chart.Bind(ch, bindings())
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := time.Unix(0, 0)
+	r := &record{}
+	m := bound.New(start, r)
+	fire := func(event string) {
+		if err := m.Fire(start, event); err != nil {
+			t.Fatal(err)
+		}
+	}
+	fire("open")
+	r.unlocked = true
+	fire("open")
+	if m.State() != "opened" || !m.In("whole") {
+		t.Fatalf("state %s", m.State())
+	}
+	if due, ok := m.Deadline(); !ok || due != start.Add(2*time.Second) {
+		t.Fatalf("deadline %v %v", due, ok)
+	}
+	m.Tick(start.Add(1999 * time.Millisecond))
+	if m.State() != "opened" {
+		t.Fatal("timeout fired early")
+	}
+	m.Tick(start.Add(2 * time.Second))
+	fire("break")
+	want := []string{"enter_whole", "enter_closed", "report", "leave_closed", "enter_closed", "leave_closed", "leave_whole", "report"}
+	if !slices.Equal(r.log, want) || !m.Final() {
+		t.Fatalf("actions %v in state %s, want %v", r.log, m.State(), want)
+	}
+	fire("open")
+	if err := m.Fire(start, "paint"); !fault.Is(err, fault.UnexpectedEvent) || m.State() != "broken" {
+		t.Fatalf("unknown event: %v in state %s", err, m.State())
+	}
+}
+
+// Guards against a chart fault that passes loading, and against an error without file, line or remedy.
+func TestCompileRefusesFaultyCharts(t *testing.T) {
+	cases := []struct{ name, old, new, message string }{
+		{"missing target", `target = "broken"`, `target = "brokn"`, `door.toml:10: target "brokn" does not exist`},
+		{"unhandled event", `ignore = ["close", "timeout"]`, `ignore = ["close"]`, `does not always handle event "timeout"`},
+		{"guard without alternative", "[[state.on]]\nevent = \"open\"\ndo = [\"report\"]\n\n", "", `does not always handle event "open"`},
+		{"unlisted event", `event = "lock"`, `event = "bolt"`, `event "bolt" is not listed`},
+		{"unreachable state", `guard = "unlocked"` + "\n" + `target = "opened"`, `guard = "unlocked"`, `state "opened" is unreachable`},
+		{"unknown parameter", `"$patience"`, `"$temper"`, `parameter "temper" is not known`},
+		{"delay without unit", `"$patience"`, `"2"`, `delay "2" is not a duration`},
+		{"missing initial", `initial = "closed"`, `initial = "shut"`, `initial state "shut" does not exist`},
+		{"initial with inner states", `initial = "closed"`, `initial = "whole"`, `has inner states`},
+		{"unknown key", `final = true`, `finally = true`, `unknown key`},
+		{"transition from a final state", `final = true`, "final = true\n[[state.on]]\nevent = \"open\"", `final state "broken" has transitions`},
+		{"row after an unguarded row", "[[state.on]]\nevent = \"lock\"", "[[state.on]]\nevent = \"open\"\n\n[[state.on]]\nevent = \"lock\"", `is never tried`},
+		{"missing parent", `parent = "whole"`, `parent = "hole"`, `parent "hole" of state "closed" does not exist`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			text := strings.Replace(valid, c.old, c.new, 1)
+			if text == valid {
+				t.Fatal("the case changes nothing")
+			}
+			_, err := compile(t, text)
+			var e *fault.Error
+			if !errors.As(err, &e) || !strings.Contains(e.Message, c.message) {
+				t.Fatalf("got %v, want %q", err, c.message)
+			}
+			if e.Remedy == "" || !strings.HasPrefix(e.Message, "door.toml:") {
+				t.Errorf("error names no file or remedy: %v", err)
+			}
+		})
+	}
+}
+
+// Guards against an action or guard of a chart without code, and against code that no chart uses.
+func TestBindChecksNames(t *testing.T) {
+	ch, err := compile(t, valid)
+	if err != nil {
+		t.Fatal(err)
+	}
+	missing := bindings()
+	delete(missing.Actions, "report")
+	if _, err := chart.Bind(ch, missing); err == nil || !strings.Contains(err.Error(), `action "report" is not bound`) {
+		t.Errorf("missing action: %v", err)
+	}
+	extra := bindings()
+	extra.Guards["painted"] = func(*record) bool { return true }
+	if _, err := chart.Bind(ch, extra); err == nil || !strings.Contains(err.Error(), `guard "painted" is not used`) {
+		t.Errorf("extra guard: %v", err)
+	}
+}
+
+func BenchmarkFire(b *testing.B) {
+	spec, err := chartfile.Read("door.toml", []byte(valid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	ch, err := chart.Compile(spec, map[string]time.Duration{"patience": time.Second})
+	if err != nil {
+		b.Fatal(err)
+	}
+	quiet := bindings()
+	for name := range quiet.Actions {
+		quiet.Actions[name] = func(*record) {}
+	}
+	bound, err := chart.Bind(ch, quiet)
+	if err != nil {
+		b.Fatal(err)
+	}
+	m := bound.New(time.Unix(0, 0), &record{unlocked: true})
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = m.Fire(time.Unix(0, 0), "open")
+		_ = m.Fire(time.Unix(0, 0), "close")
+	}
+}
--- /dev/null
+++ b/internal/decide/imports_test.go
@@ -0,0 +1,83 @@
+package decide_test
+
+import (
+	"go/build"
+	"os"
+	"path"
+	"strings"
+	"testing"
+)
+
+const module = "fuchsiahub.example/fuchsiahub/"
+
+// forbidden are packages that would tie decisions to a transport, an encoding or the machine.
+var forbidden = []string{
+	"net", "net/http", "os", "os/exec", "encoding/json", "encoding/gob", "encoding/xml", "syscall",
+	"github.com/pelletier/go-toml/v2", "storj.io/drpc", "google.golang.org/protobuf", "github.com/cockroachdb/errors",
+	module + "internal/peerpb", module + "internal/objecthttp", module + "internal/docfile", module + "internal/chartfile",
+	module + "internal/settings", module + "internal/node", module + "internal/backend", module + "charts",
+}
+
+// allowedInside are the packages outside decide that decisions may build on.
+var allowedInside = []string{"internal/chart", "internal/fault", "internal/document", "internal/call", "internal/decide/"}
+
+// Guards against a decision that depends on HTTP, RPC, TOML or the operating system: a second front end could then
+// not use it. Packages of this module are followed; net/netip is allowed, since it only parses addresses.
+func TestDecisionsImportNoTransport(t *testing.T) {
+	visited := map[string]bool{}
+	var follow func(importPath, dir, from string)
+	follow = func(importPath, dir, from string) {
+		if visited[importPath] {
+			return
+		}
+		visited[importPath] = true
+		pkg, err := build.ImportDir(dir, 0)
+		if err != nil {
+			t.Fatalf("%s: %v", dir, err)
+		}
+		for _, imported := range pkg.Imports {
+			for _, bad := range forbidden {
+				if imported == bad || strings.HasPrefix(imported, bad+"/") && strings.Contains(bad, ".") {
+					t.Errorf("%s (reached from %s) imports %s", importPath, from, imported)
+				}
+			}
+			if inside, ok := strings.CutPrefix(imported, module); ok {
+				if !isAllowed(inside) {
+					t.Errorf("%s (reached from %s) imports %s, which is not a decision package", importPath, from, imported)
+					continue
+				}
+				follow(imported, path.Join("..", "..", inside), from)
+			}
+		}
+	}
+	packages := decisionPackages(t)
+	if len(packages) < 3 {
+		t.Fatalf("found only %d decision packages", len(packages))
+	}
+	for _, name := range packages {
+		follow(module+"internal/decide/"+name, name, name)
+	}
+}
+
+func isAllowed(inside string) bool {
+	for _, prefix := range allowedInside {
+		if inside == prefix || strings.HasSuffix(prefix, "/") && strings.HasPrefix(inside, prefix) {
+			return true
+		}
+	}
+	return false
+}
+func decisionPackages(t *testing.T) []string {
+	t.Helper()
+	entries, err := os.ReadDir(".")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, e := range entries {
+		if e.IsDir() {
+			names = append(names, e.Name())
+		}
+	}
+	return names
+}
