Send the unasked answer only after the first was read

Cause: the case "while idle" wrote both answers at once, so it passed without the check of idle connections. Now it fails when that check is removed.

--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -93,7 +93,7 @@
 func TestUnaskedAnswerReachesNobody(t *testing.T) {
 	for _, name := range []string{"with the answer", "while idle"} {
 		t.Run(name, func(t *testing.T) {
-			strayed := make(chan struct{})
+			answered, strayed := make(chan struct{}), make(chan struct{})
 			address := scriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
 				for path, more := readRequest(r); more; path, more = readRequest(r) {
 					if path != "/first" {
@@ -104,6 +104,7 @@
 						write(c, ok(path)+ok("stray"))
 					} else {
 						write(c, ok(path))
+						<-answered
 						write(c, ok("stray"))
 					}
 					close(strayed)
@@ -114,6 +115,7 @@
 			if first.Fate != call.Answered || string(first.Answer.Body) != "/first" {
 				t.Fatalf("first: %+v", first)
 			}
+			close(answered)
 			<-strayed
 			second := doUntilSent(t, p, get("/second"))
 			if second.Fate != call.Answered || string(second.Answer.Body) != "/second" {
