Let owners of a state machine observe its changes

Cause: logs and the audit trail need each change of state with its cause, and writing it at every place that fires an event would repeat the same lines.

--- a/internal/chart/bind.go
+++ b/internal/chart/bind.go
@@ -10,6 +10,8 @@
 type Bindings[C any] struct {
 	Guards  map[string]func(C) bool
 	Actions map[string]func(C)
+	// Observe is called after each change of state, before the actions of the transition. Nil observes nothing.
+	Observe func(c C, from, event, to string)
 }
 
 // Bound is a chart with its guards and actions. It is immutable and may be shared between tasks.
@@ -17,7 +19,8 @@
 	chart  *Chart
 	states []boundState[C]
 	// entry holds the entry actions of the initial state and its ancestors, outermost first.
-	entry []func(C)
+	entry   []func(C)
+	observe func(c C, from, event, to string)
 }
 
 type boundState[C any] struct {
@@ -36,7 +39,7 @@
 	if err := checkNames(ch, b); err != nil {
 		return nil, err
 	}
-	bound := &Bound[C]{chart: ch, states: make([]boundState[C], len(ch.states))}
+	bound := &Bound[C]{chart: ch, states: make([]boundState[C], len(ch.states)), observe: b.Observe}
 	for i, st := range ch.states {
 		bound.states[i].rows = make([][]boundRow[C], len(st.rows))
 		for event, rows := range st.rows {
--- a/internal/chart/chart_test.go
+++ b/internal/chart/chart_test.go
@@ -103,7 +103,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	bound, err := chart.Bind(ch, bindings())
+	b := bindings()
+	var moves []string
+	b.Observe = func(_ *record, from, event, to string) { moves = append(moves, from+" "+event+" "+to) }
+	bound, err := chart.Bind(ch, b)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -134,6 +137,9 @@
 	if !slices.Equal(r.log, want) || !m.Final() {
 		t.Fatalf("actions %v in state %s, want %v", r.log, m.State(), want)
 	}
+	if want := []string{"closed open opened", "opened timeout closed", "closed break broken"}; !slices.Equal(moves, want) {
+		t.Fatalf("observed %v, want %v", moves, want)
+	}
 	fire("open")
 	if err := m.Fire(start, "paint"); !fault.Is(err, fault.UnexpectedEvent) || m.State() != "broken" {
 		t.Fatalf("unknown event: %v in state %s", err, m.State())
--- a/internal/chart/machine.go
+++ b/internal/chart/machine.go
@@ -42,9 +42,7 @@
 			continue
 		}
 		if r.moves {
-			m.current = r.target
-			m.entered = now
-			m.fired = 0
+			m.move(now, event, r.target)
 		}
 		for _, do := range r.do {
 			do(m.context)
@@ -53,6 +51,17 @@
 	}
 }
 
+func (m *Machine[C]) move(now time.Time, event, target int) {
+	from := m.current
+	m.current = target
+	m.entered = now
+	m.fired = 0
+	if m.bound.observe != nil && from != target {
+		ch := m.bound.chart
+		m.bound.observe(m.context, ch.states[from].name, ch.names[event], ch.states[target].name)
+	}
+}
+
 // State returns the name of the current state.
 func (m *Machine[C]) State() string { return m.bound.chart.states[m.current].name }
 
