--- /dev/null
+++ b/internal/metric/set.go
@@ -0,0 +1,120 @@
+package metric
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+// reservoirSize and reservoirAlpha are those of go-metrics for a decaying sample of five minutes.
+const (
+	reservoirSize  = 1028
+	reservoirAlpha = 0.015
+)
+
+// Set holds the measurements of one instance.
+type Set struct{ registry gometrics.Registry }
+
+// NewSet returns an empty set.
+func NewSet() *Set { return &Set{registry: gometrics.NewRegistry()} }
+
+// Service holds the measurements of one service. Its metrics are looked up once, not for each request.
+type Service struct {
+	set      *Set
+	name     string
+	answered gometrics.Counter
+	resent   gometrics.Counter
+	elapsed  gometrics.Histogram
+}
+
+// Service returns the measurements of one service.
+func (s *Set) Service(name string) *Service {
+	return &Service{
+		set: s, name: name, answered: s.counter("request.answered." + name), resent: s.counter("request.resent." + name),
+		elapsed: s.histogram("request.time_us." + name),
+	}
+}
+
+// Answered counts a request that got the answer of a backend server, with the time at the instance.
+func (s *Service) Answered(elapsed time.Duration) {
+	s.answered.Inc(1)
+	s.elapsed.Update(elapsed.Microseconds())
+}
+
+// Failed counts a request that got a refusal or an unknown outcome.
+func (s *Service) Failed(kind fault.Kind) {
+	s.set.counter("request.failed." + string(kind) + "." + s.name).Inc(1)
+}
+
+// Resent counts requests that were sent again.
+func (s *Service) Resent(n int64) { s.resent.Inc(n) }
+
+// Count adds to a counter of a control task. The name is one of docs/metrics.md.
+func (s *Set) Count(name string, n int64) { s.counter("control." + name).Inc(n) }
+
+// Gauge sets a value of a control task. The name is one of docs/metrics.md.
+func (s *Set) Gauge(name string, value int64) {
+	s.registry.GetOrRegister("control."+name, gometrics.NewGauge).(gometrics.Gauge).Update(value)
+}
+
+func (s *Set) counter(name string) gometrics.Counter {
+	return s.registry.GetOrRegister(name, gometrics.NewCounter).(gometrics.Counter)
+}
+
+func (s *Set) histogram(name string) gometrics.Histogram {
+	return s.registry.GetOrRegister(name, newHistogram).(gometrics.Histogram)
+}
+
+func newHistogram() gometrics.Histogram {
+	return gometrics.NewHistogram(gometrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
+}
+
+// Counters returns the values of all counters and gauges by name.
+func (s *Set) Counters() map[string]int64 {
+	values := map[string]int64{}
+	s.registry.Each(func(name string, m any) {
+		switch m := m.(type) {
+		case gometrics.Counter:
+			values[name] = m.Count()
+		case gometrics.Gauge:
+			values[name] = m.Value()
+		}
+	})
+	return values
+}
+
+// percentiles of a histogram that WriteText reports.
+var percentiles = []float64{0.5, 0.99, 0.999}
+
+// WriteText writes one line per value, "name value", in the order of the names.
+func (s *Set) WriteText(w io.Writer) error {
+	lines := []string{}
+	for name, value := range s.Counters() {
+		lines = append(lines, fmt.Sprintf("%s %d\n", name, value))
+	}
+	s.registry.Each(func(name string, m any) {
+		if h, ok := m.(gometrics.Histogram); ok {
+			lines = append(lines, histogramLines(name, h.Snapshot())...)
+		}
+	})
+	slices.Sort(lines)
+	for _, line := range lines {
+		if _, err := io.WriteString(w, line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func histogramLines(name string, h gometrics.Histogram) []string {
+	lines := []string{fmt.Sprintf("%s.count %d\n", name, h.Count())}
+	for i, value := range h.Percentiles(percentiles) {
+		lines = append(lines, fmt.Sprintf("%s.p%g %.0f\n", name, percentiles[i]*100, value))
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/metric/set_test.go
@@ -0,0 +1,37 @@
+package metric
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+// Guards against a measurement that is lost or written under another name than docs/metrics.md gives.
+func TestWriteText(t *testing.T) {
+	set := NewSet()
+	s := set.Service("intake")
+	s.Answered(1500 * time.Microsecond)
+	s.Failed(fault.Overloaded)
+	s.Resent(2)
+	set.Count("probes", 3)
+	set.Gauge("members", 15)
+	var text strings.Builder
+	if err := set.WriteText(&text); err != nil {
+		t.Fatal(err)
+	}
+	want := `control.members 15
+control.probes 3
+request.answered.intake 1
+request.failed.overloaded.intake 1
+request.resent.intake 2
+request.time_us.intake.count 1
+request.time_us.intake.p50 1500
+request.time_us.intake.p99 1500
+request.time_us.intake.p99.9 1500
+`
+	if text.String() != want {
+		t.Errorf("got\n%swant\n%s", text.String(), want)
+	}
+}
