Keep tasks running under a context that cannot be cancelled

Cause: the service and directory tasks took a nil Done channel as the sign that they should stop, so under context.Background they ended at once and Apply waited for ever (seen as a test that hung for 600 s). A flag now holds that state. The new test hung before the change.

--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -89,19 +89,19 @@
 
 // Run is the body of the directory's task. It ends after the context has ended and all service tasks have.
 func (d *Directory) Run(ctx context.Context) error {
-	open := 0
+	open, stopping := 0, false
 	done := ctx.Done()
-	for done != nil || open > 0 {
+	for !stopping || open > 0 {
 		select {
 		case m := <-d.inbox.C():
-			if done != nil {
+			if !stopping {
 				open += d.apply(ctx, m.docs)
 			}
 			m.reply <- struct{}{}
 		case <-d.ended:
 			open--
 		case <-done:
-			done = nil
+			done, stopping = nil, true
 			d.stopAll()
 		}
 	}
--- a/internal/node/path_test.go
+++ b/internal/node/path_test.go
@@ -68,3 +68,13 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a task that ends at once under a context that cannot be cancelled, whose Done channel is nil.
+func TestDirectoryRunsUnderContextWithoutEnd(t *testing.T) {
+	directory := node.NewDirectory(balance.Place{}, backend.NetDialer, slog.New(slog.DiscardHandler))
+	go func() { _ = directory.Run(context.Background()) }()
+	docs := &node.Documents{Fleet: &document.Fleet{}}
+	if err := directory.Apply(t.Context(), docs); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -117,8 +117,8 @@
 	s.syncPools(ctx)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
-	done := ctx.Done()
-	for done != nil || s.open > 0 {
+	done, stopping := ctx.Done(), false
+	for !stopping || s.open > 0 {
 		s.arm(timer)
 		select {
 		case m := <-s.inbox.C():
@@ -126,7 +126,7 @@
 		case <-timer.C:
 			s.fleet.Tick(time.Now())
 		case <-done:
-			done = nil
+			done, stopping = nil, true
 			s.stopPools()
 		}
 		s.serveWaiting()
