Add daemon settings

Cause: the daemon had no settings type. Adds the TOML reader with defaults and checks; each error names the file, the key, the value and the remedy.

--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,146 @@
+package settings
+
+import (
+	"encoding/hex"
+	"log/slog"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/tomlfile"
+)
+
+// Limits of the settings.
+const (
+	minKeyBytes        = 16
+	maxKeyBytes        = 64
+	maxNameBytes       = 63
+	maxWritesPerSecond = 10_000
+	maxPartitions      = 64
+	maxDrain           = time.Hour
+)
+
+// checker turns the file form into settings and collects problems.
+type checker struct{ problems []document.Problem }
+
+func (c *checker) require(ok bool, key, value, remedy string) {
+	if !ok {
+		c.problems = append(c.problems, document.Problem{Key: key, Message: "value " + value + " is not valid", Remedy: remedy})
+	}
+}
+
+func (c *checker) name(key, value string) string {
+	c.require(validName(value), key, strconv.Quote(value), "use 1 to 63 lower-case letters, digits, dots and dashes")
+	return value
+}
+
+func validName(name string) bool {
+	if name == "" || len(name) > maxNameBytes {
+		return false
+	}
+	for _, r := range name {
+		if (r < 'a' || r > 'z') && (r < '0' || r > '9') && r != '.' && r != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+// address reads an IP address and port. A told address is one that other programs connect to.
+func (c *checker) address(key, value string, told bool) netip.AddrPort {
+	address, err := netip.ParseAddrPort(value)
+	c.require(err == nil, key, strconv.Quote(value), `write an IP address and a port, such as "10.0.0.7:8080"`)
+	if err == nil && told {
+		c.require(!address.Addr().IsUnspecified(), key, strconv.Quote(value), "write the address by which others reach this instance")
+	}
+	return address
+}
+
+func (c *checker) whole(key string, value *int, otherwise, least, most int) int {
+	n := or(value, otherwise)
+	c.require(n >= least && n <= most, key, strconv.Itoa(n), "use "+strconv.Itoa(least)+" to "+strconv.Itoa(most))
+	return n
+}
+
+func (c *checker) span(key string, value *tomlfile.Duration, otherwise, least, most time.Duration) time.Duration {
+	d := time.Duration(or(value, tomlfile.Duration(otherwise)))
+	c.require(d >= least && d <= most, key, strconv.Quote(d.String()), "use a duration from "+least.String()+" to "+most.String())
+	return d
+}
+
+func (c *checker) daemon(f file) *Daemon {
+	return &Daemon{
+		Instance: c.name("instance", f.Instance), Region: c.name("region", f.Region), Zone: c.name("zone", f.Zone),
+		CallerAddress:     c.address("caller_address", f.CallerAddress, false),
+		PeerAddress:       c.address("peer_address", f.PeerAddress, true),
+		OperationsAddress: c.address("operations_address", f.OperationsAddress, true),
+		Platform:          Platform{Address: c.address("platform.address", f.Platform.Address, true), Register: or(f.Platform.Register, true)},
+		Log:               c.log(f.Log), Drain: c.drain(f.Drain), Claims: c.claims(f.Claims), Probe: c.probe(f.Probe),
+		TLS: TLS{Callers: c.certificate("tls.callers", f.TLS.Callers, false), Peers: c.certificate("tls.peers", f.TLS.Peers, true)},
+	}
+}
+
+func (c *checker) log(f logging) Log {
+	l := Log{Format: or(f.Format, DefaultFormat)}
+	text := or(f.Level, "info")
+	levels := map[string]slog.Level{"debug": slog.LevelDebug, "info": slog.LevelInfo, "warn": slog.LevelWarn, "error": slog.LevelError}
+	level, known := levels[text]
+	c.require(known, "log.level", strconv.Quote(text), `use "debug", "info", "warn" or "error"`)
+	c.require(l.Format == FormatJSON || l.Format == FormatText, "log.format", strconv.Quote(l.Format), `use "json" or "text"`)
+	l.Level = level
+	return l
+}
+
+func (c *checker) drain(f drain) Drain {
+	d := Drain{
+		Announce: c.span("drain.announce", f.Announce, DefaultAnnounce, 0, maxDrain),
+		Limit:    c.span("drain.limit", f.Limit, DefaultLimit, time.Second, maxDrain),
+	}
+	c.require(d.Announce < d.Limit, "drain.limit", strconv.Quote(d.Limit.String()), "use more than drain.announce ("+d.Announce.String()+")")
+	return d
+}
+
+func (c *checker) claims(f claims) Claims {
+	out := Claims{
+		KeyFile:         f.KeyFile,
+		WritesPerSecond: c.whole("claims.writes_per_second", f.WritesPerSecond, DefaultWritesPerSecond, 1, maxWritesPerSecond),
+		Partitions:      c.whole("claims.partitions", f.Partitions, DefaultPartitions, 1, maxPartitions),
+	}
+	c.require((f.Key == "") != (f.KeyFile == ""), "claims.key", present(f.Key), "give one of key and key_file, the same on all instances")
+	if f.Key != "" {
+		out.Key = c.key("claims.key", f.Key)
+	}
+	return out
+}
+
+// present stands for a secret value in messages.
+func present(secret string) string {
+	if secret == "" {
+		return `""`
+	}
+	return "(not shown)"
+}
+
+func (c *checker) key(name, text string) []byte {
+	key, err := hex.DecodeString(text)
+	ok := err == nil && len(key) >= minKeyBytes && len(key) <= maxKeyBytes
+	c.require(ok, name, present(text), "write 16 to 64 bytes in hexadecimal, such as the output of: openssl rand -hex 32")
+	return key
+}
+
+func (c *checker) probe(f probe) Probe {
+	p := Probe{PerSecond: or(f.PerSecond, DefaultProbePerSecond)}
+	c.require(p.PerSecond >= 0 && p.PerSecond <= 1, "probe.per_second", strconv.FormatFloat(p.PerSecond, 'g', -1, 64), "use 0 to 1")
+	return p
+}
+
+func (c *checker) certificate(key string, f certificate, both bool) Certificate {
+	used := f.CertificateFile != "" || f.KeyFile != "" || f.AuthorityFile != ""
+	if used {
+		c.require(f.CertificateFile != "", key+".certificate_file", `""`, "name the file of the certificate, or remove ["+key+"]")
+		c.require(f.KeyFile != "", key+".key_file", `""`, "name the file of the private key, or remove ["+key+"]")
+		c.require(!both || f.AuthorityFile != "", key+".authority_file", `""`, "name the file of the certificates that sign those of peers")
+	}
+	return Certificate(f)
+}
--- /dev/null
+++ b/internal/tomlfile/decode.go
@@ -0,0 +1,38 @@
+package tomlfile
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+// MaxBytes is the largest text that is decoded. It is the largest value of the object API.
+const MaxBytes = 1 << 20
+
+// Decode reads text into a struct. The source names the file or object in errors; the remedy says where the keys are
+// listed.
+func Decode(source string, text []byte, remedy string, into any) error {
+	if len(text) > MaxBytes {
+		return fault.New(fault.Invalid, "split or shorten the text", "%s: text is larger than 1 MiB", source)
+	}
+	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(into)
+	if err == nil {
+		return nil
+	}
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
+		first := unknown.Errors[0]
+		line, _ := first.Position()
+		return fault.New(fault.Invalid, remedy, "%s:%d: unknown key %q", source, line, strings.Join(first.Key(), "."))
+	}
+	var syntax *toml.DecodeError
+	if errors.As(err, &syntax) {
+		line, _ := syntax.Position()
+		return fault.New(fault.Invalid, remedy, "%s:%d: key %q: %s", source, line, strings.Join(syntax.Key(), "."), syntax.Error())
+	}
+	return fault.Wrap(err, fault.Invalid, remedy, "%s", source)
+}
