Add the adapter of the object API and its stand-in

Cause: nothing could read or write objects. The adapter speaks JSON over HTTP; a write that was sent and got no whole answer gives ambiguous-write, a write without a connection gives store-unavailable. The stand-in holds objects behind one task, serves in process and over HTTP, and has switches for delay, outage, lost answers, cut watches, a stale list of instances and reads of an older state.

--- /dev/null
+++ b/internal/objecthttp/client.go
@@ -0,0 +1,149 @@
+package objecthttp
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+const (
+	// callTimeout bounds one call. The platform answers in milliseconds; a slower answer counts as an outage.
+	callTimeout = 2 * time.Second
+	// watchIdle is the longest silence of a watch. The platform sends a bookmark every 10 s.
+	watchIdle = 30 * time.Second
+	// maxConnections bounds the connections to the platform: calls and watches together.
+	maxConnections = 32
+	// idleConnections are kept open between calls.
+	idleConnections = 8
+	idleLimit       = 60 * time.Second
+)
+
+// Client is an objectapi.API over HTTP. It may be used by many tasks at once.
+type Client struct {
+	base      string
+	transport *http.Transport
+}
+
+var _ objectapi.API = (*Client)(nil)
+
+// Dialer opens a connection to an address.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// New returns a client of the object API at an IP address and port. A nil dialer uses TCP.
+func New(address string, dial Dialer) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: callTimeout}).DialContext
+	}
+	return &Client{base: "http://" + address + PathPrefix, transport: &http.Transport{
+		DialContext: dial, ResponseHeaderTimeout: callTimeout, MaxConnsPerHost: maxConnections,
+		MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleLimit, DisableCompression: true,
+	}}
+}
+
+// Close closes the connections that are not in use.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Get returns the object at its current version.
+func (c *Client) Get(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error) {
+	q := query{method: http.MethodGet, kind: kind, name: name}
+	var item Item
+	if err := c.do(ctx, q, &item); err != nil {
+		return objectapi.Object{}, err
+	}
+	return q.checked(item, 0)
+}
+
+// List returns all objects of a kind and the version from which a watch continues the list.
+func (c *Client) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, uint64, error) {
+	q := query{method: http.MethodGet, kind: kind}
+	var list List
+	if err := c.do(ctx, q, &list); err != nil {
+		return nil, 0, err
+	}
+	objects := make([]objectapi.Object, 0, len(list.Objects))
+	for _, item := range list.Objects {
+		if item.Kind != kind || !ValidName(item.Name) || item.Version == 0 || item.Version > list.Version {
+			return nil, 0, q.bad("the list holds an object with a wrong kind, name or version")
+		}
+		objects = append(objects, item.object())
+	}
+	return objects, list.Version, nil
+}
+
+// Create adds an object.
+func (c *Client) Create(ctx context.Context, kind objectapi.Kind, name string, value []byte) (objectapi.Object, error) {
+	return c.write(ctx, query{method: http.MethodPost, kind: kind, name: name, body: &Write{Value: value}})
+}
+
+// Update replaces the value if the object still has the given version.
+func (c *Client) Update(ctx context.Context, kind objectapi.Kind, name string, version uint64, value []byte) (objectapi.Object, error) {
+	return c.write(ctx, query{method: http.MethodPut, kind: kind, name: name, version: version, body: &Write{Value: value}})
+}
+
+// Delete removes the object if it still has the given version.
+func (c *Client) Delete(ctx context.Context, kind objectapi.Kind, name string, version uint64) error {
+	return c.do(ctx, query{method: http.MethodDelete, kind: kind, name: name, version: version}, nil)
+}
+
+func (c *Client) write(ctx context.Context, q query) (objectapi.Object, error) {
+	var item Item
+	if err := c.do(ctx, q, &item); err != nil {
+		return objectapi.Object{}, err
+	}
+	object, err := q.checked(item, q.version)
+	object.Value = q.body.Value
+	return object, err
+}
+
+// query is one call.
+type query struct {
+	method  string
+	kind    objectapi.Kind
+	name    string
+	version uint64
+	body    *Write
+}
+
+func (q query) changes() bool { return q.method != http.MethodGet }
+
+func (q query) what() string {
+	if q.name == "" {
+		return string(q.kind)
+	}
+	return string(q.kind) + "/" + q.name
+}
+
+func (q query) url(base string) string {
+	address := base + url.PathEscape(string(q.kind))
+	if q.name != "" {
+		address += "/" + url.PathEscape(q.name)
+	}
+	if q.version != 0 {
+		address += "?version=" + strconv.FormatUint(q.version, 10)
+	}
+	return address
+}
+
+func (q query) valid() error {
+	if !ValidName(string(q.kind)) || q.name != "" && !ValidName(q.name) || q.changes() && q.name == "" {
+		return fault.New(fault.Invalid, "use lower-case letters, digits, dots and dashes", "object name %q is not valid", q.what())
+	}
+	if q.body != nil && len(q.body.Value) > objectapi.MaxValueBytes {
+		return fault.New(fault.Invalid, "shorten the value", "value of %s is larger than 1 MiB", q.what())
+	}
+	return nil
+}
+
+// checked accepts an answer only when it is about the object that was asked for and newer than the given version.
+func (q query) checked(item Item, after uint64) (objectapi.Object, error) {
+	if item.Kind != q.kind || item.Name != q.name || item.Version <= after || len(item.Value) > objectapi.MaxValueBytes {
+		return objectapi.Object{}, q.bad("the answer is about another object or version")
+	}
+	return item.object(), nil
+}
--- /dev/null
+++ b/internal/objecthttp/client_test.go
@@ -0,0 +1,255 @@
+package objecthttp_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/objecthttp"
+	standin "fuchsiahub.example/fuchsiahub/internal/standin/objectapi"
+)
+
+// start returns a stand-in, and its API over HTTP and in process.
+func start(t *testing.T) (*standin.Store, map[string]objectapi.API) {
+	t.Helper()
+	store := standin.New()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- store.Run(ctx) }()
+	server := httptest.NewServer(standin.Handler(store))
+	client := objecthttp.New(server.Listener.Addr().String(), nil)
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		server.CloseClientConnections()
+		server.Close()
+		client.Close()
+	})
+	return store, map[string]objectapi.API{"HTTP": client, "in process": store}
+}
+
+func kind(t *testing.T, err error, want fault.Kind) {
+	t.Helper()
+	if !fault.Is(err, want) {
+		t.Errorf("got error %v, want kind %s", err, want)
+	}
+}
+
+func value(t *testing.T, o objectapi.Object, err error, want string) objectapi.Object {
+	t.Helper()
+	if err != nil || string(o.Value) != want {
+		t.Fatalf("got %q, %v, want %q", o.Value, err, want)
+	}
+	return o
+}
+
+// Guards against an update that does not check its version: the later of two operators would undo the earlier.
+func TestConditionalUpdates(t *testing.T) {
+	_, apis := start(t)
+	for name, api := range apis {
+		t.Run(name, func(t *testing.T) {
+			ctx := t.Context()
+			object := strings.ReplaceAll(strings.ToLower(name), " ", "-")
+			_, err := api.Get(ctx, objectapi.Services, object)
+			kind(t, err, fault.NotFound)
+			_, err = api.Update(ctx, objectapi.Services, object, 1, nil)
+			kind(t, err, fault.NotFound)
+			first, err := api.Create(ctx, objectapi.Services, object, []byte("1"))
+			value(t, first, err, "1")
+			_, err = api.Create(ctx, objectapi.Services, object, []byte("other"))
+			kind(t, err, fault.Conflict)
+			second, err := api.Update(ctx, objectapi.Services, object, first.Version, []byte("2"))
+			value(t, second, err, "2")
+			_, err = api.Update(ctx, objectapi.Services, object, first.Version, []byte("other"))
+			kind(t, err, fault.Conflict)
+			kind(t, api.Delete(ctx, objectapi.Services, object, first.Version), fault.Conflict)
+			got, err := api.Get(ctx, objectapi.Services, object)
+			if value(t, got, err, "2"); got.Version != second.Version {
+				t.Errorf("version %d, want %d", got.Version, second.Version)
+			}
+			if err := api.Delete(ctx, objectapi.Services, object, second.Version); err != nil {
+				t.Error(err)
+			}
+			_, err = api.Get(ctx, objectapi.Services, object)
+			kind(t, err, fault.NotFound)
+		})
+	}
+}
+
+// Guards against a watch that loses or repeats a change when it resumes, and against one that hides that its start is
+// too old.
+func TestWatchResumes(t *testing.T) {
+	store, apis := start(t)
+	ctx := t.Context()
+	a, _ := store.Create(ctx, objectapi.Fleet, "a", []byte("1"))
+	for name, api := range apis {
+		t.Run(name, func(t *testing.T) {
+			_, listed, err := api.List(ctx, objectapi.Fleet)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w, err := api.Watch(ctx, objectapi.Fleet, listed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b, _ := store.Create(ctx, objectapi.Fleet, "b", []byte("2"))
+			if e, err := w.Next(ctx); err != nil || e.Object.Name != "b" || string(e.Object.Value) != "2" {
+				t.Fatalf("got %+v, %v", e, err)
+			}
+			if err := store.CutWatches(ctx); err != nil {
+				t.Fatal(err)
+			}
+			_, err = w.Next(ctx)
+			kind(t, err, fault.StoreUnavailable)
+			_ = store.Delete(ctx, objectapi.Fleet, "b", b.Version)
+			w, err = api.Watch(ctx, objectapi.Fleet, b.Version)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if e, err := w.Next(ctx); err != nil || !e.Deleted || e.Object.Version <= b.Version {
+				t.Fatalf("got %+v, %v", e, err)
+			}
+			_ = w.Close()
+		})
+	}
+	last := a
+	for range 1100 {
+		last, _ = store.Update(ctx, objectapi.Fleet, "a", last.Version, nil)
+	}
+	for _, api := range apis {
+		_, err := api.Watch(ctx, objectapi.Fleet, a.Version)
+		kind(t, err, fault.TooOld)
+	}
+}
+
+// Guards against a lost answer that passes for a failure or a success: the write took effect.
+func TestLostAnswer(t *testing.T) {
+	store, apis := start(t)
+	ctx := t.Context()
+	for name, api := range apis {
+		t.Run(name, func(t *testing.T) {
+			object := strings.ReplaceAll(strings.ToLower(name), " ", "-")
+			if err := store.Set(ctx, standin.Switches{LoseAnswers: 1}); err != nil {
+				t.Fatal(err)
+			}
+			_, err := api.Create(ctx, objectapi.Claims, object, []byte("1"))
+			kind(t, err, fault.AmbiguousWrite)
+			got, err := api.Get(ctx, objectapi.Claims, object)
+			value(t, got, err, "1")
+		})
+	}
+}
+
+// Guards against an outage that shows as another error, and against a stand-in that answers while it is down.
+func TestOutage(t *testing.T) {
+	store, apis := start(t)
+	ctx := t.Context()
+	watches := map[string]objectapi.Watch{}
+	for name, api := range apis {
+		watches[name], _ = api.Watch(ctx, objectapi.Fleet, 0)
+	}
+	if err := store.Set(ctx, standin.Switches{Down: true}); err != nil {
+		t.Fatal(err)
+	}
+	for name, api := range apis {
+		_, err := api.Get(ctx, objectapi.Fleet, "a")
+		kind(t, err, fault.StoreUnavailable)
+		_, _, err = api.List(ctx, objectapi.Fleet)
+		kind(t, err, fault.StoreUnavailable)
+		_, err = watches[name].Next(ctx)
+		kind(t, err, fault.StoreUnavailable)
+	}
+}
+
+// Guards against a write that is called ambiguous although no connection was opened.
+func TestNoConnection(t *testing.T) {
+	client := objecthttp.New("127.0.0.1:1", func(context.Context, string, string) (net.Conn, error) {
+		return nil, net.ErrClosed
+	})
+	_, err := client.Create(t.Context(), objectapi.Claims, "a", nil)
+	kind(t, err, fault.StoreUnavailable)
+}
+
+// Guards against reads of the stand-in that ignore the switches for a stale list and for older reads.
+func TestStaleReads(t *testing.T) {
+	store, _ := start(t)
+	ctx := t.Context()
+	old, _ := store.Create(ctx, objectapi.Instances, "one", []byte("1"))
+	_ = store.Set(ctx, standin.Switches{StaleInstances: true, OlderReads: true})
+	_, _ = store.Update(ctx, objectapi.Instances, "one", old.Version, []byte("2"))
+	_, _ = store.Create(ctx, objectapi.Fleet, "fleet", nil)
+	got, err := store.Get(ctx, objectapi.Instances, "one")
+	value(t, got, err, "1")
+	_, err = store.Get(ctx, objectapi.Fleet, "fleet")
+	kind(t, err, fault.NotFound)
+	_ = store.Set(ctx, standin.Switches{})
+	got, err = store.Get(ctx, objectapi.Instances, "one")
+	value(t, got, err, "2")
+}
+
+// Guards against malformed answers that are taken as objects, and against their taking the client down.
+func TestMalformedAnswers(t *testing.T) {
+	answers := map[string]string{
+		"no JSON":       `<html>`,
+		"other object":  `{"kind":"services","name":"b","version":3}`,
+		"no version":    `{"kind":"services","name":"a"}`,
+		"wrong version": `{"kind":"services","name":"a","version":-1}`,
+		"not base64":    `{"kind":"services","name":"a","version":3,"value":"%"}`,
+	}
+	for name, text := range answers {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte(text))
+			}))
+			defer server.Close()
+			client := objecthttp.New(server.Listener.Addr().String(), nil)
+			defer client.Close()
+			_, err := client.Get(t.Context(), objectapi.Services, "a")
+			kind(t, err, fault.Invalid)
+			_, err = client.Update(t.Context(), objectapi.Services, "a", 2, nil)
+			kind(t, err, fault.AmbiguousWrite)
+			w, err := client.Watch(t.Context(), objectapi.Services, 2)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = w.Next(t.Context())
+			kind(t, err, fault.Invalid)
+		})
+	}
+}
+
+// Guards against a server error that is taken for proof that a write did nothing.
+func TestServerErrors(t *testing.T) {
+	tests := []struct {
+		status     int
+		body       string
+		get, write fault.Kind
+	}{
+		{http.StatusInternalServerError, "", fault.StoreUnavailable, fault.AmbiguousWrite},
+		{http.StatusServiceUnavailable, "", fault.StoreUnavailable, fault.AmbiguousWrite},
+		{http.StatusServiceUnavailable, `{"reason":"unavailable"}`, fault.StoreUnavailable, fault.StoreUnavailable},
+		{http.StatusTooManyRequests, "", fault.StoreUnavailable, fault.StoreUnavailable},
+		{http.StatusBadRequest, "", fault.Invalid, fault.Invalid},
+		{http.StatusGone, "", fault.TooOld, fault.TooOld},
+	}
+	for _, test := range tests {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(test.status)
+			_, _ = w.Write([]byte(test.body))
+		}))
+		client := objecthttp.New(server.Listener.Addr().String(), nil)
+		_, err := client.Get(t.Context(), objectapi.Services, "a")
+		kind(t, err, test.get)
+		_, err = client.Create(t.Context(), objectapi.Services, "a", nil)
+		kind(t, err, test.write)
+		client.Close()
+		server.Close()
+	}
+}
--- /dev/null
+++ b/internal/objecthttp/exchange.go
@@ -0,0 +1,135 @@
+package objecthttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+const (
+	maxAnswerBytes  = 64 << 20
+	maxProblemBytes = 16 << 10
+)
+
+var errAnswerTooLarge = errors.New("answer is larger than 64 MiB")
+
+// do makes one call and decodes its answer; a nil target takes no answer body.
+func (c *Client) do(ctx context.Context, q query, into any) error {
+	if err := q.valid(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	// A write that never got a connection cannot have taken effect. GotConn is called by the goroutine that waits
+	// in RoundTrip.
+	sent := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent = true }})
+	request, err := q.request(ctx, c.base)
+	if err != nil {
+		return err
+	}
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return q.lost(err, sent)
+	}
+	defer drop(response)
+	if response.StatusCode/100 != 2 {
+		return q.refused(response)
+	}
+	return q.read(response, into)
+}
+
+// drop reads the little that may be left, so that the connection can be used again.
+func drop(response *http.Response) {
+	_, _ = io.CopyN(io.Discard, response.Body, maxProblemBytes)
+	_ = response.Body.Close()
+}
+
+func (q query) request(ctx context.Context, base string) (*http.Request, error) {
+	var body io.Reader
+	if q.body != nil {
+		text, err := json.Marshal(q.body)
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "value of %s cannot be encoded", q.what())
+		}
+		body = bytes.NewReader(text)
+	}
+	request, err := http.NewRequestWithContext(ctx, q.method, q.url(base), body)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "check platform.address in the settings", "address of the object API is not valid")
+	}
+	if body != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	return request, nil
+}
+
+func (q query) read(response *http.Response, into any) error {
+	if into == nil {
+		return nil
+	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err == nil && len(text) > maxAnswerBytes {
+		err = errAnswerTooLarge
+	}
+	if err != nil {
+		return q.lost(err, true)
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return q.bad("the answer is not valid JSON")
+	}
+	return nil
+}
+
+// lost is the error of a call that got no whole answer.
+func (q query) lost(err error, sent bool) error {
+	if q.changes() && sent {
+		return fault.Wrap(err, fault.AmbiguousWrite, "read the object back to learn whether the write took effect",
+			"the answer to a write of %s was lost", q.what())
+	}
+	return fault.Wrap(err, fault.StoreUnavailable, "check the platform's object API and platform.address in the settings",
+		"the object API does not answer for %s", q.what())
+}
+
+// bad is the error of an answer that does not follow the protocol. A write with such an answer may have taken effect.
+func (q query) bad(message string) error {
+	if q.changes() {
+		return fault.New(fault.AmbiguousWrite, "read the object back to learn whether the write took effect",
+			"the object API gave a malformed answer to a write of %s: %s", q.what(), message)
+	}
+	return fault.New(fault.Invalid, "check that platform.address in the settings names the object API",
+		"the object API gave a malformed answer for %s: %s", q.what(), message)
+}
+
+// refused is the error of an answer that is not a success.
+func (q query) refused(response *http.Response) error {
+	var problem Problem
+	text, _ := io.ReadAll(io.LimitReader(response.Body, maxProblemBytes)) // without a body the status decides
+	_ = json.Unmarshal(text, &problem)
+	switch response.StatusCode {
+	case http.StatusNotFound:
+		return fault.New(fault.NotFound, "check the kind and the name", "object %s does not exist", q.what())
+	case http.StatusConflict:
+		return fault.New(fault.Conflict, "get the object, make the change again and apply it", "object %s has been changed by someone else or exists already", q.what())
+	case http.StatusGone:
+		return fault.New(fault.TooOld, "list the objects again and watch from there", "the object API no longer has the version to watch %s from", q.what())
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return fault.New(fault.Invalid, "correct the call", "the object API refused the call for %s: %s", q.what(), problem.Message)
+	}
+	nothingDone := response.StatusCode == http.StatusTooManyRequests || problem.Reason == ReasonUnavailable
+	if q.changes() && !nothingDone {
+		return fault.New(fault.AmbiguousWrite, "read the object back to learn whether the write took effect",
+			"the object API answered a write of %s with status %d", q.what(), response.StatusCode)
+	}
+	return fault.New(fault.StoreUnavailable, "wait until the platform's object API answers again",
+		"the object API answered with status %d for %s: %s", response.StatusCode, q.what(), problem.Message)
+}
+
+var _ objectapi.Watch = (*watch)(nil)
--- /dev/null
+++ b/internal/objecthttp/watch.go
@@ -0,0 +1,148 @@
+package objecthttp
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+const (
+	// maxLineBytes holds the largest value in base64 with its names.
+	maxLineBytes = 2 << 20
+	// watchCapacity bounds the events that wait for their reader. A slow reader slows the stream down.
+	watchCapacity = 16
+)
+
+// watch is the reader's end of a stream. A task of its own reads the stream.
+type watch struct {
+	cancel context.CancelFunc
+	events chan objectapi.Event
+	// ended holds the error that ended the stream; it is sent before events is closed.
+	ended chan error
+	err   error
+}
+
+// Watch reports changes of a kind after the given version.
+func (c *Client) Watch(ctx context.Context, kind objectapi.Kind, after uint64) (objectapi.Watch, error) {
+	q := query{method: http.MethodGet, kind: kind}
+	if err := q.valid(); err != nil {
+		return nil, err
+	}
+	// The stream outlives the call that opens it, so that Next may have a context of its own.
+	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	release := context.AfterFunc(ctx, cancel)
+	request, err := q.request(streamCtx, c.base)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	request.URL.RawQuery = "watch=true&after=" + strconv.FormatUint(after, 10)
+	response, err := c.transport.RoundTrip(request)
+	if err != nil || !release() {
+		cancel()
+		if err == nil {
+			_ = response.Body.Close()
+			err = ctx.Err()
+		}
+		return nil, q.lost(err, false)
+	}
+	if response.StatusCode != http.StatusOK {
+		defer cancel()
+		defer drop(response)
+		return nil, q.refused(response)
+	}
+	w := &watch{cancel: cancel, events: make(chan objectapi.Event, watchCapacity), ended: make(chan error, 1)}
+	go w.read(streamCtx, &stream{query: q, body: response.Body, last: after})
+	return w, nil
+}
+
+// Next blocks until the next change. An error that is not the context's ends the watch.
+func (w *watch) Next(ctx context.Context) (objectapi.Event, error) {
+	select {
+	case event, ok := <-w.events:
+		if ok {
+			return event, nil
+		}
+	case <-ctx.Done():
+		return objectapi.Event{}, ctx.Err()
+	}
+	if w.err == nil {
+		w.err = <-w.ended
+	}
+	return objectapi.Event{}, w.err
+}
+
+// Close ends the watch.
+func (w *watch) Close() error {
+	w.cancel()
+	return nil
+}
+
+// read is the body of the watch's task. It owns the stream.
+func (w *watch) read(ctx context.Context, s *stream) {
+	defer close(w.events)
+	defer w.cancel()
+	defer func() { _ = s.body.Close() }() // what was not read is given up
+	idle := time.AfterFunc(watchIdle, w.cancel)
+	defer idle.Stop()
+	lines := bufio.NewScanner(s.body)
+	lines.Buffer(nil, maxLineBytes)
+	for lines.Scan() {
+		idle.Stop() // a slow reader is no sign of a lost stream
+		event, ok, err := s.event(lines.Bytes())
+		if err != nil {
+			w.ended <- err
+			return
+		}
+		if ok && !w.pass(ctx, event) {
+			break
+		}
+		idle.Reset(watchIdle)
+	}
+	err := lines.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	w.ended <- s.query.lost(err, false)
+}
+
+func (w *watch) pass(ctx context.Context, event objectapi.Event) bool {
+	select {
+	case w.events <- event:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// stream decodes the lines of a watch.
+type stream struct {
+	query query
+	body  io.ReadCloser
+	last  uint64
+}
+
+// event reads one line; ok is false for a bookmark. Versions must rise, so that no change is reported twice.
+func (s *stream) event(line []byte) (event objectapi.Event, ok bool, err error) {
+	var l Line
+	if err := json.Unmarshal(line, &l); err != nil {
+		return event, false, s.query.bad("a line of the watch is not valid JSON")
+	}
+	if l.Type == LineBookmark {
+		return event, false, nil
+	}
+	known := l.Type == LinePut || l.Type == LineDeleted
+	if !known || l.Object.Kind != s.query.kind || !ValidName(l.Object.Name) || l.Object.Version <= s.last {
+		return event, false, fault.New(fault.Invalid, "watch again from the last version that was received",
+			"a line of the watch of %s has an unknown type, a wrong kind or an old version", s.query.what())
+	}
+	s.last = l.Object.Version
+	return objectapi.Event{Object: l.Object.object(), Deleted: l.Type == LineDeleted}, true, nil
+}
--- /dev/null
+++ b/internal/standin/objectapi/state.go
@@ -0,0 +1,224 @@
+package objectapi
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+// objects holds the objects of each kind by name.
+type objects map[objectapi.Kind]map[string]objectapi.Object
+
+// state is owned by the store's task.
+type state struct {
+	switches Switches
+	counts   Counts
+	version  uint64
+	objects  objects
+	// history holds the last changes of each kind, oldest first; dropped is the version of the last one that is gone.
+	history map[objectapi.Kind][]objectapi.Event
+	dropped map[objectapi.Kind]uint64
+	watches map[*watch]bool
+	// older is what reads see while OlderReads holds; olderVersion is its version.
+	older        objects
+	olderVersion uint64
+	// stale is the list of instances while StaleInstances holds.
+	stale        map[string]objectapi.Object
+	staleVersion uint64
+}
+
+func newState() *state {
+	return &state{
+		objects: objects{}, history: map[objectapi.Kind][]objectapi.Event{}, dropped: map[objectapi.Kind]uint64{},
+		watches: map[*watch]bool{},
+	}
+}
+
+func (s *state) handle(m any) {
+	switch m := m.(type) {
+	case read:
+		m.reply <- s.read(m)
+	case write:
+		m.reply <- s.write(m)
+	case openWatch:
+		m.reply <- s.open(m)
+	case closeWatch:
+		s.close(m.watch, nil)
+	case cutWatches:
+		s.cut("")
+		m.reply <- struct{}{}
+	case setSwitches:
+		s.set(m.switches)
+		m.reply <- struct{}{}
+	case getSwitches:
+		m.reply <- s.switches
+	case getCounts:
+		m.reply <- s.counts
+	}
+}
+
+func (s *state) delay() time.Duration { return time.Duration(s.switches.DelayMs) * time.Millisecond }
+
+func down() error {
+	return fault.New(fault.StoreUnavailable, "check the platform's object API", "the object API does not answer")
+}
+
+func (s *state) read(m read) readReply {
+	s.counts.Reads++
+	if s.switches.Down {
+		return readReply{delay: s.delay(), err: down()}
+	}
+	seen, version := s.seen(m.kind)
+	if m.name == "" {
+		list := slices.Collect(maps.Values(seen))
+		slices.SortFunc(list, func(a, b objectapi.Object) int { return strings.Compare(a.Name, b.Name) })
+		return readReply{delay: s.delay(), objects: list, version: version}
+	}
+	object, ok := seen[m.name]
+	if !ok {
+		return readReply{delay: s.delay(), err: notFound(m.kind, m.name)}
+	}
+	return readReply{delay: s.delay(), objects: []objectapi.Object{object}}
+}
+
+// seen returns the objects of a kind that reads see, and the version of that view.
+func (s *state) seen(kind objectapi.Kind) (map[string]objectapi.Object, uint64) {
+	switch {
+	case kind == objectapi.Instances && s.switches.StaleInstances:
+		return s.stale, s.staleVersion
+	case s.switches.OlderReads:
+		return s.older[kind], s.olderVersion
+	}
+	return s.objects[kind], s.version
+}
+
+func notFound(kind objectapi.Kind, name string) error {
+	return fault.New(fault.NotFound, "check the kind and the name", "object %s/%s does not exist", kind, name)
+}
+
+func (s *state) write(m write) writeReply {
+	s.counts.Writes++
+	if s.switches.Down {
+		return writeReply{delay: s.delay(), err: down()}
+	}
+	object, err := s.apply(m.action, m.object)
+	if err == nil && s.switches.LoseAnswers > 0 {
+		s.switches.LoseAnswers--
+		err = fault.New(fault.AmbiguousWrite, "read the object back", "the answer to a write of %s/%s was lost", m.object.Kind, m.object.Name)
+	}
+	return writeReply{delay: s.delay(), object: object, err: err}
+}
+
+func (s *state) apply(a action, o objectapi.Object) (objectapi.Object, error) {
+	current, exists := s.objects[o.Kind][o.Name]
+	switch {
+	case a != create && !exists:
+		return objectapi.Object{}, notFound(o.Kind, o.Name)
+	case a == create && exists, a != create && current.Version != o.Version:
+		return objectapi.Object{}, fault.New(fault.Conflict, "get the object, make the change again and apply it",
+			"object %s/%s has been changed by someone else or exists already", o.Kind, o.Name)
+	}
+	s.version++
+	o.Version = s.version
+	if a == remove {
+		delete(s.objects[o.Kind], o.Name)
+	} else {
+		if s.objects[o.Kind] == nil {
+			s.objects[o.Kind] = map[string]objectapi.Object{}
+		}
+		s.objects[o.Kind][o.Name] = o
+	}
+	s.report(objectapi.Event{Object: o, Deleted: a == remove})
+	return o, nil
+}
+
+// report adds a change to the history and tells the watches.
+func (s *state) report(e objectapi.Event) {
+	kind := e.Object.Kind
+	history := append(s.history[kind], e)
+	if len(history) > historyLength {
+		s.dropped[kind] = history[0].Object.Version
+		history = history[1:]
+	}
+	s.history[kind] = history
+	if kind == objectapi.Instances && s.switches.StaleInstances {
+		return
+	}
+	for w := range s.watches {
+		if w.kind == kind && !w.offer(e) {
+			s.close(w, down())
+		}
+	}
+}
+
+func (s *state) open(m openWatch) watchReply {
+	s.counts.Reads++
+	if s.switches.Down {
+		return watchReply{delay: s.delay(), err: down()}
+	}
+	if m.after < s.dropped[m.kind] {
+		return watchReply{delay: s.delay(), err: fault.New(fault.TooOld, "list the objects again and watch from there",
+			"version %d of %s is too old to watch from", m.after, m.kind)}
+	}
+	w := newWatch(m.store, m.kind)
+	s.watches[w] = true
+	if m.kind == objectapi.Instances && s.switches.StaleInstances {
+		return watchReply{delay: s.delay(), watch: w}
+	}
+	for _, e := range s.history[m.kind] {
+		if e.Object.Version > m.after && !w.offer(e) {
+			s.close(w, down())
+			break
+		}
+	}
+	return watchReply{delay: s.delay(), watch: w}
+}
+
+func (s *state) close(w *watch, err error) {
+	if !s.watches[w] {
+		return
+	}
+	delete(s.watches, w)
+	if err != nil {
+		w.failed <- err
+	}
+	close(w.events)
+}
+
+// cut ends the watches of a kind, or all for the empty kind.
+func (s *state) cut(kind objectapi.Kind) {
+	for w := range s.watches {
+		if kind == "" || w.kind == kind {
+			s.close(w, down())
+		}
+	}
+}
+
+func (s *state) set(next Switches) {
+	if next.OlderReads && !s.switches.OlderReads {
+		s.older, s.olderVersion = s.copy(), s.version
+	}
+	if next.StaleInstances && !s.switches.StaleInstances {
+		s.stale, s.staleVersion = maps.Clone(s.objects[objectapi.Instances]), s.version
+	}
+	// The watches of instances missed changes; cut watches make their readers resume or list again.
+	if !next.StaleInstances && s.switches.StaleInstances {
+		s.cut(objectapi.Instances)
+	}
+	if next.Down {
+		s.cut("")
+	}
+	s.switches = next
+}
+
+func (s *state) copy() objects {
+	all := objects{}
+	for kind, named := range s.objects {
+		all[kind] = maps.Clone(named)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/standin/objectapi/store.go
@@ -0,0 +1,255 @@
+package objectapi
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+const (
+	// storeCapacity bounds the calls that wait.
+	storeCapacity = 256
+	// historyLength is how many changes of a kind a watch can go back.
+	historyLength = 1024
+)
+
+// Switches make the store fail.
+type Switches struct {
+	// DelayMs is how long each call takes, in milliseconds. Zero means no delay.
+	DelayMs int `json:"delay_ms"`
+	// Down makes every call fail as if the platform could not be reached, and cuts watches.
+	Down bool `json:"down"`
+	// LoseAnswers is how many of the next writes take effect without an answer. Zero means none.
+	LoseAnswers int `json:"lose_answers"`
+	// StaleInstances shows the list of instances as it was when the switch was set.
+	StaleInstances bool `json:"stale_instances"`
+	// OlderReads answers Get and List from the state that held when the switch was set, as after a fail-over to a
+	// replica that is behind.
+	OlderReads bool `json:"older_reads"`
+}
+
+// Counts tells how many calls the store took. A watch counts as one read.
+type Counts struct {
+	Reads  int `json:"reads"`
+	Writes int `json:"writes"`
+}
+
+// Store is a stand-in object API. Run is the body of its task; calls wait until it runs.
+type Store struct {
+	inbox *task.Mailbox[any]
+	ended chan struct{}
+}
+
+var _ objectapi.API = (*Store)(nil)
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{inbox: task.NewMailbox[any]("stand-in object API", storeCapacity), ended: make(chan struct{})}
+}
+
+// Messages to the store's task.
+type (
+	read struct {
+		kind  objectapi.Kind
+		name  string
+		reply chan<- readReply
+	}
+	readReply struct {
+		delay   time.Duration
+		objects []objectapi.Object
+		version uint64
+		err     error
+	}
+	write struct {
+		action action
+		object objectapi.Object
+		reply  chan<- writeReply
+	}
+	writeReply struct {
+		delay  time.Duration
+		object objectapi.Object
+		err    error
+	}
+	openWatch struct {
+		kind  objectapi.Kind
+		after uint64
+		store *Store
+		reply chan<- watchReply
+	}
+	watchReply struct {
+		delay time.Duration
+		watch *watch
+		err   error
+	}
+	closeWatch  struct{ watch *watch }
+	cutWatches  struct{ reply chan<- struct{} }
+	setSwitches struct {
+		switches Switches
+		reply    chan<- struct{}
+	}
+	getSwitches struct{ reply chan<- Switches }
+	getCounts   struct{ reply chan<- Counts }
+)
+
+type action int
+
+const (
+	create action = iota
+	update
+	remove
+)
+
+// Run is the body of the store's task. It ends with the context.
+func (s *Store) Run(ctx context.Context) error {
+	defer close(s.ended)
+	st := newState()
+	defer st.cut("")
+	for {
+		select {
+		case m := <-s.inbox.C():
+			st.handle(m)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// errEnded is the cause of calls to a store whose task has ended.
+var errEnded = errors.New("the stand-in has ended")
+
+// ask sends a message to the store's task and waits for the reply.
+func ask[R any](ctx context.Context, s *Store, build func(reply chan<- R) any) (R, error) {
+	reply := make(chan R, 1)
+	var none R
+	if !s.inbox.SendUntil(s.ended, build(reply)) {
+		return none, errEnded
+	}
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-s.ended:
+		return none, errEnded
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+// wait lets the delay of the switches pass.
+func wait(ctx context.Context, delay time.Duration) error {
+	if delay <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func unavailable(err error) error {
+	return fault.Wrap(err, fault.StoreUnavailable, "check the platform's object API", "the object API does not answer")
+}
+
+// Get returns the object at its current version.
+func (s *Store) Get(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error) {
+	r, err := s.read(ctx, kind, name)
+	if err != nil {
+		return objectapi.Object{}, err
+	}
+	return r.objects[0], nil
+}
+
+// List returns all objects of a kind and the version from which a watch continues the list.
+func (s *Store) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, uint64, error) {
+	r, err := s.read(ctx, kind, "")
+	return r.objects, r.version, err
+}
+
+func (s *Store) read(ctx context.Context, kind objectapi.Kind, name string) (readReply, error) {
+	r, err := ask(ctx, s, func(reply chan<- readReply) any { return read{kind: kind, name: name, reply: reply} })
+	if err == nil {
+		err = wait(ctx, r.delay)
+	}
+	if err != nil {
+		return readReply{}, unavailable(err)
+	}
+	return r, r.err
+}
+
+// Create adds an object.
+func (s *Store) Create(ctx context.Context, kind objectapi.Kind, name string, value []byte) (objectapi.Object, error) {
+	return s.write(ctx, create, objectapi.Object{Kind: kind, Name: name, Value: value})
+}
+
+// Update replaces the value if the object still has the given version.
+func (s *Store) Update(ctx context.Context, kind objectapi.Kind, name string, version uint64, value []byte) (objectapi.Object, error) {
+	return s.write(ctx, update, objectapi.Object{Kind: kind, Name: name, Version: version, Value: value})
+}
+
+// Delete removes the object if it still has the given version.
+func (s *Store) Delete(ctx context.Context, kind objectapi.Kind, name string, version uint64) error {
+	_, err := s.write(ctx, remove, objectapi.Object{Kind: kind, Name: name, Version: version})
+	return err
+}
+
+func (s *Store) write(ctx context.Context, a action, object objectapi.Object) (objectapi.Object, error) {
+	if len(object.Value) > objectapi.MaxValueBytes {
+		return objectapi.Object{}, fault.New(fault.Invalid, "shorten the value", "value of %s/%s is larger than 1 MiB", object.Kind, object.Name)
+	}
+	object.Value = append([]byte(nil), object.Value...)
+	r, err := ask(ctx, s, func(reply chan<- writeReply) any { return write{action: a, object: object, reply: reply} })
+	if err == nil {
+		err = wait(ctx, r.delay)
+	}
+	if err != nil {
+		return objectapi.Object{}, fault.Wrap(err, fault.AmbiguousWrite, "read the object back", "the answer to a write was lost")
+	}
+	return r.object, r.err
+}
+
+// Watch reports changes of a kind after the given version.
+func (s *Store) Watch(ctx context.Context, kind objectapi.Kind, after uint64) (objectapi.Watch, error) {
+	r, err := ask(ctx, s, func(reply chan<- watchReply) any { return openWatch{kind: kind, after: after, store: s, reply: reply} })
+	if err == nil {
+		err = wait(ctx, r.delay)
+	}
+	if err != nil {
+		if r.watch != nil {
+			_ = r.watch.Close()
+		}
+		return nil, unavailable(err)
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	return r.watch, nil
+}
+
+// Set changes the switches. It returns when they hold.
+func (s *Store) Set(ctx context.Context, switches Switches) error {
+	_, err := ask(ctx, s, func(reply chan<- struct{}) any { return setSwitches{switches: switches, reply: reply} })
+	return err
+}
+
+// Switches returns the switches that hold. LoseAnswers counts down.
+func (s *Store) Switches(ctx context.Context) (Switches, error) {
+	return ask(ctx, s, func(reply chan<- Switches) any { return getSwitches{reply: reply} })
+}
+
+// CutWatches ends all watches, as when a connection breaks.
+func (s *Store) CutWatches(ctx context.Context) error {
+	_, err := ask(ctx, s, func(reply chan<- struct{}) any { return cutWatches{reply: reply} })
+	return err
+}
+
+// Counts returns how many calls the store took.
+func (s *Store) Counts(ctx context.Context) (Counts, error) {
+	return ask(ctx, s, func(reply chan<- Counts) any { return getCounts{reply: reply} })
+}
--- /dev/null
+++ b/internal/standin/objectapi/watch.go
@@ -0,0 +1,58 @@
+package objectapi
+
+import (
+	"context"
+
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+// watchCapacity holds a whole history and some more changes. A watch whose reader falls further behind is cut.
+const watchCapacity = historyLength + 256
+
+// watch is one open watch. The store's task sends and closes; the reader receives.
+type watch struct {
+	store  *Store
+	kind   objectapi.Kind
+	events chan objectapi.Event
+	failed chan error
+	err    error
+}
+
+func newWatch(store *Store, kind objectapi.Kind) *watch {
+	return &watch{store: store, kind: kind, events: make(chan objectapi.Event, watchCapacity), failed: make(chan error, 1)}
+}
+
+func (w *watch) offer(e objectapi.Event) bool {
+	select {
+	case w.events <- e:
+		return true
+	default:
+		return false
+	}
+}
+
+// Next blocks until the next change.
+func (w *watch) Next(ctx context.Context) (objectapi.Event, error) {
+	select {
+	case e, ok := <-w.events:
+		if ok {
+			return e, nil
+		}
+	case <-ctx.Done():
+		return objectapi.Event{}, ctx.Err()
+	}
+	if w.err == nil {
+		w.err = down()
+		select {
+		case w.err = <-w.failed:
+		default:
+		}
+	}
+	return objectapi.Event{}, w.err
+}
+
+// Close ends the watch.
+func (w *watch) Close() error {
+	w.store.inbox.SendUntil(w.store.ended, closeWatch{watch: w})
+	return nil
+}
