Add the stand-in backend server

Cause: tests and experiments need a server with slots, cold starts, drains, crashes and load reports. One task owns its state, charts/standin.toml its lifecycle. It counts the runs of each idempotency key. The tests run in virtual time over in-memory connections.

--- a/charts/params.go
+++ b/charts/params.go
@@ -15,5 +15,6 @@
 		"idle_limit":    60 * time.Second,
 		"zone_quiet":    3 * time.Second,
 		"strike_expiry": 10 * time.Minute,
+		"down_time":     1 * time.Second,
 	}
 }
--- /dev/null
+++ b/internal/standin/backend/handler.go
@@ -0,0 +1,160 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+)
+
+// maxBody bounds the request body that is read.
+const maxBody = 64 << 20
+
+// HeaderName carries the name of the server that answered.
+const HeaderName = "Standin-Name"
+
+// handler serves one life of a server. Each request runs on a goroutine of net/http, which holds no state.
+//
+// An answered request gets its own body back, or its method and target when it has none. The paths /health,
+// /standin/switches (PUT), /standin/report (GET) and /standin/crash (POST) take no slot.
+type handler struct {
+	server *Server
+	life   int
+}
+
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case document.DefaultProbePath:
+		h.probe(w, r)
+	case "/standin/switches":
+		h.setSwitches(w, r)
+	case "/standin/report":
+		report, err := h.server.Report(r.Context())
+		writeJSON(w, report, err)
+	case "/standin/crash":
+		_ = h.server.Crash(r.Context()) // the connection breaks with the server
+	default:
+		h.request(w, r)
+	}
+}
+
+func (h *handler) probe(w http.ResponseWriter, r *http.Request) {
+	about, err := ask(r.Context(), h.server, func(reply chan<- self) any { return probed{reply: reply} })
+	h.describe(w, about)
+	writeJSON(w, map[string]string{"state": about.state, "load": about.load}, err)
+}
+
+func (h *handler) setSwitches(w http.ResponseWriter, r *http.Request) {
+	var switches Switches
+	decoder := json.NewDecoder(io.LimitReader(r.Body, maxBody))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&switches)
+	if err == nil {
+		err = h.server.Set(r.Context(), switches)
+	}
+	writeJSON(w, switches, err)
+}
+
+func writeJSON(w http.ResponseWriter, value any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value) // the caller has gone; there is nobody to tell
+}
+
+func (h *handler) describe(w http.ResponseWriter, about self) {
+	header := w.Header()
+	header.Set(HeaderName, h.server.state.options.Name)
+	header.Set(backend.HeaderLoad, about.load)
+	header.Set(backend.HeaderState, about.state)
+	header.Set(backend.HeaderIncarnation, about.incarnation)
+}
+
+func (h *handler) request(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		panic(http.ErrAbortHandler) // the caller has gone
+	}
+	ctx, cancel := deadline(r)
+	defer cancel()
+	v, ok := h.begin(ctx, r.Header.Get(document.DefaultKeyHeader), body)
+	if !ok {
+		h.late(w, r)
+		return
+	}
+	switch v.outcome {
+	case run:
+		h.run(ctx, w, r, v, body)
+	case shed:
+		h.describe(w, v.self)
+		w.Header().Set(backend.HeaderNotRun, "true")
+		http.Error(w, "no slot is free", http.StatusServiceUnavailable)
+	default:
+		h.describe(w, v.self)
+		http.Error(w, "the request failed", http.StatusInternalServerError)
+	}
+}
+
+// deadline is the time that the caller grants.
+func deadline(r *http.Request) (context.Context, context.CancelFunc) {
+	ms, err := strconv.Atoi(r.Header.Get(backend.HeaderTimeout))
+	if err != nil {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
+// late answers a request whose time is over; one whose caller has gone gets no answer.
+func (h *handler) late(w http.ResponseWriter, r *http.Request) {
+	if r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	http.Error(w, "the deadline has passed", http.StatusGatewayTimeout)
+}
+
+// begin asks for a slot; ok is false when the caller has gone or its time is over.
+func (h *handler) begin(ctx context.Context, key string, body []byte) (verdict, bool) {
+	reply := make(chan verdict, 1)
+	if !h.server.inbox.SendUntil(h.server.ended, begin{key: key, body: body, life: h.life, reply: reply}) {
+		panic(http.ErrAbortHandler) // the server has ended
+	}
+	select {
+	case v := <-reply:
+		return v, true
+	case <-ctx.Done():
+		h.server.inbox.SendUntil(h.server.ended, abandon{life: h.life, waiter: reply})
+		return verdict{}, false
+	}
+}
+
+func (h *handler) run(ctx context.Context, w http.ResponseWriter, r *http.Request, v verdict, body []byte) {
+	done := pause(ctx, v.time)
+	about, err := ask(context.WithoutCancel(ctx), h.server, func(reply chan<- self) any { return end{life: h.life, reply: reply} })
+	if err != nil {
+		panic(http.ErrAbortHandler) // the server has ended
+	}
+	if !done {
+		h.late(w, r)
+		return
+	}
+	if len(body) == 0 {
+		body = []byte(r.Method + " " + r.URL.RequestURI())
+	}
+	h.describe(w, about)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if v.truncate {
+		body = body[:len(body)/2]
+	}
+	_, _ = w.Write(body) // the caller has gone; there is nobody to tell
+	if v.truncate {
+		_ = http.NewResponseController(w).Flush() // the connection is closed next
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/standin/backend/server.go
@@ -0,0 +1,278 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+const (
+	serverCapacity = 256
+	// stopLimit bounds how long a server that is stopped waits for its requests.
+	stopLimit = 10 * time.Second
+	idleLimit = 5 * time.Minute
+)
+
+// Listener opens the socket of a server. It is called again after each crash and must give the same address.
+type Listener func() (net.Listener, error)
+
+// Server is one stand-in backend server. Run is the body of its task.
+type Server struct {
+	inbox *task.Mailbox[any]
+	ended chan struct{}
+	state *state
+	http  *http.Server
+	// closed tells that the sockets of the last life are closed.
+	closed chan error
+}
+
+// Messages to the server's task.
+type (
+	begin struct {
+		key   string
+		body  []byte
+		life  int
+		reply chan verdict
+	}
+	end struct {
+		life  int
+		reply chan<- self
+	}
+	abandon struct {
+		life   int
+		waiter chan verdict
+	}
+	connOpened  struct{ reply chan<- bool }
+	connClosed  struct{}
+	probed      struct{ reply chan<- self }
+	setSwitches struct {
+		switches Switches
+		reply    chan<- struct{}
+	}
+	getReport struct{ reply chan<- Report }
+	crash     struct{ reply chan<- struct{} }
+)
+
+// New returns a server that is not running.
+func New(options Options) (*Server, error) {
+	options, err := options.checked()
+	if err != nil {
+		return nil, err
+	}
+	ch, err := charts.Load("standin", charts.Params{"down_time": options.DownTime})
+	if err != nil {
+		return nil, err
+	}
+	bound, err := chart.Bind(ch, bindings)
+	if err != nil {
+		return nil, err
+	}
+	st := &state{options: options, rnd: rand.New(rand.NewPCG(options.Seed, 0)), runs: map[string]int{}}
+	st.machine = bound.New(time.Now(), st)
+	return &Server{
+		inbox: task.NewMailbox[any]("stand-in backend server", serverCapacity), ended: make(chan struct{}), state: st,
+	}, nil
+}
+
+// Run is the body of the server's task. It ends with the context, after the requests that run.
+func (s *Server) Run(ctx context.Context, listen Listener) error {
+	defer close(s.ended)
+	for ctx.Err() == nil {
+		listener, err := listen()
+		if err != nil {
+			return err
+		}
+		s.start(listener)
+		if err := s.live(ctx); err != nil {
+			return err
+		}
+		s.stayDown(ctx)
+	}
+	return nil
+}
+
+// start begins one life: sockets open, a new incarnation.
+func (s *Server) start(listener net.Listener) {
+	s.state.begin()
+	server := &http.Server{Handler: &handler{server: s, life: s.state.life}, ConnState: s.connState, IdleTimeout: idleLimit}
+	s.http = server
+	s.closed = make(chan error, 1)
+	go func() { s.closed <- server.Serve(listener) }()
+	s.state.fire("listening")
+}
+
+// live handles messages until the server crashes or is stopped and its sockets are closed.
+func (s *Server) live(ctx context.Context) error {
+	done := ctx.Done()
+	for {
+		select {
+		case m := <-s.inbox.C():
+			s.handle(m)
+		case <-done:
+			done = nil
+			s.stop()
+		case err := <-s.closed:
+			if !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return s.drainMessages()
+		}
+	}
+}
+
+// drainMessages handles messages until the server's own goroutines have ended, so that none of them blocks.
+func (s *Server) drainMessages() error {
+	closing := make(chan error, 1)
+	server := s.http
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+		defer cancel()
+		closing <- server.Shutdown(ctx)
+	}()
+	for {
+		select {
+		case m := <-s.inbox.C():
+			s.handle(m)
+		case err := <-closing:
+			return err
+		}
+	}
+}
+
+// stop lets requests that run finish. It does not block the task, because their goroutines send it messages.
+func (s *Server) stop() {
+	server := s.http
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+		defer cancel()
+		_ = server.Shutdown(ctx) // Serve reports the end
+	}()
+}
+
+// crash closes all sockets at once.
+func (s *Server) crash() {
+	s.state.crash()
+	server := s.http
+	go func() { _ = server.Close() }() // Serve reports the end
+}
+
+// stayDown handles messages while the server refuses connections.
+func (s *Server) stayDown(ctx context.Context) {
+	for s.state.machine.In("down") {
+		due, _ := s.state.machine.Deadline()
+		timer := time.NewTimer(time.Until(due))
+		select {
+		case m := <-s.inbox.C():
+			s.handle(m)
+		case <-timer.C:
+			s.state.machine.Tick(time.Now())
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		timer.Stop()
+	}
+}
+
+func (s *Server) handle(m any) {
+	switch m := m.(type) {
+	case begin:
+		if s.state.crashesOn(m) {
+			s.crash()
+			return
+		}
+		s.state.admit(m)
+	case end:
+		s.state.end(m)
+	case abandon:
+		s.state.abandon(m)
+	case connOpened:
+		m.reply <- s.state.connOpened()
+	case connClosed:
+		s.state.report.Connections--
+	case probed:
+		s.state.report.Probes++
+		m.reply <- s.state.self()
+	case setSwitches:
+		s.state.set(m.switches)
+		m.reply <- struct{}{}
+	case getReport:
+		m.reply <- s.state.snapshot()
+	case crash:
+		if s.state.machine.In("up") {
+			s.crash()
+		}
+		m.reply <- struct{}{}
+	}
+}
+
+// connState counts connections and closes those above the limit. The server's goroutine that accepts connections calls
+// it, so the cost of a connection delays the next one.
+func (s *Server) connState(c net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		if allowed, _ := ask(context.Background(), s, func(reply chan<- bool) any { return connOpened{reply: reply} }); !allowed {
+			_ = c.Close() // refused; the server's goroutine sees it closed
+		}
+		pause(context.Background(), s.state.options.ConnectCost)
+	case http.StateClosed, http.StateHijacked:
+		s.inbox.SendUntil(s.ended, connClosed{})
+	}
+}
+
+// Set changes the switches. It returns when they hold.
+func (s *Server) Set(ctx context.Context, switches Switches) error {
+	_, err := ask(ctx, s, func(reply chan<- struct{}) any { return setSwitches{switches: switches, reply: reply} })
+	return err
+}
+
+// Report returns what the server counted.
+func (s *Server) Report(ctx context.Context) (Report, error) {
+	return ask(ctx, s, func(reply chan<- Report) any { return getReport{reply: reply} })
+}
+
+// Crash closes all connections and refuses new ones for Options.DownTime. The next start has a new incarnation.
+func (s *Server) Crash(ctx context.Context) error {
+	_, err := ask(ctx, s, func(reply chan<- struct{}) any { return crash{reply: reply} })
+	return err
+}
+
+var errEnded = errors.New("the stand-in has ended")
+
+func ask[R any](ctx context.Context, s *Server, build func(reply chan<- R) any) (R, error) {
+	reply := make(chan R, 1)
+	var none R
+	if !s.inbox.SendUntil(s.ended, build(reply)) {
+		return none, errEnded
+	}
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-s.ended:
+		return none, errEnded
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+// pause waits; it reports false when the context ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/backend/server_test.go
@@ -0,0 +1,250 @@
+package backend_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	standin "fuchsiahub.example/fuchsiahub/internal/standin/backend"
+)
+
+// pipes is a listener over in-memory connections. It refuses connections while no server accepts.
+type pipes struct {
+	accept chan net.Conn
+	closed chan struct{}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.accept:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error   { close(p.closed); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// rig is a server in a synctest bubble with a client.
+type rig struct {
+	*standin.Server
+	t       *testing.T
+	current chan *pipes
+	client  http.Client
+}
+
+func inBubble(t *testing.T, options standin.Options, test func(t *testing.T, r *rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		server, err := standin.New(options)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{Server: server, t: t, current: make(chan *pipes, 1)}
+		r.client.Transport = &http.Transport{DialContext: r.dial}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- server.Run(ctx, r.listen) }()
+		synctest.Wait()
+		test(t, r)
+		r.client.CloseIdleConnections()
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func (r *rig) listen() (net.Listener, error) {
+	select {
+	case <-r.current:
+	default:
+	}
+	p := &pipes{accept: make(chan net.Conn), closed: make(chan struct{})}
+	r.current <- p
+	return p, nil
+}
+
+func (r *rig) dial(context.Context, string, string) (net.Conn, error) {
+	p := <-r.current
+	r.current <- p
+	ours, theirs := net.Pipe()
+	select {
+	case p.accept <- theirs:
+		return ours, nil
+	case <-p.closed:
+		return nil, errors.New("connection refused")
+	}
+}
+
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+// send starts a request; its answer comes later.
+func (r *rig) send(key, body string) chan answer {
+	out := make(chan answer, 1)
+	go func() {
+		req, _ := http.NewRequest("POST", "http://standin/dispatch", strings.NewReader(body))
+		if key != "" {
+			req.Header.Set("Idempotency-Key", key)
+		}
+		resp, err := r.client.Do(req)
+		if err != nil {
+			out <- answer{err: err}
+			return
+		}
+		text, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		out <- answer{status: resp.StatusCode, body: string(text), header: resp.Header, err: err}
+	}()
+	synctest.Wait()
+	return out
+}
+
+func (r *rig) report() standin.Report {
+	report, err := r.Report(r.t.Context())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return report
+}
+
+// Guards against a stand-in that runs more requests than its slots, or sheds while one may wait.
+func TestSlotsAndQueue(t *testing.T) {
+	inBubble(t, standin.Options{Name: "s", Slots: 2, Queue: 1, Median: time.Second}, func(t *testing.T, r *rig) {
+		first, second, third, fourth := r.send("a", "1"), r.send("b", "2"), r.send("a", "3"), r.send("", "4")
+		got := <-fourth
+		if got.status != 503 || got.header.Get(backend.HeaderNotRun) != "true" || got.header.Get(backend.HeaderLoad) != "3/2" {
+			t.Errorf("the fourth request got %+v", got)
+		}
+		for i, reply := range []chan answer{first, second, third} {
+			if got := <-reply; got.status != 200 || got.body != string(rune('1'+i)) {
+				t.Errorf("request %d got %+v", i+1, got)
+			}
+		}
+		if n := r.report(); n.MostRunning != 2 || n.Finished != 3 || n.Shed != 1 || n.Runs["a"] != 2 || n.Runs["b"] != 1 {
+			t.Errorf("report %+v", n)
+		}
+	})
+}
+
+// Guards against a stand-in that bears any load while it is cold, or that never warms up.
+func TestColdStart(t *testing.T) {
+	inBubble(t, standin.Options{Name: "s", Slots: 4, ColdAllowance: 1, WarmUp: 2, Median: time.Second}, func(t *testing.T, r *rig) {
+		first, second := r.send("", "1"), r.send("", "2")
+		if got := <-second; got.status != 500 || got.header.Get(backend.HeaderState) != "cold" {
+			t.Errorf("the second request got %+v", got)
+		}
+		<-first
+		if got := <-r.send("", "3"); got.header.Get(backend.HeaderState) != "ready" {
+			t.Errorf("after the warm-up the state is %q", got.header.Get(backend.HeaderState))
+		}
+		if n := r.report(); n.ColdOverloads != 1 || n.MostCold != 1 {
+			t.Errorf("report %+v", n)
+		}
+	})
+}
+
+// Guards against a crash that answers, that keeps connections open or that keeps the incarnation.
+func TestCrash(t *testing.T) {
+	inBubble(t, standin.Options{Name: "s", Slots: 4, Median: time.Second, DownTime: 3 * time.Second}, func(t *testing.T, r *rig) {
+		if err := r.Set(t.Context(), standin.Switches{CrashOn: "poison"}); err != nil {
+			t.Fatal(err)
+		}
+		before := r.report().Incarnation
+		harmless, fatal := r.send("", "1"), r.send("", "some poison")
+		if got := <-fatal; got.err == nil {
+			t.Errorf("the fatal request got %+v", got)
+		}
+		if got := <-harmless; got.err == nil {
+			t.Errorf("a request that ran alongside got %+v", got)
+		}
+		if got := <-r.send("", "2"); got.err == nil {
+			t.Errorf("while the server was down a request got %+v", got)
+		}
+		time.Sleep(3 * time.Second) // virtual time
+		synctest.Wait()
+		if got := <-r.send("", "3"); got.status != 200 || got.header.Get(backend.HeaderIncarnation) == before {
+			t.Errorf("after the crash a request got %+v", got)
+		}
+		if n := r.report(); n.Crashes != 1 || n.Running != 0 {
+			t.Errorf("report %+v", n)
+		}
+	})
+}
+
+// Guards against switches that do nothing: tests that rely on them would pass for no reason.
+func TestSwitches(t *testing.T) {
+	inBubble(t, standin.Options{Name: "s", Slots: 1, Median: time.Second}, func(t *testing.T, r *rig) {
+		set := func(s standin.Switches) {
+			if err := r.Set(t.Context(), s); err != nil {
+				t.Fatal(err)
+			}
+		}
+		set(standin.Switches{Shed: true})
+		if got := <-r.send("", "1"); got.status != 503 {
+			t.Errorf("shed: %+v", got)
+		}
+		set(standin.Switches{Fail: true})
+		if got := <-r.send("", "1"); got.status != 500 {
+			t.Errorf("fail: %+v", got)
+		}
+		set(standin.Switches{Truncate: true})
+		if got := <-r.send("", "1234"); got.err == nil {
+			t.Errorf("truncate: %+v", got)
+		}
+		set(standin.Switches{Draining: true, ReportedLoad: "0/9"})
+		if got := <-r.send("", "1"); got.header.Get(backend.HeaderState) != "draining" || got.header.Get(backend.HeaderLoad) != "0/9" {
+			t.Errorf("draining: %+v", got)
+		}
+		set(standin.Switches{Slowness: 5})
+		start := time.Now()
+		if got := <-r.send("", "1"); got.header.Get(backend.HeaderState) != "ready" || time.Since(start) != 5*time.Second {
+			t.Errorf("slowness: %+v after %v", got, time.Since(start))
+		}
+	})
+}
+
+// Guards against a limit on connections that is not kept.
+func TestConnectionLimit(t *testing.T) {
+	inBubble(t, standin.Options{Name: "s", Slots: 4, Connections: 2, Median: time.Second}, func(t *testing.T, r *rig) {
+		first, second, third := r.send("", "1"), r.send("", "2"), r.send("", "3")
+		if got := <-third; got.err == nil {
+			t.Errorf("the third connection got %+v", got)
+		}
+		<-first
+		<-second
+		if n := r.report(); n.MostConnections != 2 || n.ConnectionsClosed != 1 {
+			t.Errorf("report %+v", n)
+		}
+	})
+}
+
+// Guards against work that goes on, and a slot that stays taken, after the caller's deadline.
+func TestDeadline(t *testing.T) {
+	inBubble(t, standin.Options{Name: "s", Slots: 1, Queue: 4, Median: time.Hour}, func(t *testing.T, r *rig) {
+		for range 2 {
+			req, _ := http.NewRequest("GET", "http://standin/x", nil)
+			req.Header.Set(backend.HeaderTimeout, "100")
+			resp, err := r.client.Do(req)
+			if err != nil || resp.StatusCode != 504 {
+				t.Fatalf("got %+v, %v", resp, err)
+			}
+			_ = resp.Body.Close()
+		}
+		if n := r.report(); n.Running != 0 || n.Waiting != 0 {
+			t.Errorf("report %+v", n)
+		}
+	})
+}
