--- a/charts/params.go
+++ b/charts/params.go
@@ -16,5 +16,6 @@
 		"zone_quiet":    3 * time.Second,
 		"strike_expiry": 10 * time.Minute,
 		"down_time":     1 * time.Second,
+		"audit_pause":   10 * time.Second,
 	}
 }
--- /dev/null
+++ b/internal/audit/read.go
@@ -0,0 +1,74 @@
+package audit
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+// Filter says which records are wanted. Zero fields want all.
+type Filter struct {
+	Service, Zone string
+	Since, Until  time.Time
+}
+
+func (f Filter) wants(r Record) bool {
+	return (f.Service == "" || r.Service == f.Service) && (f.Zone == "" || r.Zone == f.Zone) &&
+		(f.Since.IsZero() || !r.Time.Before(f.Since)) && (f.Until.IsZero() || r.Time.Before(f.Until))
+}
+
+// Found is what the trail holds.
+type Found struct {
+	// Records are in the order of their times.
+	Records []Record `json:"records"`
+	// Dropped counts records, wanted or not, that are gone for lack of room.
+	Dropped int `json:"dropped"`
+	// Malformed names segments that could not be read.
+	Malformed []string `json:"malformed"`
+}
+
+// Read returns the records of the trail that the filter wants.
+func Read(ctx context.Context, api objectapi.API, filter Filter) (Found, error) {
+	objects, _, err := api.List(ctx, objectapi.Audit)
+	if err != nil {
+		return Found{}, err
+	}
+	found := Found{Records: []Record{}, Malformed: []string{}}
+	newest := map[string]segment{}
+	for _, o := range objects {
+		s, err := decodeSegment(o.Name, o.Value)
+		if err != nil {
+			found.Malformed = append(found.Malformed, o.Name)
+			continue
+		}
+		partition := partitionOf(o.Name)
+		if known, ok := newest[partition]; !ok || s.Sequence > known.Sequence {
+			newest[partition] = s
+		}
+		for _, r := range s.Records {
+			if filter.wants(r) {
+				found.Records = append(found.Records, r)
+			}
+		}
+	}
+	for _, s := range newest {
+		found.Dropped += s.Dropped
+	}
+	slices.SortStableFunc(found.Records, func(a, b Record) int {
+		return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.ID, b.ID))
+	})
+	return found, nil
+}
+
+// partitionOf returns the name of a segment without its place in the ring.
+func partitionOf(name string) string {
+	for i := len(name) - 1; i >= 0; i-- {
+		if name[i] == '-' {
+			return name[:i]
+		}
+	}
+	return name
+}
--- /dev/null
+++ b/internal/audit/trail.go
@@ -0,0 +1,147 @@
+package audit
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"strconv"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+const (
+	partitions = 16
+	// maxTries bounds the writes of one append. Each conflict means that another writer has appended.
+	maxTries = 8
+)
+
+// OfInstances and OfOperators are the sets of partitions.
+const (
+	OfInstances = "fleet"
+	OfOperators = "operators"
+)
+
+// Trail appends to one partition. It is owned by one task.
+type Trail struct {
+	api       objectapi.API
+	partition string
+	// head is the segment that takes records, at version; version zero means that the object does not exist.
+	head    segment
+	version uint64
+	known   bool
+}
+
+// NewTrail returns the trail of a writer. Writers with the same name share a partition.
+func NewTrail(api objectapi.API, set, writer string) *Trail {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(writer)) // a hash never fails
+	return &Trail{api: api, partition: set + "-" + strconv.Itoa(int(h.Sum32()%partitions))}
+}
+
+// Append writes records, and adds a number of records that were dropped before. It returns how many of the records were
+// written; an error says why the others were not.
+func (t *Trail) Append(ctx context.Context, records []Record, dropped int) (int, error) {
+	rest := records
+	for range maxTries {
+		if err := t.find(ctx); err != nil {
+			return len(records) - len(rest), err
+		}
+		rest = t.head.without(rest)
+		if len(rest) == 0 {
+			return len(records), nil
+		}
+		taken, err := t.write(ctx, rest, dropped)
+		switch {
+		case err == nil:
+			dropped = 0
+			if rest = rest[taken:]; len(rest) == 0 {
+				return len(records), nil
+			}
+			t.next()
+		case fault.Is(err, fault.Conflict), fault.Is(err, fault.AmbiguousWrite), fault.Is(err, fault.NotFound):
+			t.known = false
+		default:
+			return len(records) - len(rest), err
+		}
+	}
+	return len(records) - len(rest), fault.New(fault.Conflict, "try again later", "audit partition %q is written by too many others at once", t.partition)
+}
+
+// write appends what fits to the head.
+func (t *Trail) write(ctx context.Context, records []Record, dropped int) (int, error) {
+	head := t.head
+	head.Dropped += dropped
+	taken, err := head.take(records)
+	if err != nil || taken == 0 {
+		return 0, err
+	}
+	value, err := json.Marshal(head)
+	if err != nil {
+		return 0, err
+	}
+	object, err := t.put(ctx, head, value)
+	if err != nil {
+		return 0, err
+	}
+	t.head, t.version = head, object.Version
+	return taken, nil
+}
+
+func (t *Trail) put(ctx context.Context, head segment, value []byte) (objectapi.Object, error) {
+	if t.version == 0 {
+		return t.api.Create(ctx, objectapi.Audit, head.name(t.partition), value)
+	}
+	return t.api.Update(ctx, objectapi.Audit, head.name(t.partition), t.version, value)
+}
+
+// next begins a new segment in the next place of the ring; its predecessor there is read again before it is replaced.
+func (t *Trail) next() {
+	t.head = segment{Sequence: t.head.Sequence + 1, Dropped: t.head.Dropped}
+	t.known = false
+}
+
+// find reads the head of the partition when it is not known.
+func (t *Trail) find(ctx context.Context) error {
+	if t.known {
+		return nil
+	}
+	begun := t.head
+	t.head, t.version = segment{}, 0
+	versions := [ringSegments]uint64{}
+	counts := [ringSegments]int{}
+	for place := range ringSegments {
+		s, version, err := t.read(ctx, place)
+		if err != nil {
+			return err
+		}
+		versions[place], counts[place] = version, len(s.Records)
+		if version != 0 && (t.version == 0 || s.Sequence > t.head.Sequence) {
+			t.head, t.version = s, version
+		}
+	}
+	if begun.Sequence == t.head.Sequence+1 && len(begun.Records) == 0 {
+		place := begun.Sequence % ringSegments
+		t.head = segment{Sequence: begun.Sequence, Dropped: t.head.Dropped + counts[place]}
+		t.version = versions[place]
+	}
+	t.known = true
+	return nil
+}
+
+// read returns a segment and its version. A malformed segment counts as empty, so that it is replaced in its turn.
+func (t *Trail) read(ctx context.Context, place int) (segment, uint64, error) {
+	name := t.partition + "-" + strconv.Itoa(place)
+	object, err := t.api.Get(ctx, objectapi.Audit, name)
+	if fault.Is(err, fault.NotFound) {
+		return segment{}, 0, nil
+	}
+	if err != nil {
+		return segment{}, 0, err
+	}
+	s, err := decodeSegment(name, object.Value)
+	if err != nil {
+		return segment{Sequence: uint64(place)}, object.Version, nil
+	}
+	return s, object.Version, nil
+}
--- /dev/null
+++ b/internal/docfile/out.go
@@ -0,0 +1,60 @@
+package docfile
+
+import (
+	"bytes"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"fuchsiahub.example/fuchsiahub/internal/document"
+)
+
+var (
+	outKey   = regexp.MustCompile(`(?m)^out[ \t]*=[ \t]*\[[^\]]*\]`)
+	fleetKey = regexp.MustCompile(`(?m)^fleet[ \t]*=.*$`)
+)
+
+// WithOut returns the text of a fleet document with another list of zones that are out. Comments are kept where the
+// text allows it. The source appears in errors.
+func WithOut(source string, text []byte, out []string) ([]byte, error) {
+	doc, err := ReadFleet(source, text)
+	if err != nil {
+		return nil, err
+	}
+	want := *doc
+	want.Out = out
+	edited := replaceOut(text, out)
+	if got, err := ReadFleet(source, edited); err == nil && sameFleet(got, &want) {
+		return edited, nil
+	}
+	written, err := WriteFleet(&want)
+	if err != nil {
+		return nil, err
+	}
+	_, err = ReadFleet(source, written)
+	return written, err
+}
+
+func replaceOut(text []byte, out []string) []byte {
+	line := []byte("out = " + list(out))
+	if at := outKey.FindIndex(text); at != nil {
+		return bytes.Join([][]byte{text[:at[0]], line, text[at[1]:]}, nil)
+	}
+	if at := fleetKey.FindIndex(text); at != nil {
+		return bytes.Join([][]byte{text[:at[1]], []byte("\n"), line, text[at[1]:]}, nil)
+	}
+	return text
+}
+
+func list(names []string) string {
+	quoted := make([]string, len(names))
+	for i, name := range names {
+		quoted[i] = strconv.Quote(name)
+	}
+	return "[" + strings.Join(quoted, ", ") + "]"
+}
+
+func sameFleet(a, b *document.Fleet) bool {
+	return a.Name == b.Name && reflect.DeepEqual(a.Regions, b.Regions) && strings.Join(a.Out, " ") == strings.Join(b.Out, " ")
+}
