--- a/internal/audit/record.go
+++ b/internal/audit/record.go
@@ -1,8 +1,11 @@
 package audit
 
 import (
+	"strconv"
 	"strings"
 	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 )
 
 // Action says what was changed.
@@ -77,6 +80,19 @@
 	return strings.ToValidUTF8(text[:maxTextBytes], "") + "..."
 }
 
+// Changed records that an operator changed a document. The version of the object before is zero when it is new.
+func Changed(before, after objectapi.Object, by string, at time.Time) Record {
+	name := string(after.Kind) + "/" + after.Name
+	r := Record{
+		ID: name + "-" + strconv.FormatUint(after.Version, 10), Time: at.UTC(), By: by, Action: DocumentChanged,
+		Document: name, From: before.Version, To: after.Version, Lines: Difference(before.Value, after.Value),
+	}
+	if after.Kind == objectapi.Services || after.Kind == objectapi.Backends {
+		r.Service = after.Name
+	}
+	return r.bounded()
+}
+
 // Ejected records that a backend server was ejected.
 func Ejected(service, zone, server, cause string) Record {
 	return Record{Action: ServerEjected, Service: service, Zone: zone, Server: server, Cause: cause}
--- /dev/null
+++ b/internal/cli/apply.go
@@ -0,0 +1,157 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"fuchsiahub.example/fuchsiahub/internal/audit"
+	"fuchsiahub.example/fuchsiahub/internal/docfile"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+func (t *tool) apply() *cli.Command {
+	return &cli.Command{
+		Name: "apply", Usage: "create a document, or update it if nobody else has", ArgsUsage: "FILE (- for the standard input)",
+		Description: "The update fails with exit code 4 when the document does not have the version any more that it starts from:\n" +
+			"get the document, make the change again and apply it.",
+		Flags: []cli.Flag{
+			platformFlag(), byFlag(), t.jsonFlag(),
+			&cli.Uint64Flag{Name: "version", Usage: "version that you got and changed; 0: the document must be new (default: the current version)"},
+			&cli.StringFlag{Name: "service", Usage: "service that a list of backend servers belongs to"},
+		},
+		Action: t.runApply,
+	}
+}
+
+func byFlag() cli.Flag {
+	return &cli.StringFlag{Name: "by", Usage: "who makes the change, for the audit trail", Value: "unknown", Sources: cli.EnvVars("FUCHSIAHUB_BY", "USER")}
+}
+
+// applied is the result of a change for scripts.
+type applied struct {
+	Document string `json:"document"`
+	// From is the version before the change; zero when the document is new.
+	From    uint64 `json:"from"`
+	Version uint64 `json:"version"`
+	// Changed is false when the document had the same text already.
+	Changed bool `json:"changed"`
+}
+
+func (t *tool) runApply(ctx context.Context, c *cli.Command) error {
+	if c.NArg() != 1 {
+		return usage("name one file", "%d files are given", c.NArg())
+	}
+	p, err := openPlatform(c)
+	if err != nil {
+		return err
+	}
+	x, err := t.readText(c.Args().First())
+	if err != nil {
+		return err
+	}
+	target, err := targetOf(x, c.String("service"))
+	if err != nil {
+		return err
+	}
+	if err := p.checkAgainstOthers(ctx, x); err != nil {
+		return err
+	}
+	before, err := p.current(ctx, target.Kind, target.Name)
+	if err != nil {
+		return err
+	}
+	if c.IsSet("version") && c.Uint64("version") != before.Version {
+		return conflict(target, c.Uint64("version"), before.Version)
+	}
+	return t.change(ctx, p, before, x.value, c.String("by"))
+}
+
+func conflict(o objectapi.Object, from, now uint64) error {
+	return fault.New(fault.Conflict, "get the document, make the change again and apply it",
+		"the change of %s/%s starts from version %d, and the current version is %d", o.Kind, o.Name, from, now)
+}
+
+// targetOf says which object a text is the value of.
+func targetOf(x *text, service string) (objectapi.Object, error) {
+	switch x.kind {
+	case docfile.ServiceDocument:
+		return objectapi.Object{Kind: objectapi.Services, Name: x.service.Name}, nil
+	case docfile.FleetDocument:
+		return objectapi.Object{Kind: objectapi.Fleet, Name: document.FleetName}, nil
+	case docfile.BackendsDocument:
+		if service == "" {
+			return objectapi.Object{}, usage("give --service NAME", "a list of backend servers does not say which service it belongs to")
+		}
+		return objectapi.Object{Kind: objectapi.Backends, Name: service}, nil
+	}
+	return objectapi.Object{}, fault.New(fault.Invalid, "give settings to the daemon with its flag --settings", "%s: a settings file is not a document", x.source)
+}
+
+// checkAgainstOthers checks zones and regions: those of a service against the fleet, and those of all services against a
+// new fleet document.
+func (p *platform) checkAgainstOthers(ctx context.Context, x *text) error {
+	if x.fleet != nil {
+		return p.checkServices(ctx, x.fleet)
+	}
+	fleet, err := p.fleet(ctx)
+	if err != nil || fleet == nil {
+		return err
+	}
+	return x.checkPlaces(fleet)
+}
+
+func (p *platform) checkServices(ctx context.Context, fleet *document.Fleet) error {
+	objects, _, err := p.List(ctx, objectapi.Services)
+	if err != nil {
+		return err
+	}
+	for _, o := range objects {
+		source := "services/" + o.Name
+		doc, err := docfile.ReadService(source, o.Value)
+		if err != nil {
+			continue // not in force; nothing depends on its zones
+		}
+		if err := document.Error(source, doc.CheckPlaces(fleet)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// change writes a document over the version that was read and records it in the audit trail.
+func (t *tool) change(ctx context.Context, p *platform, before objectapi.Object, value []byte, by string) error {
+	result := applied{Document: string(before.Kind) + "/" + before.Name, From: before.Version, Version: before.Version}
+	if before.Version == 0 || !bytes.Equal(before.Value, value) {
+		after, err := p.put(ctx, before.Kind, before.Name, before.Version, value)
+		if err != nil {
+			return err
+		}
+		result.Version, result.Changed = after.Version, true
+		t.record(ctx, p, before, after, by)
+	}
+	if t.json {
+		return t.writeJSON(result)
+	}
+	switch {
+	case !result.Changed:
+		t.printf("%s: unchanged, version %d\n", result.Document, result.Version)
+	case result.From == 0:
+		t.printf("%s: created, version %d\n", result.Document, result.Version)
+	default:
+		t.printf("%s: updated from version %d to %d\n", result.Document, result.From, result.Version)
+	}
+	return nil
+}
+
+// record adds the change to the audit trail. The change is made already, so a trail that cannot be written is a warning.
+func (t *tool) record(ctx context.Context, p *platform, before, after objectapi.Object, by string) {
+	r := audit.Changed(before, after, by, time.Now())
+	if _, err := audit.NewTrail(p, audit.OfOperators, r.Document).Append(ctx, []audit.Record{r}, 0); err != nil {
+		t.warnf("fuchsiahub: the change is made, but the audit trail could not be written: %v\n", err)
+	}
+}
--- /dev/null
+++ b/internal/cli/audit.go
@@ -0,0 +1,102 @@
+package cli
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"fuchsiahub.example/fuchsiahub/internal/audit"
+)
+
+func (t *tool) audit() *cli.Command {
+	return &cli.Command{
+		Name: "audit", Usage: "show who changed which document, and what the fleet changed by itself and why",
+		Flags: []cli.Flag{
+			platformFlag(), t.jsonFlag(),
+			&cli.StringFlag{Name: "service", Usage: "only records of this service"},
+			&cli.StringFlag{Name: "zone", Usage: "only records of this availability zone"},
+			&cli.StringFlag{Name: "since", Usage: `only records from this time on: "2026-05-04T10:00:00Z", or an age such as "2h"`},
+			&cli.StringFlag{Name: "until", Usage: "only records before this time, written in the same way"},
+		},
+		Action: t.runAudit,
+	}
+}
+
+func (t *tool) runAudit(ctx context.Context, c *cli.Command) error {
+	if c.NArg() != 0 {
+		return usage("use flags to choose records", "argument %q is not understood", c.Args().First())
+	}
+	p, err := openPlatform(c)
+	if err != nil {
+		return err
+	}
+	filter := audit.Filter{Service: c.String("service"), Zone: c.String("zone")}
+	now := time.Now()
+	if filter.Since, err = instant(now, "since", c.String("since")); err != nil {
+		return err
+	}
+	if filter.Until, err = instant(now, "until", c.String("until")); err != nil {
+		return err
+	}
+	found, err := audit.Read(ctx, p, filter)
+	if err != nil {
+		return err
+	}
+	if t.json {
+		return t.writeJSON(found)
+	}
+	t.writeAudit(found)
+	return nil
+}
+
+// instant reads a time or an age; empty is the zero time.
+func instant(now time.Time, flag, value string) (time.Time, error) {
+	if value == "" {
+		return time.Time{}, nil
+	}
+	if age, err := time.ParseDuration(value); err == nil && age >= 0 {
+		return now.Add(-age), nil
+	}
+	at, err := time.Parse(time.RFC3339, value)
+	if err != nil {
+		return time.Time{}, usage(`write a time such as "2026-05-04T10:00:00Z" or an age such as "2h"`, "--%s %q is not valid", flag, value)
+	}
+	return at, nil
+}
+
+func (t *tool) writeAudit(found audit.Found) {
+	for _, r := range found.Records {
+		t.printf("%s  %s  %s\n", r.Time.Format(time.RFC3339), r.By, sentence(r))
+		for _, line := range r.Lines {
+			t.printf("    %s\n", line)
+		}
+	}
+	if found.Dropped > 0 {
+		t.printf("%d older records were dropped for lack of room\n", found.Dropped)
+	}
+	if len(found.Malformed) > 0 {
+		t.warnf("fuchsiahub: malformed audit segments were passed over: %s\n", strings.Join(found.Malformed, ", "))
+	}
+}
+
+// sentence says what a record is about.
+func sentence(r audit.Record) string {
+	parts := []string{string(r.Action)}
+	for _, p := range []struct{ word, value string }{
+		{"document", r.Document}, {"service", r.Service}, {"zone", r.Zone}, {"server", r.Server},
+	} {
+		if p.value != "" {
+			parts = append(parts, p.word+" "+p.value)
+		}
+	}
+	text := strings.Join(parts, ", ")
+	if r.To > 0 {
+		text += ", version " + number(r.From) + " to " + number(r.To)
+	}
+	if r.Cause != "" {
+		text += ": " + r.Cause
+	}
+	return text
+}
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,152 @@
+package cli
+
+import (
+	"context"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/docfile"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/ops"
+)
+
+func (t *tool) explain() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "say in plain sentences what the system does with a request",
+		Description: "With --document, documents are read from files and nothing is connected to. With --service, documents are read\n" +
+			"from the platform, and the instances say how they see the backend servers now.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "document", Usage: "file of the service document"},
+			&cli.StringFlag{Name: "fleet", Usage: "file of the fleet document, to know regions and zones that are out"},
+			&cli.StringFlag{Name: "service", Usage: "service whose document is read from the platform"},
+			&cli.StringFlag{Name: "method", Usage: "HTTP method", Value: "GET"},
+			&cli.StringFlag{Name: "path", Usage: "path of the request", Required: true},
+			&cli.StringFlag{Name: "tenant", Usage: "customer that the request belongs to"},
+			&cli.StringFlag{Name: "zone", Usage: "availability zone of the instance that the request reaches"},
+			platformFlag(), instanceFlag(), t.jsonFlag(),
+		},
+		Action: t.runExplain,
+	}
+}
+
+// question is what explain is asked.
+type question struct {
+	method, path, tenant, zone string
+	service                    *document.Service
+	// fleet is nil when it is not known.
+	fleet *document.Fleet
+	now   time.Time
+}
+
+func (t *tool) runExplain(ctx context.Context, c *cli.Command) error {
+	q := question{method: c.String("method"), path: c.String("path"), tenant: c.String("tenant"), zone: c.String("zone"), now: time.Now()}
+	var err error
+	var states []seen
+	switch {
+	case (c.String("document") == "") == (c.String("service") == ""):
+		return usage("give --document FILE to work offline, or --service NAME", "one of --document and --service is needed")
+	case c.String("document") != "":
+		err = t.readQuestion(&q, c.String("document"), c.String("fleet"))
+	default:
+		if err = fetchQuestion(ctx, c, &q); err == nil {
+			states, err = askInstances(ctx, c)
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if err := q.checkZone(); err != nil {
+		return err
+	}
+	e := explainRequest(q)
+	for _, s := range states {
+		if s.State != nil && (q.zone == "" || s.State.Zone == q.zone) {
+			e.Now = append(e.Now, current(s.State, q.service.Name)...)
+		}
+	}
+	if t.json {
+		return t.writeJSON(e)
+	}
+	t.writeExplanation(e)
+	return nil
+}
+
+// readQuestion reads the documents from files.
+func (t *tool) readQuestion(q *question, path, fleetPath string) error {
+	text, err := t.readFile(path)
+	if err != nil {
+		return err
+	}
+	if q.service, err = docfile.ReadService(path, text); err != nil || fleetPath == "" {
+		return err
+	}
+	if text, err = t.readFile(fleetPath); err != nil {
+		return err
+	}
+	q.fleet, err = docfile.ReadFleet(fleetPath, text)
+	return err
+}
+
+// fetchQuestion reads the documents from the platform.
+func fetchQuestion(ctx context.Context, c *cli.Command, q *question) error {
+	p, err := openPlatform(c)
+	if err != nil {
+		return err
+	}
+	if q.service, err = p.service(ctx, c.String("service")); err != nil {
+		return err
+	}
+	q.fleet, err = p.fleet(ctx)
+	return err
+}
+
+func (q question) checkZone() error {
+	if q.zone != "" && q.fleet != nil && q.fleet.RegionOf(q.zone) == "" {
+		return fault.New(fault.NotFound, "name a zone of the fleet document", "zone %q is not part of the fleet", q.zone)
+	}
+	return nil
+}
+
+// region returns the region of the zone, or "" when it is not known.
+func (q question) region() string {
+	if q.fleet == nil {
+		return ""
+	}
+	return q.fleet.RegionOf(q.zone)
+}
+
+func (t *tool) writeExplanation(e explanation) {
+	for _, line := range e.Sentences {
+		t.printf("%s\n", line)
+	}
+	if len(e.Now) == 0 {
+		return
+	}
+	t.printf("\nNow:\n")
+	for _, s := range e.Now {
+		t.printf("  %s sees %s in zone %s: %s, %d in flight of at most %d here; %s.\n",
+			s.Instance, s.Name, s.Zone, s.ServerStatus.State, s.InFlight, s.Allowance, s.Reason)
+	}
+}
+
+// view is a backend server as one instance sees it.
+type view struct {
+	Instance string `json:"instance"`
+	balance.ServerStatus
+}
+
+func current(state *ops.State, service string) []view {
+	var list []view
+	for _, s := range state.Services {
+		if s.Service != service {
+			continue
+		}
+		for _, one := range s.Servers {
+			list = append(list, view{Instance: state.Instance, ServerStatus: one})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/cli/get.go
@@ -0,0 +1,142 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+// kinds are the kinds of objects that operators read, by the words that they use.
+var kinds = map[string]objectapi.Kind{
+	"service": objectapi.Services, "services": objectapi.Services, "fleet": objectapi.Fleet,
+	"backends": objectapi.Backends, "instance": objectapi.Instances, "instances": objectapi.Instances,
+}
+
+func kindOf(word string) (objectapi.Kind, error) {
+	kind, ok := kinds[word]
+	if !ok {
+		return "", usage("use service, fleet, backends or instance", "kind %q is not known", word)
+	}
+	return kind, nil
+}
+
+// object is an object for scripts.
+type object struct {
+	Kind    objectapi.Kind `json:"kind"`
+	Name    string         `json:"name"`
+	Version uint64         `json:"version"`
+	// Text is the document as its owner wrote it.
+	Text string `json:"text"`
+}
+
+func objectOf(o objectapi.Object) object {
+	return object{Kind: o.Kind, Name: o.Name, Version: o.Version, Text: string(o.Value)}
+}
+
+func (t *tool) get() *cli.Command {
+	return &cli.Command{
+		Name: "get", Usage: "write a document to the standard output, and its version to the standard error",
+		ArgsUsage: "service NAME | fleet | backends SERVICE | instance NAME",
+		Flags:     []cli.Flag{platformFlag(), t.jsonFlag()},
+		Action:    t.runGet,
+	}
+}
+
+func (t *tool) runGet(ctx context.Context, c *cli.Command) error {
+	kind, err := kindOf(c.Args().First())
+	if err != nil {
+		return err
+	}
+	name := c.Args().Get(1)
+	if kind == objectapi.Fleet && name == "" {
+		name = document.FleetName
+	}
+	if name == "" || c.NArg() > 2 {
+		return usage("write: fuchsiahub get KIND NAME", "one name is needed")
+	}
+	p, err := openPlatform(c)
+	if err != nil {
+		return err
+	}
+	o, err := p.Get(ctx, kind, name)
+	if err != nil {
+		return err
+	}
+	if t.json {
+		return t.writeJSON(objectOf(o))
+	}
+	t.printf("%s", o.Value)
+	t.warnf("version %d\n", o.Version)
+	return nil
+}
+
+func (t *tool) list() *cli.Command {
+	return &cli.Command{
+		Name: "list", Usage: "list documents or instances with their versions", ArgsUsage: "[services | fleet | backends | instances]",
+		Flags:  []cli.Flag{platformFlag(), t.jsonFlag()},
+		Action: t.runList,
+	}
+}
+
+func (t *tool) runList(ctx context.Context, c *cli.Command) error {
+	wanted := []objectapi.Kind{objectapi.Fleet, objectapi.Services, objectapi.Backends}
+	if c.NArg() > 1 {
+		return usage("name one kind or none", "%d kinds are given", c.NArg())
+	}
+	if c.NArg() == 1 {
+		kind, err := kindOf(c.Args().First())
+		if err != nil {
+			return err
+		}
+		wanted = []objectapi.Kind{kind}
+	}
+	p, err := openPlatform(c)
+	if err != nil {
+		return err
+	}
+	found := []object{}
+	for _, kind := range wanted {
+		objects, _, err := p.List(ctx, kind)
+		if err != nil {
+			return err
+		}
+		for _, o := range objects {
+			found = append(found, objectOf(o))
+		}
+	}
+	return t.writeList(found)
+}
+
+func (t *tool) writeList(found []object) error {
+	if t.json {
+		return t.writeJSON(found)
+	}
+	table := t.table("KIND", "NAME", "VERSION")
+	for _, o := range found {
+		row(table, o.Kind, o.Name, o.Version)
+	}
+	return table.Flush()
+}
+
+// table begins a table with its headings.
+func (t *tool) table(headings ...any) *tabwriter.Writer {
+	w := tabwriter.NewWriter(t.Out, 0, 0, 2, ' ', 0)
+	row(w, headings...)
+	return w
+}
+
+// row writes one row; Flush reports errors.
+func row(w *tabwriter.Writer, cells ...any) {
+	for i, cell := range cells {
+		if i > 0 {
+			_, _ = fmt.Fprint(w, "\t")
+		}
+		_, _ = fmt.Fprint(w, cell)
+	}
+	_, _ = fmt.Fprintln(w)
+}
--- /dev/null
+++ b/internal/cli/instances.go
@@ -0,0 +1,148 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/instanceobject"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/ops"
+)
+
+const (
+	// stateTimeout bounds the question to one instance.
+	stateTimeout = 3 * time.Second
+	// maxStateBytes bounds the answer: 1,500 backend servers have about 400 bytes each.
+	maxStateBytes = 8 << 20
+	// maxAsked bounds how many instances are asked at a time.
+	maxAsked = 16
+)
+
+func instanceFlag() cli.Flag {
+	return &cli.StringSliceFlag{Name: "instance", Usage: "operations address of an instance; may be repeated (default: all of the platform's list)"}
+}
+
+// seen is what one instance answered.
+type seen struct {
+	Address string     `json:"address"`
+	State   *ops.State `json:"state"`
+	// Problem is null when the instance answered.
+	Problem *problem `json:"problem"`
+	err     error
+}
+
+// askInstances asks the instances that the flags or the platform's list name.
+func askInstances(ctx context.Context, c *cli.Command) ([]seen, error) {
+	addresses, err := operationsAddresses(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	if len(addresses) == 0 {
+		return nil, fault.New(fault.NotFound, "start an instance, or name one with --instance ADDRESS", "the platform's list holds no live instance")
+	}
+	answers := make(chan seen)
+	for _, share := range shares(addresses) {
+		go askEach(ctx, share, answers)
+	}
+	var all []seen
+	for range addresses {
+		all = append(all, <-answers)
+	}
+	slices.SortFunc(all, func(a, b seen) int { return strings.Compare(a.Address, b.Address) })
+	return all, reachable(all)
+}
+
+// shares divides addresses among the goroutines that ask.
+func shares(addresses []string) [][]string {
+	out := make([][]string, min(maxAsked, len(addresses)))
+	for i, a := range addresses {
+		out[i%len(out)] = append(out[i%len(out)], a)
+	}
+	return out
+}
+
+func askEach(ctx context.Context, addresses []string, answers chan<- seen) {
+	for _, address := range addresses {
+		state, err := readState(ctx, address)
+		s := seen{Address: address, State: state, err: err}
+		if err != nil {
+			p := problemOf(err)
+			s.Problem = &p
+		}
+		answers <- s
+	}
+}
+
+// reachable is an error when no instance answered.
+func reachable(all []seen) error {
+	for _, s := range all {
+		if s.err == nil {
+			return nil
+		}
+	}
+	return all[0].err
+}
+
+func operationsAddresses(ctx context.Context, c *cli.Command) ([]string, error) {
+	if named := c.StringSlice("instance"); len(named) > 0 {
+		for _, address := range named {
+			if _, err := netip.ParseAddrPort(address); err != nil {
+				return nil, usage(`write an IP address and a port, such as "10.0.0.7:8082"`, "address %q of an instance is not valid", address)
+			}
+		}
+		return named, nil
+	}
+	p, err := openPlatform(c)
+	if err != nil {
+		return nil, err
+	}
+	objects, _, err := p.List(ctx, objectapi.Instances)
+	if err != nil {
+		return nil, err
+	}
+	var addresses []string
+	for _, o := range objects {
+		r, err := instanceobject.Read("instances/"+o.Name, o.Value)
+		if err == nil && r.State == instanceobject.Live {
+			addresses = append(addresses, r.OperationsAddress)
+		}
+	}
+	return addresses, nil
+}
+
+func readState(ctx context.Context, address string) (*ops.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/state", nil)
+	if err != nil {
+		return nil, unreachable(err, address)
+	}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil {
+		return nil, unreachable(err, address)
+	}
+	defer func() { _ = response.Body.Close() }() // only read
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
+	if err != nil {
+		return nil, unreachable(err, address)
+	}
+	var state ops.State
+	if response.StatusCode != http.StatusOK || json.Unmarshal(text, &state) != nil || state.Instance == "" {
+		return nil, fault.New(fault.PeerUnavailable, "check that the address is the operations_address of an instance",
+			"instance at %s gave status %d and no valid state", address, response.StatusCode)
+	}
+	return &state, nil
+}
+
+func unreachable(err error, address string) error {
+	return fault.Wrap(err, fault.PeerUnavailable, "check the address and whether the instance runs", "instance at %s does not answer", address)
+}
--- /dev/null
+++ b/internal/cli/platform.go
@@ -0,0 +1,86 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"net/netip"
+
+	"github.com/urfave/cli/v3"
+
+	"fuchsiahub.example/fuchsiahub/internal/docfile"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/objecthttp"
+)
+
+const platformVariable = "FUCHSIAHUB_PLATFORM"
+
+func platformFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "platform", Usage: "IP address and port of the platform's object API", Sources: cli.EnvVars(platformVariable),
+	}
+}
+
+// platform is the object API as the commands use it.
+type platform struct{ objectapi.API }
+
+func openPlatform(c *cli.Command) (*platform, error) {
+	address := c.String("platform")
+	if address == "" {
+		return nil, usage("give --platform ADDRESS or set "+platformVariable, "the address of the object API is not given")
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return nil, usage(`write an IP address and a port, such as "10.0.0.2:7000"`, "address %q of the object API is not valid", address)
+	}
+	return &platform{API: objecthttp.New(address, nil)}, nil
+}
+
+// put writes an object if it still has the version; version zero means that it must be new. When the answer is lost,
+// it reads the object back.
+func (p *platform) put(ctx context.Context, kind objectapi.Kind, name string, version uint64, value []byte) (objectapi.Object, error) {
+	object, err := p.write(ctx, kind, name, version, value)
+	if !fault.Is(err, fault.AmbiguousWrite) {
+		return object, err
+	}
+	current, readErr := p.Get(ctx, kind, name)
+	if readErr == nil && current.Version > version && bytes.Equal(current.Value, value) {
+		return current, nil
+	}
+	return objectapi.Object{}, fault.Wrap(err, fault.AmbiguousWrite, "see whether the change is there with: fuchsiahub get; apply again if it is not",
+		"it is not known whether the change of %s/%s took effect", kind, name)
+}
+
+func (p *platform) write(ctx context.Context, kind objectapi.Kind, name string, version uint64, value []byte) (objectapi.Object, error) {
+	if version == 0 {
+		return p.Create(ctx, kind, name, value)
+	}
+	return p.Update(ctx, kind, name, version, value)
+}
+
+// current returns an object, or one with version zero when it does not exist.
+func (p *platform) current(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error) {
+	object, err := p.Get(ctx, kind, name)
+	if fault.Is(err, fault.NotFound) {
+		return objectapi.Object{Kind: kind, Name: name}, nil
+	}
+	return object, err
+}
+
+// fleet returns the fleet document, or nil when there is none.
+func (p *platform) fleet(ctx context.Context) (*document.Fleet, error) {
+	object, err := p.current(ctx, objectapi.Fleet, document.FleetName)
+	if err != nil || object.Version == 0 {
+		return nil, err
+	}
+	return docfile.ReadFleet("fleet", object.Value)
+}
+
+// service returns a service document.
+func (p *platform) service(ctx context.Context, name string) (*document.Service, error) {
+	object, err := p.Get(ctx, objectapi.Services, name)
+	if err != nil {
+		return nil, err
+	}
+	return docfile.ReadService("services/"+name, object.Value)
+}
--- /dev/null
+++ b/internal/cli/run.go
@@ -0,0 +1,159 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+// Exit codes of the program.
+const (
+	exitFine        = 0
+	exitRefused     = 1
+	exitUsage       = 2
+	exitUnreachable = 3
+	exitConflict    = 4
+)
+
+// Streams are the standard streams of the program.
+type Streams struct {
+	In       io.Reader
+	Out, Err io.Writer
+}
+
+// Run runs one command and returns the exit code. The first argument is the name of the program.
+func Run(ctx context.Context, args []string, streams Streams) int {
+	t := &tool{Streams: streams}
+	err := t.root().Run(ctx, args)
+	if err == nil {
+		return exitFine
+	}
+	var seen *reported
+	if !errors.As(err, &seen) {
+		t.report(err)
+	}
+	return exitCode(err)
+}
+
+// tool is one run of the program.
+type tool struct {
+	Streams
+	// json says that results and errors are written as JSON.
+	json bool
+}
+
+// usageError is a command line that is not understood.
+type usageError struct{ message, remedy string }
+
+func (e *usageError) Error() string { return e.message }
+
+func usage(remedy, format string, args ...any) error {
+	return &usageError{message: fmt.Sprintf(format, args...), remedy: remedy}
+}
+
+func exitCode(err error) int {
+	var u *usageError
+	if errors.As(err, &u) {
+		return exitUsage
+	}
+	switch fault.KindOf(err) {
+	case fault.StoreUnavailable, fault.AmbiguousWrite, fault.PeerUnavailable:
+		return exitUnreachable
+	case fault.Conflict:
+		return exitConflict
+	}
+	return exitRefused
+}
+
+// problem is an error as JSON.
+type problem struct {
+	Kind    string `json:"kind"`
+	Message string `json:"message"`
+	Remedy  string `json:"remedy"`
+}
+
+func problemOf(err error) problem {
+	var u *usageError
+	if errors.As(err, &u) {
+		return problem{Kind: "usage", Message: u.message, Remedy: u.remedy}
+	}
+	e := fault.As(err)
+	message := e.Message
+	if cause := e.Unwrap(); cause != nil {
+		message += ": " + cause.Error()
+	}
+	return problem{Kind: string(e.Kind), Message: message, Remedy: e.Remedy}
+}
+
+func (t *tool) report(err error) {
+	p := problemOf(err)
+	if t.json {
+		_ = json.NewEncoder(t.Err).Encode(p) // there is nowhere else to tell
+		return
+	}
+	_, _ = fmt.Fprintln(t.Err, "fuchsiahub: "+p.Message)
+	if p.Remedy != "" {
+		_, _ = fmt.Fprintln(t.Err, "remedy: "+p.Remedy)
+	}
+}
+
+// root returns the command tree.
+func (t *tool) root() *cli.Command {
+	root := &cli.Command{
+		Name: "fuchsiahub", Usage: "reads and changes the documents of a fuchsiahub load balancer and shows its state",
+		Description: "Exit codes: 0 fine, 1 refused or invalid, 2 wrong usage, 3 unreachable or unknown whether a write took effect,\n" +
+			"4 conflict with a concurrent change.",
+		Commands: []*cli.Command{
+			t.check(), t.explain(), t.apply(), t.get(), t.list(), t.zone(), t.status(), t.audit(), t.standin(),
+		},
+		Action: noCommand,
+	}
+	t.complete(root)
+	return root
+}
+
+// complete sets what all commands share.
+func (t *tool) complete(c *cli.Command) {
+	c.Writer, c.ErrWriter = t.Out, t.Err
+	c.HideHelpCommand = true
+	c.ExitErrHandler = func(context.Context, *cli.Command, error) {} // Run reports errors and gives the exit code
+	c.OnUsageError = func(_ context.Context, c *cli.Command, err error, _ bool) error {
+		return usage("see: "+c.FullName()+" --help", "%s", err)
+	}
+	for _, sub := range c.Commands {
+		t.complete(sub)
+	}
+}
+
+// noCommand is the action of a command that only has others below it.
+func noCommand(_ context.Context, c *cli.Command) error {
+	if name := c.Args().First(); name != "" {
+		return usage("see: "+c.FullName()+" --help", "command %q does not exist", name)
+	}
+	return usage("see: "+c.FullName()+" --help", "no command is given")
+}
+
+func (t *tool) jsonFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "json", Usage: "write the result and errors as JSON", Destination: &t.json}
+}
+
+// writeJSON writes a result for scripts.
+func (t *tool) writeJSON(value any) error {
+	encoder := json.NewEncoder(t.Out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+func (t *tool) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(t.Out, format, args...) // a closed output has nobody to tell
+}
+
+func (t *tool) warnf(format string, args ...any) {
+	_, _ = fmt.Fprintf(t.Err, format, args...) // there is nowhere else to tell
+}
--- /dev/null
+++ b/internal/cli/texts.go
@@ -0,0 +1,77 @@
+package cli
+
+import (
+	"io"
+	"os"
+
+	"fuchsiahub.example/fuchsiahub/internal/docfile"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/settings"
+	"fuchsiahub.example/fuchsiahub/internal/tomlfile"
+)
+
+// text is a document or settings file that was read and checked.
+type text struct {
+	source  string
+	kind    docfile.Kind
+	value   []byte
+	service *document.Service
+	fleet   *document.Fleet
+	servers []document.Server
+}
+
+// readText reads a file, or the standard input for "-", and checks it.
+func (t *tool) readText(path string) (*text, error) {
+	value, err := t.readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	out := &text{source: path, value: value}
+	if out.kind, err = docfile.KindOf(path, value); err != nil {
+		return nil, err
+	}
+	switch out.kind {
+	case docfile.ServiceDocument:
+		out.service, err = docfile.ReadService(path, value)
+	case docfile.FleetDocument:
+		out.fleet, err = docfile.ReadFleet(path, value)
+	case docfile.BackendsDocument:
+		out.servers, err = docfile.ReadBackends(path, value)
+	case docfile.SettingsFile:
+		_, err = settings.Read(path, value)
+	}
+	return out, err
+}
+
+func (t *tool) readFile(path string) ([]byte, error) {
+	if path == "-" {
+		return readBounded(path, t.In)
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.NotFound, "check the path", "file %q cannot be read", path)
+	}
+	defer func() { _ = file.Close() }() // only read
+	return readBounded(path, file)
+}
+
+// readBounded reads at most one byte more than a document may have; the reader of the document refuses that.
+func readBounded(path string, from io.Reader) ([]byte, error) {
+	value, err := io.ReadAll(io.LimitReader(from, tomlfile.MaxBytes+1))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.NotFound, "check the path", "file %q cannot be read", path)
+	}
+	return value, nil
+}
+
+// checkPlaces checks zones and regions against a fleet document.
+func (x *text) checkPlaces(fleet *document.Fleet) error {
+	switch {
+	case x.service != nil:
+		return document.Error(x.source, x.service.CheckPlaces(fleet))
+	case x.servers != nil:
+		return document.Error(x.source, document.CheckServerPlaces(x.servers, fleet))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/zone.go
@@ -0,0 +1,96 @@
+package cli
+
+import (
+	"context"
+	"slices"
+
+	"github.com/urfave/cli/v3"
+
+	"fuchsiahub.example/fuchsiahub/internal/docfile"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+func (t *tool) zone() *cli.Command {
+	flags := func() []cli.Flag { return []cli.Flag{platformFlag(), byFlag(), t.jsonFlag()} }
+	return &cli.Command{
+		Name: "zone", Usage: "take an availability zone out of service, or bring it back in",
+		Commands: []*cli.Command{
+			{
+				Name: "out", Usage: "take a zone out: it gets no new work within 3 s after the change is in force", ArgsUsage: "ZONE",
+				Flags: flags(), Action: t.moveZone(takeOut),
+			},
+			{
+				Name: "in", Usage: "bring a zone back in: its traffic grows step by step", ArgsUsage: "ZONE",
+				Flags: flags(), Action: t.moveZone(bringIn),
+			},
+		},
+		Action: noCommand,
+	}
+}
+
+// moveZone edits the list of zones that are out in the fleet document.
+func (t *tool) moveZone(edit func(*document.Fleet, string) ([]string, error)) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		if c.NArg() != 1 {
+			return usage("name one availability zone", "%d zones are given", c.NArg())
+		}
+		p, err := openPlatform(c)
+		if err != nil {
+			return err
+		}
+		before, err := p.Get(ctx, objectapi.Fleet, document.FleetName)
+		if err != nil {
+			return err
+		}
+		fleet, err := docfile.ReadFleet("fleet", before.Value)
+		if err != nil {
+			return err
+		}
+		out, err := edit(fleet, c.Args().First())
+		if err != nil {
+			return err
+		}
+		value := before.Value
+		if !slices.Equal(out, fleet.Out) {
+			if value, err = docfile.WithOut("fleet", before.Value, out); err != nil {
+				return err
+			}
+		}
+		return t.change(ctx, p, before, value, c.String("by"))
+	}
+}
+
+func takeOut(fleet *document.Fleet, zone string) ([]string, error) {
+	if err := named(fleet, zone); err != nil {
+		return nil, err
+	}
+	if fleet.IsOut(zone) {
+		return fleet.Out, nil
+	}
+	out := append(slices.Clone(fleet.Out), zone)
+	for _, r := range fleet.Regions {
+		for _, z := range r.Zones {
+			if !slices.Contains(out, z) {
+				return out, nil
+			}
+		}
+	}
+	return nil, fault.New(fault.Invalid, "bring another zone in first, or apply a fleet document that says so",
+		"zone %q is the last one in service", zone)
+}
+
+func bringIn(fleet *document.Fleet, zone string) ([]string, error) {
+	if err := named(fleet, zone); err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(slices.Clone(fleet.Out), func(z string) bool { return z == zone }), nil
+}
+
+func named(fleet *document.Fleet, zone string) error {
+	if fleet.RegionOf(zone) == "" {
+		return fault.New(fault.NotFound, "name a zone of the fleet document; see it with: fuchsiahub get fleet", "zone %q is not part of the fleet", zone)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/docfile/read_test.go
@@ -0,0 +1,194 @@
+package docfile_test
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"fuchsiahub.example/fuchsiahub/internal/docfile"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+const least = `service = "intake"
+owner = "dispatch"
+[servers]
+slots = 6
+[[servers.server]]
+name = "intake-1"
+address = "10.0.0.1:80"
+zone = "permian-a"
+[[route]]
+name = "all"
+path = "/*"
+`
+
+// Guards against a wrong document that is accepted, and against a message without the file, the key or the remedy.
+func TestServiceRefusals(t *testing.T) {
+	tests := []struct{ name, old, new, want, remedy string }{
+		{"unknown key", `slots = 6`, "slots = 6\nslot = 7", `f.toml:5: unknown key "servers.slot"`, "docs/operators/document.md"},
+		{"syntax", `slots = 6`, `slots = `, `f.toml:4:`, "correct the line"},
+		{"wrong type", `slots = 6`, `slots = "six"`, `f.toml:4: key "servers.slots"`, "correct the line"},
+		{"no slots", `slots = 6`, ``, `servers.slots: slots must be`, "say how many requests"},
+		{"no owner", `owner = "dispatch"`, ``, `owner: owner is missing`, "name the team"},
+		{"host name", `10.0.0.1:80`, `intake:80`, `servers.server[0].address: address "intake:80"`, "write an IP address"},
+		{"duration without unit", `slots = 6`, "slots = 6\nwarm_up_step = \"1\"", `f.toml:5: key "servers.warm_up_step"`, "correct the line"},
+		{"priority", `path = "/*"`, "path = \"/*\"\npriority = \"urgent\"", `priority "urgent" is not known`, "correct the line"},
+		{"idempotent and once-only", `path = "/*"`, "path = \"/*\"\nidempotent = true\nonce_only = true", `route[0].once_only`, "keep one of"},
+		{"hedge without idempotent", `path = "/*"`, "path = \"/*\"\nhedge = true", `route[0].hedge`, "set idempotent = true"},
+		{"path", `path = "/*"`, `path = "/*/x"`, `route[0].path`, "start with"},
+		{"key header", `path = "/*"`, "path = \"/*\"\nkey_header = \"a b\"", `route[0].key_header`, "use letters"},
+		{"budget", `[[route]]`, "[retry]\nbudget = 2.0\n[[route]]", `retry.budget`, "use a share from 0 to 1"},
+		{"same name twice", `[[route]]`, "[[route]]\nname = \"all\"\npath = \"/a\"\n[[route]]", `route[1].name: name "all" is used twice`, "its own name"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := docfile.ReadService("f.toml", []byte(strings.Replace(least, test.old, test.new, 1)))
+			refused(t, err, "f.toml", test.want, test.remedy)
+		})
+	}
+}
+
+func refused(t *testing.T, err error, wants ...string) {
+	t.Helper()
+	if !fault.Is(err, fault.Invalid) {
+		t.Fatalf("got %v", err)
+	}
+	for _, want := range wants {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %q", err, want)
+		}
+	}
+}
+
+// Guards against a wrong fleet document that is accepted.
+func TestFleetRefusals(t *testing.T) {
+	const good = "fleet = \"pecos\"\nout = []\n[[region]]\nname = \"permian\"\nzones = [\"permian-a\"]\n"
+	if _, err := docfile.ReadFleet("f.toml", []byte(good)); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct{ name, old, new, want string }{
+		{"unknown zone out", `out = []`, `out = ["gulf-a"]`, `out: zone "gulf-a" is not part of the fleet`},
+		{"no zones", `zones = ["permian-a"]`, `zones = []`, `region[0].zones`},
+		{"zone twice", `["permian-a"]`, `["permian-a", "permian-a"]`, `zone "permian-a" is named twice`},
+		{"unknown key", `out = []`, `outs = []`, `f.toml:2: unknown key "outs"`},
+		{"no region", "[[region]]\nname = \"permian\"\nzones = [\"permian-a\"]", ``, `region: no region is defined`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := docfile.ReadFleet("f.toml", []byte(strings.Replace(good, test.old, test.new, 1)))
+			refused(t, err, "f.toml", test.want, "remedy")
+		})
+	}
+}
+
+// Guards against an empty list of home regions that is taken as "no region" and refuses every request.
+func TestEmptyHomeRegionsMeanAll(t *testing.T) {
+	text := strings.Replace(least, `path = "/*"`, "path = \"/*\"\nhome_regions = []\n[[tenant]]\nname = \"a\"\nhome_regions = []", 1)
+	doc, err := docfile.ReadService("f.toml", []byte(text))
+	if err != nil || doc.Routes[0].HomeRegions != nil || doc.Tenants[0].HomeRegions != nil {
+		t.Errorf("got %+v, %v", doc, err)
+	}
+}
+
+// Guards against places that no fleet document names, which would leave servers without work.
+func TestPlaces(t *testing.T) {
+	fleet, err := docfile.ReadFleet("fleet", []byte("fleet = \"x\"\n[[region]]\nname = \"gulf\"\nzones = [\"gulf-a\"]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc, err := docfile.ReadService("f.toml", []byte(least+"home_regions = [\"permian\"]\n[[tenant]]\nname = \"a\"\nhome_regions = [\"permian\"]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var keys []string
+	for _, p := range doc.CheckPlaces(fleet) {
+		keys = append(keys, p.Key)
+	}
+	if got := strings.Join(keys, " "); got != "servers.server[0].zone route[0].home_regions tenant[0].home_regions" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// Guards against an edit of the zones that are out that loses comments, or that writes another document than was meant.
+func TestWithOut(t *testing.T) {
+	tests := []struct{ name, text, want string }{
+		{"replaced", "# a\nfleet = \"x\"\n# b\nout = [ \"z2\" ] # c\n", "# a\nfleet = \"x\"\n# b\nout = [\"z1\"] # c\n"},
+		{"over lines", "fleet = \"x\" # a\nout = [\n  \"z2\",\n]\n", "fleet = \"x\" # a\nout = [\"z1\"]\n"},
+		{"missing", "fleet = \"x\" # a\n", "fleet = \"x\" # a\nout = [\"z1\"]\n"},
+		{"quoted key", "\"fleet\" = \"x\"\n\"out\" = []\n", ""},
+		{"bracket in a comment", "fleet = \"x\"\nout = [ # z2]\n]\n", ""},
+	}
+	const region = "[[region]]\nname = \"r\"\nzones = [\"z1\", \"z2\"]\n"
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, err := docfile.WithOut("f.toml", []byte(test.text+region), []string{"z1"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if test.want != "" && string(got) != test.want+region {
+				t.Errorf("got %q", got)
+			}
+			doc, err := docfile.ReadFleet("f.toml", got)
+			if err != nil || !reflect.DeepEqual(doc.Out, []string{"z1"}) || len(doc.Regions) != 1 || len(doc.Regions[0].Zones) != 2 {
+				t.Errorf("got %+v, %v", doc, err)
+			}
+		})
+	}
+}
+
+// seeds adds the documents of the examples and some malformed ones.
+func seeds(f *testing.F, pattern string) {
+	paths, err := filepath.Glob(pattern)
+	if err != nil || len(paths) == 0 {
+		f.Fatalf("no seed matches %s: %v", pattern, err)
+	}
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Add([]byte("= ["))
+	f.Add([]byte("[[route]]\npath = 7"))
+}
+
+// Guards against text that makes a reader panic, give an error of another kind, or accept a document that its own checks
+// refuse.
+func FuzzReadService(f *testing.F) {
+	seeds(f, "../../examples/*/*.toml")
+	f.Fuzz(func(t *testing.T, text []byte) {
+		doc, err := docfile.ReadService("f.toml", text)
+		if err != nil {
+			refused(t, err, "f.toml")
+			return
+		}
+		doc.Complete()
+		if problems := doc.Check(); len(problems) > 0 {
+			t.Errorf("accepted with %v", problems)
+		}
+	})
+}
+
+// Guards against a fleet document that reads differently after it was written or edited.
+func FuzzReadFleet(f *testing.F) {
+	seeds(f, "../../examples/*/fleet.toml")
+	f.Fuzz(func(t *testing.T, text []byte) {
+		doc, err := docfile.ReadFleet("f.toml", text)
+		if err != nil {
+			refused(t, err, "f.toml")
+			return
+		}
+		zone := doc.Regions[0].Zones[0]
+		edited, err := docfile.WithOut("f.toml", text, []string{zone})
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := docfile.ReadFleet("f.toml", edited)
+		if err != nil || !again.IsOut(zone) || len(again.Out) != 1 || !reflect.DeepEqual(again.Regions, doc.Regions) {
+			t.Errorf("got %+v, %v", again, err)
+		}
+	})
+}
--- a/internal/document/check.go
+++ b/internal/document/check.go
@@ -113,14 +113,17 @@
 // CheckServers returns the faults of a list of servers.
 func CheckServers(list []Server) []Problem {
 	c := &checker{}
-	seen := map[string]bool{}
+	seen, addresses := map[string]bool{}, map[string]bool{}
 	for i, server := range list {
 		key := index("servers.server", i)
 		c.name(key+".name", server.Name)
 		c.require(!seen[server.Name], key+".name", "give each server its own name", "name "+quote(server.Name)+" is used twice")
 		seen[server.Name] = true
-		_, err := netip.ParseAddrPort(server.Address)
-		c.require(err == nil, key+".address", `write an IP address and a port, such as "10.0.0.7:8080"`, "address "+quote(server.Address)+" is not valid")
+		address, err := netip.ParseAddrPort(server.Address)
+		valid := err == nil && !address.Addr().IsUnspecified() && address.Port() != 0
+		c.require(valid, key+".address", `write an IP address and a port, such as "10.0.0.7:8080"`, "address "+quote(server.Address)+" is not valid")
+		c.require(!addresses[server.Address], key+".address", "name each server once", "address "+quote(server.Address)+" is used twice")
+		addresses[server.Address] = true
 		c.name(key+".zone", server.Zone)
 		c.require(server.Slots >= 0 && server.Slots <= maxSlots, key+".slots", "use 0 to 10000", "value is out of range")
 	}
@@ -152,6 +155,7 @@
 	c.require(!(r.Idempotent && r.OnceOnly), key+".once_only", "keep one of idempotent and once_only", "a route cannot be both idempotent and once-only")
 	c.require(!r.Hedge || r.Idempotent, key+".hedge", "set idempotent = true or remove hedge", "only idempotent routes may be hedged")
 	c.require(r.OnceWindow > 0 && r.OnceWindow <= maxWindow, key+".once_window", "use a duration up to 24h", "value is out of range")
+	c.require(validToken(r.KeyHeader), key+".key_header", "use letters, digits and dashes", "header name "+quote(r.KeyHeader)+" is not valid")
 	c.require(r.OnMissingKey == MissingRefuse || r.OnMissingKey == MissingRun, key+".on_missing_key", `use "refuse" or "run"`, "value "+quote(r.OnMissingKey)+" is not known")
 	c.require(r.Deadline > 0 && r.Deadline <= maxDeadline, key+".deadline", "use a duration up to 1h", "value is out of range")
 	c.require(r.Priority >= Low && r.Priority <= High, key+".priority", `use "low", "normal" or "high"`, "value is not known")
@@ -199,6 +203,16 @@
 	return c.problems
 }
 
+// validToken reports whether a name can be that of an HTTP header field.
+func validToken(name string) bool {
+	for _, r := range name {
+		if (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '-' {
+			return false
+		}
+	}
+	return name != "" && len(name) <= maxNameBytes
+}
+
 func validPath(p string) bool {
 	if !strings.HasPrefix(p, "/") {
 		return false
--- a/internal/document/defaults.go
+++ b/internal/document/defaults.go
@@ -13,6 +13,17 @@
 	for i := range s.Routes {
 		s.Routes[i].complete()
 	}
+	for i := range s.Tenants {
+		s.Tenants[i].HomeRegions = orAll(s.Tenants[i].HomeRegions)
+	}
+}
+
+// orAll returns nil, which stands for all regions, for an empty list.
+func orAll(regions []string) []string {
+	if len(regions) == 0 {
+		return nil
+	}
+	return regions
 }
 
 func (r *Route) complete() {
@@ -20,6 +31,7 @@
 	setDefault(&r.KeyHeader, DefaultKeyHeader)
 	setDefault(&r.OnMissingKey, MissingRefuse)
 	setDefault(&r.Deadline, DefaultDeadline)
+	r.HomeRegions = orAll(r.HomeRegions)
 }
 
 func setDefault[T comparable](field *T, value T) {
--- a/internal/document/service.go
+++ b/internal/document/service.go
@@ -65,8 +65,8 @@
 
 // Retry bounds resends.
 type Retry struct {
-	// Attempts is the most resends of one request. Default 2. A resend happens only when nothing ran, or when the
-	// route is idempotent.
+	// Attempts is the most resends of one request, from 0 to 5. Default 2; zero forbids resends. A resend happens only
+	// when nothing ran, or when the route is idempotent.
 	Attempts int
 	// Budget is the share of requests that may be resent, from 0 to 1. Default 0.1; zero forbids resends of
 	// requests that may have run.
--- a/internal/settings/read_test.go
+++ b/internal/settings/read_test.go
@@ -91,3 +91,28 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against text that makes the reader panic, give an error of another kind, or accept settings out of range.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(least))
+	for _, path := range []string{"../../examples/pecos/settings.toml", "../../examples/pretha/settings.toml"} {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		d, err := settings.Read("f.toml", text)
+		if err != nil {
+			if !fault.Is(err, fault.Invalid) || !strings.Contains(err.Error(), "f.toml") {
+				t.Errorf("got %v", err)
+			}
+			return
+		}
+		hasKey := len(d.Claims.Key) >= 16 || d.Claims.KeyFile != ""
+		if !d.PeerAddress.IsValid() || !hasKey || d.Drain.Announce >= d.Drain.Limit || d.Probe.PerSecond > 1 || d.Claims.Partitions < 1 {
+			t.Errorf("accepted %+v", d)
+		}
+	})
+}
