--- a/internal/document/check.go
+++ b/internal/document/check.go
@@ -27,10 +27,13 @@
 		return nil
 	}
 	var lines, remedies []string
-	for _, p := range problems {
+	for _, p := range problems[:min(maxShown, len(problems))] {
 		lines = append(lines, p.Key+": "+p.Message)
 		remedies = append(remedies, p.Key+": "+p.Remedy)
 	}
+	if more := len(problems) - maxShown; more > 0 {
+		lines = append(lines, "and "+strconv.Itoa(more)+" more problems")
+	}
 	return fault.New(fault.Invalid, strings.Join(remedies, "; "), "%s: %s", source, strings.Join(lines, "; "))
 }
 
@@ -41,6 +44,8 @@
 	maxDeadline  = time.Hour
 	maxWindow    = 24 * time.Hour
 	maxNameBytes = 63
+	// maxShown is how many problems one error shows.
+	maxShown = 5
 )
 
 type checker struct{ problems []Problem }
--- a/internal/document/service.go
+++ b/internal/document/service.go
@@ -10,7 +10,7 @@
 	Owner string
 	// Servers says which backend servers run the service and what each can bear.
 	Servers Servers
-	// Queue bounds the requests that wait at one instance.
+	// Queue bounds the requests that wait at one instance. Default and zero: see its fields.
 	Queue Queue
 	// Retry bounds resends of requests.
 	Retry Retry
@@ -18,28 +18,31 @@
 	Hedge Hedge
 	// Routes are tried in order; the first match applies. At least one is required.
 	Routes []Route
-	// Tenants lists the customers with rules of their own; others are served without.
+	// Tenants lists the customers with rules of their own; others are served without. Default none.
 	Tenants []Tenant
-	// MaxBody is the largest request body in bytes. Default 1 MiB; zero means the default.
+	// MaxBody is the largest request body in bytes, up to 64 MiB. Default 1 MiB; zero means the default.
 	MaxBody int64
 }
 
 // Servers describes the backend servers of a service.
 type Servers struct {
-	// FoundIn is "document" (the default: the list below) or "platform" (an object of kind backends).
+	// FoundIn is "document" (the default: the list below) or "platform" (an object of kind backends). Empty means the
+	// default.
 	FoundIn string
 	// Slots is how many requests one server runs at a time. Required, at least 1.
 	Slots int
-	// Connections is the most connections that one server bears from all instances together. Default 220.
+	// Connections is the most connections that one server bears from all instances together. Default 220; zero means
+	// the default.
 	Connections int
 	// ColdAllowance is how many requests a server in a cold start bears at a time, over all instances.
 	// Default 1; zero means the default.
 	ColdAllowance int
-	// WarmUpStep is how long a warming server must answer well before its allowance doubles. Default 1s.
+	// WarmUpStep is how long a warming server must answer well before its allowance doubles. Default 1s; zero means the
+	// default.
 	WarmUpStep time.Duration
 	// ProbePath is the path that the keeper probes. Default "/health"; empty means the default.
 	ProbePath string
-	// List names the servers when FoundIn is "document".
+	// List names the servers when FoundIn is "document"; it must then not be empty.
 	List []Server
 }
 
@@ -76,7 +79,7 @@
 // Hedge bounds second copies of slow requests. Only idempotent routes that ask for it are hedged.
 type Hedge struct {
 	// Percentile is the share of answers, from 0 to 1, that are faster than the wait before a second copy is sent.
-	// Default 0.95.
+	// Default 0.95; zero sends a second copy at once, within the budget.
 	Percentile float64
 	// Budget is the share of requests that may be hedged, from 0 to 1. Default 0.05; zero forbids hedges.
 	Budget float64
@@ -105,17 +108,19 @@
 	// OnceOnly says that the request must run at most once over callers' resends. Default false. Excludes
 	// Idempotent.
 	OnceOnly bool
-	// OnceWindow is how long a once-only key is remembered. Default 1h; zero means the default.
+	// OnceWindow is how long a once-only key is remembered, up to 24h. Default 1h; zero means the default.
 	OnceWindow time.Duration
-	// KeyHeader is the header that carries the idempotency key. Default "Idempotency-Key".
+	// KeyHeader is the header that carries the idempotency key. Default "Idempotency-Key"; empty means the default.
 	KeyHeader string
-	// OnMissingKey is "refuse" (the default) or "run": what a once-only request without a key gets.
+	// OnMissingKey is "refuse" (the default) or "run": what a once-only request without a key gets. Empty means the
+	// default.
 	OnMissingKey string
 	// Priority orders waiting requests. Default Normal.
 	Priority Priority
 	// HomeRegions are the only regions where the request may be served, sent and kept. Empty means all.
 	HomeRegions []string
-	// Deadline is the most time for a request when the caller names none or a longer one. Default 30s.
+	// Deadline is the most time for a request when the caller names none or a longer one, up to 1h. Default 30s; zero
+	// means the default.
 	Deadline time.Duration
 	// Hedge asks for second copies of slow requests. Default false; needs Idempotent.
 	Hedge bool
