Carry messages between instances over drpc

Cause: instances need a transport whose failures stay small: a slow or broken peer must hold up neither gossip nor the process.

Change: internal/peer holds a client task, a link task for each peer with a bounded mailbox, and a task for each connection that runs charts/connection.toml. Gossip and witness calls have connections of their own. The server counts calls in progress, finishes them on Drain, and refuses and counts garbage, messages above 1 MiB and 64 KiB, unknown protocol versions and missing senders. A connection whose call ended without an answer of the peer is closed, because drpc reports the end of its transport only after the call has returned.

Run: go test -count=50 and -race -count=20 of the package pass. Each test failed with its protection taken out.

--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,218 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+// Dialer opens a connection to an address.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// NetDialer opens TCP connections.
+func NetDialer(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Client is the task that owns the links to peers, one for each. It implements Caller.
+type Client struct {
+	view  func() *member.View
+	dial  Dialer
+	tls   *tls.Config
+	count counters
+	bound *chart.Bound[*lane]
+	inbox *task.Mailbox[any]
+	ended chan struct{}
+
+	links map[string]*link
+	// open counts the links whose task has not ended.
+	open int
+}
+
+// NewClient returns a client that finds addresses in the view. A name that is an IP address with a port, such as that
+// of a seed, is its own address. The TLS configuration may be nil: connections are then plain.
+func NewClient(view func() *member.View, dial Dialer, config *tls.Config, registry metrics.Registry) (*Client, error) {
+	ch, err := charts.Load("connection", charts.Params{"idle_limit": outboundIdle})
+	if err != nil {
+		return nil, err
+	}
+	bound, err := bindLane(ch)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{
+		view: view, dial: dial, tls: config, count: newCounters(registry), bound: bound,
+		inbox: task.NewMailbox[any]("peer client", clientCapacity), ended: make(chan struct{}), links: map[string]*link{},
+	}, nil
+}
+
+// Messages to the client task.
+type (
+	place struct {
+		to  string
+		job job
+	}
+	linkIdle  struct{ link *link }
+	linkEnded struct{}
+)
+
+// Run is the body of the client's task. It ends after the context has ended and all connections are closed.
+func (c *Client) Run(ctx context.Context) error {
+	defer close(c.ended)
+	done := ctx.Done()
+	for done != nil || c.open > 0 {
+		select {
+		case m := <-c.inbox.C():
+			c.handle(ctx, m)
+		case <-done:
+			done = nil
+			for name := range c.links {
+				c.stop(name)
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Client) handle(ctx context.Context, m any) {
+	switch m := m.(type) {
+	case place:
+		c.place(ctx, m)
+	case linkIdle:
+		if c.links[m.link.name] == m.link && m.link.inbox.Len() == 0 {
+			c.stop(m.link.name)
+		}
+	case linkEnded:
+		c.open--
+	}
+}
+
+// place passes a call to the link of its peer.
+func (c *Client) place(ctx context.Context, m place) {
+	address, ok := c.address(m.to)
+	switch {
+	case ctx.Err() != nil:
+		m.job.fail(fault.New(fault.Stopping, "ask another instance", "this instance is stopping"))
+		return
+	case !ok:
+		m.job.fail(unavailable(nil, m.to, "its address is not known"))
+		return
+	}
+	l := c.links[m.to]
+	if l != nil && l.address != address {
+		c.stop(m.to)
+		l = nil
+	}
+	if l == nil {
+		l = c.start(m.to, address)
+	}
+	if err := l.inbox.Offer(m.job); err != nil {
+		m.job.fail(unavailable(err, m.to, "too many calls wait for it"))
+	}
+}
+
+func (c *Client) address(name string) (string, bool) {
+	if _, err := netip.ParseAddrPort(name); err == nil {
+		return name, true
+	}
+	view := c.view()
+	if view == nil {
+		return "", false
+	}
+	return view.Address(name)
+}
+
+func (c *Client) start(name, address string) *link {
+	l := newLink(c, name, address)
+	c.links[name] = l
+	c.open++
+	go func() {
+		l.run()
+		_ = c.inbox.Send(context.Background(), linkEnded{}) // the client outlives its links
+	}()
+	return l
+}
+
+func (c *Client) stop(name string) {
+	close(c.links[name].stop)
+	delete(c.links, name)
+}
+
+func unavailable(cause error, peer, reason string) *fault.Error {
+	return fault.Wrap(cause, fault.PeerUnavailable, "ask another instance, or check the peer with: fuchsiahub status",
+		"peer %s does not answer: %s", peer, reason)
+}
+
+// invoke carries one call and waits for its end.
+func invoke[In, Out proto.Message](ctx context.Context, c *Client, to string, class class, limit time.Duration, in In,
+	call func(peerpb.DRPCPeerClient, context.Context, In) (Out, error)) (Out, error) {
+	var none Out
+	if proto.Size(in) > MaxMessageBytes {
+		return none, fault.New(fault.TooLarge, "report this as a bug", "message %T to peer %s is larger than %d bytes", in, to, MaxMessageBytes)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	reply := make(chan result, 1)
+	j := job{ctx: ctx, class: class, reply: reply, invoke: func(client peerpb.DRPCPeerClient) (proto.Message, error) {
+		return call(client, ctx, in)
+	}}
+	if err := c.inbox.Offer(place{to: to, job: j}); err != nil {
+		return none, err
+	}
+	r, err := c.wait(ctx, to, reply)
+	if err == nil {
+		err = c.judge(to, r)
+	}
+	if err != nil {
+		return none, err
+	}
+	return r.out.(Out), nil
+}
+
+func (c *Client) wait(ctx context.Context, to string, reply <-chan result) (result, error) {
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-ctx.Done():
+		c.count.failed.Inc(1)
+		return result{}, unavailable(context.Cause(ctx), to, "the time for the call is over")
+	case <-c.ended:
+		return result{}, fault.New(fault.Stopping, "ask another instance", "this instance is stopping")
+	}
+}
+
+// judge turns the error of a call into a typed one.
+func (c *Client) judge(to string, r result) error {
+	if r.err == nil {
+		return nil
+	}
+	if e := decodeError(to, r.err); e != nil {
+		return e
+	}
+	if drpc.ProtocolError.Has(r.err) || errors.Is(r.err, proto.Error) {
+		c.count.bad.Inc(1)
+		return fault.Wrap(r.err, fault.BadPeer, "bring all instances to versions that share a protocol",
+			"peer %s sent data that is malformed or too large", to)
+	}
+	c.count.failed.Inc(1)
+	var typed *fault.Error
+	if errors.As(r.err, &typed) {
+		return typed
+	}
+	return unavailable(r.err, to, "the connection broke")
+}
--- /dev/null
+++ b/internal/peer/service.go
@@ -0,0 +1,75 @@
+package peer
+
+import (
+	"context"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
+)
+
+// service checks messages and passes them to the handlers. It implements peerpb.DRPCPeerServer.
+type service struct {
+	handlers Handlers
+	count    counters
+}
+
+type request interface{ GetSender() *peerpb.Sender }
+
+func serve[In request, Out any](s *service, ctx context.Context, in In, handle func(context.Context, In) (Out, error)) (Out, error) {
+	var none Out
+	if err := checkSender(in.GetSender()); err != nil {
+		s.count.bad.Inc(1)
+		return none, encodeError(err)
+	}
+	if handle == nil {
+		return none, encodeError(fault.New(fault.NotFound, "ask another instance", "this instance does not answer %T", in))
+	}
+	out, err := handle(ctx, in)
+	if err != nil {
+		if fault.Is(err, fault.BadPeer) {
+			s.count.bad.Inc(1)
+		}
+		return none, encodeError(err)
+	}
+	return out, nil
+}
+
+// Gossip answers a gossip message.
+func (s *service) Gossip(ctx context.Context, in *peerpb.GossipRequest) (*peerpb.GossipReply, error) {
+	return serve(s, ctx, in, s.handlers.Gossip)
+}
+
+// Documents answers with newer documents.
+func (s *service) Documents(ctx context.Context, in *peerpb.DocumentsRequest) (*peerpb.DocumentsReply, error) {
+	return serve(s, ctx, in, s.handlers.Documents)
+}
+
+// Lease answers a holder of slot leases.
+func (s *service) Lease(ctx context.Context, in *peerpb.LeaseRequest) (*peerpb.LeaseReply, error) {
+	return serve(s, ctx, in, s.handlers.Lease)
+}
+
+// Witness answers the holder or an observer of a session.
+func (s *service) Witness(ctx context.Context, in *peerpb.WitnessRequest) (*peerpb.WitnessReply, error) {
+	return serve(s, ctx, in, s.handlers.Witness)
+}
+
+// Claim answers a once-only claim.
+func (s *service) Claim(ctx context.Context, in *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	return serve(s, ctx, in, s.handlers.Claim)
+}
+
+// Settle answers the end of a once-only claim.
+func (s *service) Settle(ctx context.Context, in *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
+	return serve(s, ctx, in, s.handlers.Settle)
+}
+
+// Strike takes strikes of a peer.
+func (s *service) Strike(ctx context.Context, in *peerpb.StrikeRequest) (*peerpb.StrikeReply, error) {
+	return serve(s, ctx, in, s.handlers.Strike)
+}
+
+// Status answers with the state of the instance.
+func (s *service) Status(ctx context.Context, in *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
+	return serve(s, ctx, in, s.handlers.Status)
+}
--- /dev/null
+++ b/internal/peer/socket.go
@@ -0,0 +1,42 @@
+package peer
+
+import (
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
+)
+
+// socket counts bytes and bounds the time of each write.
+type socket struct {
+	net.Conn
+	count counters
+}
+
+// Read reads and counts.
+func (s *socket) Read(p []byte) (int, error) {
+	n, err := s.Conn.Read(p)
+	s.count.received.Inc(int64(n))
+	return n, err
+}
+
+// Write writes and counts. It fails when the peer does not read for longer than writeTimeout.
+func (s *socket) Write(p []byte) (int, error) {
+	if err := s.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := s.Conn.Write(p)
+	s.count.sent.Inc(int64(n))
+	return n, err
+}
+
+// managerOptions limits the size of messages in both directions of use.
+func managerOptions(idle time.Duration) drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
+		Stream:            drpcstream.Options{MaximumBufferSize: MaxMessageBytes / 16},
+		InactivityTimeout: idle,
+	}
+}
