Decide which version of each document is in force

Cause: versions reach an instance from lists, watches and peers in any order, and what is in force must never go back.

Change: decide/config runs charts/document.toml for each document. The highest valid version or deletion is in force. An invalid version is set aside with its reason; another content under a known version is reported and not applied. A list raises a floor for its kind: an unknown document at or below the floor was deleted, so a copy of a peer does not bring it back. The digest leaves deletions out, so that an instance that never saw them has the same one.

--- /dev/null
+++ b/internal/decide/config/set.go
@@ -0,0 +1,242 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+)
+
+// maxTombstones is how many deletions are kept before those go that the last list covers.
+const maxTombstones = 1024
+
+// Set holds all documents of one instance. It is owned by one task.
+type Set struct {
+	bound   *chart.Bound[*entry]
+	entries map[Key]*entry
+	// floors holds, by kind, the version up to which every document that exists is known. Zero before the first list.
+	floors     map[string]uint64
+	sum        uint64
+	tombstones int
+}
+
+// New returns an empty set over charts/document.toml.
+func New(ch *chart.Chart) (*Set, error) {
+	bound, err := bindEntry(ch)
+	if err != nil {
+		return nil, err
+	}
+	return &Set{bound: bound, entries: map[Key]*entry{}, floors: map[string]uint64{}}, nil
+}
+
+// Offer takes one version of a document.
+func (s *Set) Offer(now time.Time, o Offer) Verdict {
+	e := s.entries[o.Key]
+	if e == nil {
+		e = &entry{key: o.Key}
+		e.machine = s.bound.New(now, e)
+	}
+	before := e.current
+	e.offer, e.floor, e.verdict = &o, s.floors[o.Kind], Repeated
+	if err := e.machine.Fire(now, "offered"); err != nil {
+		panic(err) // the event is a constant of this package; a missing one is a programming error
+	}
+	if e.current != nil || e.rejected != nil {
+		s.entries[o.Key] = e
+	}
+	s.account(before, e.current)
+	return e.verdict
+}
+
+// account keeps the digest and the number of tombstones up to date.
+func (s *Set) account(before, after *Offer) {
+	if before == after {
+		return
+	}
+	s.sum += hash(after) - hash(before)
+	s.tombstones += tombstone(after) - tombstone(before)
+}
+
+func tombstone(o *Offer) int {
+	if o != nil && o.Deleted {
+		return 1
+	}
+	return 0
+}
+
+// hash is that of a version in force; none and a deletion have zero, so that an instance that never saw a deleted
+// document has the same digest.
+func hash(o *Offer) uint64 {
+	if o == nil || o.Deleted {
+		return 0
+	}
+	return xxhash.Sum64String(o.Kind + "\x00" + o.Name + "\x00" + strconv.FormatUint(o.Version, 10))
+}
+
+// Listed takes the version of a list whose documents were all offered, and buries what the list no longer names. A
+// document above the version of the list is later than the list and stays. It returns the number of documents that
+// are no longer in force.
+func (s *Set) Listed(now time.Time, kind string, version uint64, names map[string]bool) int {
+	buried := 0
+	for key, e := range s.entries {
+		if key.Kind != kind || names[key.Name] || e.highest() >= version || tombstone(e.current) > 0 {
+			continue
+		}
+		if s.Offer(now, Offer{Key: key, Version: version, Deleted: true}) == Buried {
+			buried++
+		}
+	}
+	s.floors[kind] = max(s.floors[kind], version)
+	s.dropTombstones()
+	return buried
+}
+
+func (e *entry) highest() uint64 {
+	var v uint64
+	for _, known := range []*Offer{e.current, e.rejected} {
+		if known != nil {
+			v = max(v, known.Version)
+		}
+	}
+	return v
+}
+
+// Followed takes the progress of a watch that continues a list: all changes up to the version were offered.
+func (s *Set) Followed(kind string, version uint64) {
+	if s.floors[kind] > 0 {
+		s.floors[kind] = max(s.floors[kind], version)
+	}
+}
+
+// dropTombstones forgets deletions that the floor of their kind covers, when there are many.
+func (s *Set) dropTombstones() {
+	if s.tombstones <= maxTombstones {
+		return
+	}
+	for key, e := range s.entries {
+		if tombstone(e.current) > 0 && e.highest() <= s.floors[key.Kind] {
+			delete(s.entries, key)
+			s.tombstones--
+		}
+	}
+}
+
+// Digest is a hash of kinds, names and versions of all documents in force. It is never zero.
+func (s *Set) Digest() uint64 {
+	if s.sum+1 == 0 {
+		return 1
+	}
+	return s.sum + 1
+}
+
+// InForce calls visit for each document of a kind in force.
+func (s *Set) InForce(kind string, visit func(*Offer)) {
+	for key, e := range s.entries {
+		if key.Kind == kind && e.inForce() {
+			visit(e.current)
+		}
+	}
+}
+
+// Version is a document with its version.
+type Version struct {
+	Key
+	Version uint64
+}
+
+// Versions lists the documents in force and the deletions, for a peer to compare.
+func (s *Set) Versions() []Version {
+	var list []Version
+	for key, e := range s.entries {
+		if e.current != nil {
+			list = append(list, Version{Key: key, Version: e.current.Version})
+		}
+	}
+	slices.SortFunc(list, func(a, b Version) int { return compareKeys(a.Key, b.Key) })
+	return list
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+}
+
+// Newer returns what a peer with the given versions lacks, in the order of kind and name, until the values exceed
+// the limit. At least one document is returned when any is newer.
+func (s *Set) Newer(have []Version, limitBytes int) []Offer {
+	known := make(map[Key]uint64, len(have))
+	var list []Offer
+	for _, v := range have {
+		known[v.Key] = v.Version
+		if floor := s.floors[v.Kind]; s.entries[v.Key] == nil && v.Version < floor {
+			list = append(list, Offer{Key: v.Key, Version: floor, Deleted: true})
+		}
+	}
+	for key, e := range s.entries {
+		version, has := known[key]
+		if e.current != nil && e.current.Version > version && (has || !e.current.Deleted) {
+			list = append(list, *e.current)
+		}
+	}
+	slices.SortFunc(list, func(a, b Offer) int { return compareKeys(a.Key, b.Key) })
+	return cut(list, limitBytes)
+}
+
+func cut(list []Offer, limitBytes int) []Offer {
+	size := 0
+	for i, o := range list {
+		size += len(o.Value) + len(o.Kind) + len(o.Name) + 32
+		if i > 0 && size > limitBytes {
+			return list[:i]
+		}
+	}
+	return list
+}
+
+// Status is what operators see of one document at one instance.
+type Status struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// State is the state of charts/document.toml.
+	State string `json:"state"`
+	// Version in force; zero when there is none.
+	Version uint64 `json:"version"`
+	// Rejected is the version that was set aside; zero when there is none.
+	Rejected uint64 `json:"rejected,omitempty"`
+	// Reason says why a version was set aside or not applied.
+	Reason string `json:"reason,omitempty"`
+}
+
+// Status returns what operators see, in the order of kind and name. Deleted documents are left out.
+func (s *Set) Status() []Status {
+	var list []Status
+	for key, e := range s.entries {
+		if e.machine.In("deleted") {
+			continue
+		}
+		list = append(list, e.status(key))
+	}
+	slices.SortFunc(list, func(a, b Status) int {
+		return compareKeys(Key{a.Kind, a.Name}, Key{b.Kind, b.Name})
+	})
+	return list
+}
+
+func (e *entry) status(key Key) Status {
+	st := Status{Kind: key.Kind, Name: key.Name, State: e.machine.State()}
+	if e.inForce() {
+		st.Version = e.current.Version
+	}
+	if e.rejected != nil {
+		st.Rejected = e.rejected.Version
+		st.Reason = fmt.Sprint(e.rejected.Invalid)
+	}
+	if e.conflict != nil {
+		st.Reason = e.conflict.Error()
+	}
+	return st
+}
