Add session leases with witnesses and fencing

Instances need to agree on which of them keeps a shard, also while the object API is down. Package session holds the lease as pure decisions driven by charts/session.toml: the holder's renewals and the acknowledgements of its witnesses, the witness's role and the observer that fences dead sessions. Sessions carry a generation, because one process may lose its session and get another one.

--- a/charts/params.go
+++ b/charts/params.go
@@ -8,6 +8,7 @@
 		"suspect_after": 3 * time.Second,
 		"dead_after":    6 * time.Second,
 		"session_term":  10 * time.Second,
+		"witness_term":  2 * time.Second,
 		"lease_term":    2 * time.Second,
 		"eject_time":    5 * time.Second,
 		"warm_up_step":  1 * time.Second,
--- /dev/null
+++ b/internal/decide/session/holder.go
@@ -0,0 +1,379 @@
+package session
+
+import (
+	"slices"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+)
+
+// Verb is a call to the object API.
+type Verb int
+
+// Calls to the object API.
+const (
+	Read Verb = iota
+	Create
+	Update
+)
+
+// Op is one call to the object API for the own session. Only one is under way at a time.
+type Op struct {
+	Verb Verb
+	// Version is the condition of an update.
+	Version uint64
+	Record  Record
+	// Sent is when the call was made. The term counts from here.
+	Sent time.Time
+}
+
+// Outcome is how a call to the object API ended.
+type Outcome int
+
+// Outcomes of a call.
+const (
+	Done Outcome = iota
+	// NotFound answers a read: there is no object.
+	NotFound
+	// Conflict answers a write: the object has another version or exists already.
+	Conflict
+	// Unknown is a lost answer. A write may have taken effect, now or later.
+	Unknown
+)
+
+// Result is the answer to an Op.
+type Result struct {
+	Outcome Outcome
+	// Version and Record are what the object API holds, for a call that is done.
+	Version uint64
+	Record  Record
+}
+
+// Ask is one question for an acknowledgement to a witness.
+type Ask struct {
+	Witness Identity
+	Version uint64
+	Sent    time.Time
+}
+
+// Holder is the session of this instance. It is the context of charts/session.toml and is owned by one task.
+type Holder struct {
+	self    Identity
+	machine *chart.Machine[*Holder]
+	// now is the time of the event that the machine handles, for guards.
+	now time.Time
+
+	// known is true when version and record are what the object API held at the last answer.
+	known   bool
+	version uint64
+	record  Record
+	// exists is false when the object API was seen to hold no object.
+	exists bool
+	// last is the last write that was sent; attempted are the witnesses of writes on the current version whose
+	// outcome is not known. Such a write may still take effect, so these witnesses count as named.
+	last      Op
+	attempted []Identity
+	// bare is true when such a write names no witness: it could be fenced at the end of its term.
+	bare     bool
+	sequence uint64
+	busy     bool
+	nextOp   time.Time
+
+	renewed time.Time
+	nextAsk time.Time
+	// acked holds when the last acknowledged question to a witness was sent.
+	acked     map[Identity]time.Time
+	renounced map[Identity]bool
+}
+
+// Bind connects charts/session.toml with this package.
+func Bind(ch *chart.Chart) (*chart.Bound[*Holder], error) {
+	return chart.Bind(ch, chart.Bindings[*Holder]{
+		Guards:  map[string]func(*Holder) bool{"witnesses_current": (*Holder).witnessesCurrent},
+		Actions: map[string]func(*Holder){"forget": (*Holder).forget},
+	})
+}
+
+// NewHolder returns a holder without a session.
+func NewHolder(bound *chart.Bound[*Holder], now time.Time, self Identity) *Holder {
+	h := &Holder{self: self, nextOp: now}
+	h.machine = bound.New(now, h)
+	return h
+}
+
+// forget is the entry action of "absent".
+func (h *Holder) forget() {
+	h.known = false
+	h.attempted, h.bare = nil, false
+	h.renewed = time.Time{}
+	h.acked = map[Identity]time.Time{}
+	h.renounced = map[Identity]bool{}
+}
+
+func (h *Holder) fire(now time.Time, event string) {
+	h.now = now
+	if err := h.machine.Fire(now, event); err != nil {
+		panic(err) // events are constants of this package; a missing one is a programming error
+	}
+}
+
+// State returns the state of charts/session.toml.
+func (h *Holder) State() string { return h.machine.State() }
+
+// Ended reports whether the session has been given up for good.
+func (h *Holder) Ended() bool { return h.machine.Final() }
+
+// Authority returns what the session allows.
+func (h *Holder) Authority() Authority {
+	until, limited := h.machine.Deadline()
+	if !h.machine.In("valid") || !limited {
+		return Authority{Generation: h.record.Generation}
+	}
+	return Authority{Generation: h.record.Generation, Until: until}
+}
+
+// Leave gives up the authority at once; Next then renounces the session.
+func (h *Holder) Leave(now time.Time) {
+	h.fire(now, "leave")
+	h.nextOp = now
+}
+
+// Tick raises the timeouts that are due.
+func (h *Holder) Tick(now time.Time) {
+	h.now = now
+	h.machine.Tick(now)
+	h.countFromAcknowledgement(now)
+}
+
+// countFromAcknowledgement makes the timeout of "extended" count from the oldest acknowledgement.
+func (h *Holder) countFromAcknowledgement(now time.Time) {
+	oldest := h.oldestAcknowledgement()
+	if h.machine.In("extended") && !oldest.Equal(h.machine.Since()) {
+		h.fire(oldest, "witnessed")
+		h.machine.Tick(now)
+	}
+}
+
+// Wake returns when Tick, Next or Asks has something to do.
+func (h *Holder) Wake(now time.Time) time.Time {
+	wake := now.Add(Term)
+	if !h.busy && !h.Ended() && h.nextOp.Before(wake) {
+		wake = h.nextOp
+	}
+	if due, ok := h.machine.Deadline(); ok && due.Before(wake) {
+		wake = due
+	}
+	if h.machine.In("valid") && h.nextAsk.Before(wake) {
+		wake = h.nextAsk
+	}
+	return wake
+}
+
+// Next returns the call to the object API that is due. The caller makes it and passes its result to Answered.
+func (h *Holder) Next(now time.Time, peers []member.Instance) (Op, bool) {
+	if h.busy || h.Ended() || now.Before(h.nextOp) {
+		return Op{}, false
+	}
+	if h.machine.In("leaving") && h.nothingToRenounce() {
+		h.fire(now, "closed")
+		return Op{}, false
+	}
+	h.busy = true
+	if !h.known {
+		return Op{Verb: Read, Sent: now}, true
+	}
+	return h.write(now, peers), true
+}
+
+func (h *Holder) nothingToRenounce() bool {
+	return h.last.Sent.IsZero() || h.known && !h.mine(h.record)
+}
+
+func (h *Holder) write(now time.Time, peers []member.Instance) Op {
+	h.sequence++
+	record := Record{Identity: h.self, Generation: h.record.Generation, Sequence: h.sequence}
+	if !h.exists || !h.mine(h.record) {
+		record.Generation++
+	}
+	if h.machine.In("leaving") {
+		record.State = Renounced
+	} else {
+		record.Witnesses = h.witnesses(now, peers)
+	}
+	op := Op{Verb: Update, Version: h.version, Record: record, Sent: now}
+	if !h.exists {
+		op.Verb = Create
+	}
+	h.last = op
+	h.attempt(record.Witnesses)
+	return op
+}
+
+// witnesses chooses those of the next renewal. While renewals fail no new one is added, because the session would then
+// need the acknowledgement of an instance that has not given any.
+func (h *Holder) witnesses(now time.Time, peers []member.Instance) []Identity {
+	if h.machine.In("valid") && !now.Before(h.renewed.Add(askAfter)) {
+		alive := slices.DeleteFunc(h.required(), func(w Identity) bool { return !lives(w, peers) })
+		if len(alive) > 0 {
+			return alive[:min(len(alive), MaxWitnesses)]
+		}
+	}
+	return chooseWitnesses(h.self, slices.Concat(h.record.Witnesses, h.attempted), peers)
+}
+
+func lives(id Identity, peers []member.Instance) bool {
+	return slices.ContainsFunc(peers, func(p member.Instance) bool { return p.Name == id.Instance && p.Incarnation == id.Incarnation })
+}
+
+func (h *Holder) attempt(witnesses []Identity) {
+	h.bare = h.bare || len(witnesses) == 0
+	for _, w := range witnesses {
+		if !slices.Contains(h.attempted, w) {
+			h.attempted = append(h.attempted, w)
+		}
+	}
+}
+
+// mine reports whether the record is an active session of this process.
+func (h *Holder) mine(r Record) bool { return r.Identity == h.self && r.State == Active }
+
+// Answered takes the result of a call that Next returned.
+func (h *Holder) Answered(now time.Time, op Op, r Result) {
+	h.busy = false
+	h.Tick(now)
+	switch {
+	case r.Outcome == Unknown:
+		h.known = false
+		h.nextOp = now.Add(RetryEvery)
+	case op.Verb == Read:
+		h.read(now, r)
+	case r.Outcome == Done:
+		h.written(now, op, r.Version)
+	default:
+		h.known = false
+		h.nextOp = now
+	}
+}
+
+func (h *Holder) written(now time.Time, op Op, version uint64) {
+	h.hold(version, op.Record)
+	if op.Record.State == Renounced {
+		h.fire(now, "closed")
+		return
+	}
+	h.renew(now, op.Sent)
+}
+
+func (h *Holder) hold(version uint64, record Record) {
+	if version != h.version {
+		h.attempted, h.bare = nil, false // writes on an older version can no longer take effect
+	}
+	h.known, h.exists, h.version, h.record = true, true, version, record
+}
+
+// renew counts the term from when the renewal was sent.
+func (h *Holder) renew(now, sent time.Time) {
+	h.renewed = sent
+	h.fire(sent, "renewed")
+	h.Tick(now)
+	h.nextOp = later(now, sent.Add(RenewEvery))
+	if h.machine.In("leaving") {
+		h.nextOp = now
+	}
+	h.nextAsk = sent.Add(askAfter)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// read takes the object as it stands. Authority follows only from a write that is recognized by its sequence.
+func (h *Holder) read(now time.Time, r Result) {
+	h.nextOp = now
+	if r.Outcome == NotFound {
+		h.fire(now, "lost")
+		h.known, h.exists, h.version, h.record = true, false, 0, Record{Generation: h.record.Generation}
+		return
+	}
+	if !h.mine(r.Record) {
+		h.readOther(now, r)
+		return
+	}
+	own := h.last.Record.Sequence == r.Record.Sequence
+	h.hold(r.Version, r.Record)
+	if own && !h.machine.In("leaving") {
+		h.renew(now, h.last.Sent)
+	}
+}
+
+// readOther handles an object that is not an active session of this process. An active session of an earlier process
+// must be fenced by an Observer before it is replaced.
+func (h *Holder) readOther(now time.Time, r Result) {
+	h.fire(now, "lost")
+	h.hold(r.Version, r.Record)
+	if r.Record.State == Active {
+		h.known = false
+		h.nextOp = now.Add(RetryEvery)
+	}
+}
+
+// Asks returns the questions to witnesses that are due. They start when renewals fail.
+func (h *Holder) Asks(now time.Time) []Ask {
+	if !h.machine.In("valid") || now.Before(h.nextAsk) {
+		return nil
+	}
+	h.nextAsk = now.Add(AskEvery)
+	var asks []Ask
+	for _, w := range h.required() {
+		asks = append(asks, Ask{Witness: w, Version: h.version, Sent: now})
+	}
+	return asks
+}
+
+// Acknowledged takes a witness's answer to a question of Asks.
+func (h *Holder) Acknowledged(now time.Time, ask Ask, reply Reply) {
+	h.Tick(now)
+	if reply.Renounced {
+		h.renounced[ask.Witness] = true
+	}
+	if reply.Acknowledged && ask.Sent.After(h.acked[ask.Witness]) {
+		h.acked[ask.Witness] = ask.Sent
+	}
+	h.countFromAcknowledgement(now)
+}
+
+// required returns the witnesses whose acknowledgement the session needs past its term.
+func (h *Holder) required() []Identity {
+	list := slices.Clone(h.record.Witnesses)
+	for _, w := range h.attempted {
+		if !slices.Contains(list, w) {
+			list = append(list, w)
+		}
+	}
+	return slices.DeleteFunc(list, func(w Identity) bool { return h.renounced[w] })
+}
+
+// oldestAcknowledgement returns the time from which all witnesses together support the session; zero when one has
+// not answered, and when the session could be fenced without a witness.
+func (h *Holder) oldestAcknowledgement() time.Time {
+	var oldest time.Time
+	if len(h.record.Witnesses) == 0 || h.bare {
+		return oldest
+	}
+	for i, w := range h.required() {
+		at := h.acked[w]
+		if i == 0 || at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return oldest
+}
+
+func (h *Holder) witnessesCurrent() bool {
+	oldest := h.oldestAcknowledgement()
+	return !oldest.IsZero() && h.now.Before(oldest.Add(WitnessTerm))
+}
--- /dev/null
+++ b/internal/decide/session/observer.go
@@ -0,0 +1,124 @@
+package session
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+)
+
+// Observer decides which sessions of others may be fenced. It is owned by one task.
+type Observer struct {
+	self Identity
+	seen map[string]*seen
+}
+
+type seen struct {
+	version uint64
+	record  Record
+	// since is when this version was first seen, on the own clock.
+	since time.Time
+	// released is true when a witness consented to a fence of this version.
+	released bool
+	next     time.Time
+}
+
+// Move is what to do about a session that may be dead: fence it, or ask its witnesses for a release.
+type Move struct {
+	Holder  string
+	Version uint64
+	// Record is the value of the conditional update when Fence is true.
+	Record Record
+	Fence  bool
+	// Ask lists the witnesses, as the session names them.
+	Ask []Identity
+}
+
+// NewObserver returns an observer that has seen nothing.
+func NewObserver(self Identity) *Observer {
+	return &Observer{self: self, seen: map[string]*seen{}}
+}
+
+// See takes a session as it was read. The time is that after the answer arrived.
+func (o *Observer) See(now time.Time, version uint64, record Record) {
+	known, ok := o.seen[record.Instance]
+	if ok && version <= known.version {
+		return
+	}
+	o.seen[record.Instance] = &seen{version: version, record: record, since: now}
+}
+
+// Sessions returns what was seen, by instance.
+func (o *Observer) Sessions() map[string]Record {
+	records := make(map[string]Record, len(o.seen))
+	for name, s := range o.seen {
+		records[name] = s.record
+	}
+	return records
+}
+
+// Released takes the consent of a witness for a version.
+func (o *Observer) Released(holder string, version uint64) {
+	if s, ok := o.seen[holder]; ok && s.version == version {
+		s.released = true
+		s.next = time.Time{}
+	}
+}
+
+// Due returns what to do now about sessions that have not changed for the term and its margin.
+func (o *Observer) Due(now time.Time, role *Witness, view *member.View) []Move {
+	var moves []Move
+	for holder, s := range o.seen {
+		if s.record.State != Active || s.record.Identity == o.self || now.Before(o.due(holder, s, view)) {
+			continue
+		}
+		s.next = now.Add(RetryEvery)
+		moves = append(moves, o.move(now, holder, s, role, view))
+	}
+	slices.SortFunc(moves, func(a, b Move) int { return strings.Compare(a.Holder, b.Holder) })
+	return moves
+}
+
+// due returns when a session may be dead. One instance goes first, so that fences seldom compete.
+func (o *Observer) due(holder string, s *seen, view *member.View) time.Time {
+	at := s.since.Add(Term + TermMargin)
+	first, ok := member.Rendezvous("fence/"+holder, view.In(view.Self.Region))
+	if ok && first.Name != o.self.Instance && holder != o.self.Instance {
+		at = at.Add(fenceStagger)
+	}
+	return later(at, s.next)
+}
+
+func (o *Observer) move(now time.Time, holder string, s *seen, role *Witness, view *member.View) Move {
+	if !o.mayFence(now, holder, s, role, view) {
+		return Move{Holder: holder, Version: s.version, Ask: s.record.Witnesses}
+	}
+	fenced := s.record
+	fenced.State = Fenced
+	fenced.FencedBy = o.self.Instance
+	return Move{Holder: holder, Version: s.version, Record: fenced, Fence: true}
+}
+
+// mayFence holds for a witness that has stopped acknowledging, for an instance with the release of a witness, for a
+// session without witnesses, which cannot outlast its term, and when the platform names nobody who is concerned.
+func (o *Observer) mayFence(now time.Time, holder string, s *seen, role *Witness, view *member.View) bool {
+	if s.released || len(s.record.Witnesses) == 0 {
+		return true
+	}
+	for _, w := range s.record.Witnesses {
+		if w.Instance == o.self.Instance && role.Release(now, holder, s.version, w.Incarnation) {
+			return true
+		}
+	}
+	return view.Listed != nil && !o.concerned(holder, s, view.Listed)
+}
+
+// concerned reports whether the platform's list names the holder or a witness. The own name in the list stands for
+// this process, not for an earlier one.
+func (o *Observer) concerned(holder string, s *seen, listed map[string]bool) bool {
+	if listed[holder] && holder != o.self.Instance {
+		return true
+	}
+	return slices.ContainsFunc(s.record.Witnesses, func(w Identity) bool { return listed[w.Instance] })
+}
--- /dev/null
+++ b/internal/decide/session/session_test.go
@@ -0,0 +1,263 @@
+package session_test
+
+import (
+	"testing"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/decide/session"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	self  = session.Identity{Instance: "a", Incarnation: 1}
+	peers = []member.Instance{{Name: "a", Incarnation: 1}, {Name: "b", Incarnation: 1}, {Name: "c", Incarnation: 1}}
+)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func load(t *testing.T) *chart.Chart {
+	t.Helper()
+	ch, err := charts.Load("session", charts.Params{"session_term": session.Term, "witness_term": session.WitnessTerm})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ch
+}
+
+func newHolder(t *testing.T) *session.Holder {
+	t.Helper()
+	bound, err := session.Bind(load(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return session.NewHolder(bound, start, self)
+}
+
+func next(t *testing.T, h *session.Holder, now time.Time, want session.Verb) session.Op {
+	t.Helper()
+	op, ok := h.Next(now, peers)
+	if !ok || op.Verb != want {
+		t.Fatalf("at %v: call %+v, due %v, want verb %v", now.Sub(start), op, ok, want)
+	}
+	return op
+}
+
+// held returns a holder whose session was created at the start and names both peers as witnesses.
+func held(t *testing.T) (*session.Holder, session.Op) {
+	t.Helper()
+	h := newHolder(t)
+	h.Answered(start, next(t, h, start, session.Read), session.Result{Outcome: session.NotFound})
+	op := next(t, h, start, session.Create)
+	h.Answered(at(0.5), op, session.Result{Outcome: session.Done, Version: 1})
+	return h, op
+}
+
+func valid(h *session.Holder, now time.Time) bool {
+	h.Tick(now)
+	return h.Authority().Valid(now)
+}
+
+// Guards against a chart that lets authority begin without a renewal, outlast its timeout, or return after leaving.
+func TestChartGivesAuthorityOnlyByRenewal(t *testing.T) {
+	authority := map[string]bool{"held": true, "extended": true}
+	limited := map[string]bool{}
+	load(t).Walk(func(s chart.Step) {
+		if authority[s.To] && !authority[s.From] && s.Event != "renewed" {
+			t.Errorf("%s gets authority by %s", s.From, s.Event)
+		}
+		if authority[s.From] && s.To == "extended" && s.From == "held" && s.Guard != "witnesses_current" {
+			t.Errorf("the term is exceeded without a guard")
+		}
+		if authority[s.From] && s.To == "lapsed" {
+			limited[s.From] = true
+		}
+		if (s.From == "leaving" || s.From == "ended") && authority[s.To] {
+			t.Errorf("%s returns to %s by %s", s.From, s.To, s.Event)
+		}
+		if authority[s.From] && s.Event == "lost" && s.To != "absent" {
+			t.Errorf("%s keeps %s after the session was lost", s.From, s.To)
+		}
+	})
+	if len(limited) != len(authority) {
+		t.Errorf("states that time out: %v", limited)
+	}
+}
+
+// Guards against a term that counts from the answer instead of from before the renewal was sent.
+func TestTermCountsFromBeforeTheWrite(t *testing.T) {
+	h, _ := held(t)
+	if !valid(h, at(9.99)) || valid(h, at(10)) {
+		t.Errorf("state %s, authority %v", h.State(), h.Authority())
+	}
+}
+
+// Guards against authority by a write whose answer was lost, and against a term that then counts from the read.
+func TestLostAnswerIsReadBack(t *testing.T) {
+	h := newHolder(t)
+	h.Answered(start, next(t, h, start, session.Read), session.Result{Outcome: session.NotFound})
+	lost := next(t, h, start, session.Create)
+	h.Answered(at(1), lost, session.Result{Outcome: session.Unknown})
+	if valid(h, at(1)) {
+		t.Fatal("authority by a write of unknown outcome")
+	}
+	h.Answered(at(2), next(t, h, at(2), session.Read), session.Result{Version: 1, Record: lost.Record})
+	if !valid(h, at(2)) || valid(h, at(10)) {
+		t.Errorf("state %s, authority %v", h.State(), h.Authority())
+	}
+}
+
+// Guards against a session that goes on past its term although a witness is silent, and against one that ends although
+// all acknowledge.
+func TestWitnessesExtendTheTerm(t *testing.T) {
+	h, _ := held(t)
+	ask := func(now time.Time, answering int) {
+		for i, a := range h.Asks(now) {
+			if i < answering {
+				h.Acknowledged(now.Add(100*time.Millisecond), a, session.Reply{Acknowledged: true})
+			}
+		}
+	}
+	for s := 5.0; s <= 12; s++ {
+		ask(at(s), 2)
+	}
+	if !valid(h, at(13.9)) || h.State() != "extended" {
+		t.Fatalf("state %s, want extended until 2 s after the last question at 12 s", h.State())
+	}
+	ask(at(13.5), 1)
+	if valid(h, at(14)) {
+		t.Errorf("state %s with a silent witness", h.State())
+	}
+	ask(at(14.5), 2)
+	if valid(h, at(14.6)) {
+		t.Error("witnesses revived a lapsed session")
+	}
+}
+
+// Guards against the wait for a witness that gave up its role, and against extension without any witness.
+func TestRenouncedWitnessIsNotNeeded(t *testing.T) {
+	h, _ := held(t)
+	for s := 5.0; s <= 10; s++ {
+		for i, a := range h.Asks(at(s)) {
+			h.Acknowledged(at(s), a, session.Reply{Acknowledged: i == 0, Renounced: i == 1})
+		}
+	}
+	if !valid(h, at(11)) {
+		t.Fatalf("state %s", h.State())
+	}
+	for _, a := range h.Asks(at(11)) {
+		h.Acknowledged(at(11), a, session.Reply{Renounced: true})
+	}
+	if valid(h, at(11)) {
+		t.Error("the session goes on without any witness")
+	}
+}
+
+// Guards against an extension by the witnesses of a renewal that may not have taken effect: the version in force names
+// others, who may consent to a fence.
+func TestUnknownRenewalNeedsWitnessesOfBothVersions(t *testing.T) {
+	h, _ := held(t)
+	peers = append(peers, member.Instance{Name: "d", Incarnation: 1})
+	defer func() { peers = peers[:3] }()
+	h.Answered(at(4), next(t, h, at(3), session.Update), session.Result{Outcome: session.Unknown})
+	for s := 5.0; s <= 11; s++ {
+		for _, a := range h.Asks(at(s)) {
+			h.Acknowledged(at(s), a, session.Reply{Acknowledged: a.Witness.Instance != "d"})
+		}
+	}
+	if valid(h, at(10)) {
+		t.Errorf("state %s without the acknowledgement of d", h.State())
+	}
+}
+
+// Guards against a fence before the holder's authority has surely ended, for each rule that allows a fence.
+func TestFenceWaitsForTermAndWitness(t *testing.T) {
+	record := session.Record{Identity: session.Identity{Instance: "x", Incarnation: 7}, Generation: 1,
+		Witnesses: []session.Identity{{Instance: "a", Incarnation: 1}, {Instance: "b", Incarnation: 1}}}
+	view := &member.View{Self: peers[0], Live: peers[:1], Listed: map[string]bool{"a": true, "x": true}}
+	fences := func(o *session.Observer, w *session.Witness, v *member.View, s float64) bool {
+		moves := o.Due(at(s), w, v)
+		return len(moves) == 1 && moves[0].Fence
+	}
+	t.Run("witness", func(t *testing.T) {
+		o, w := session.NewObserver(self), session.NewWitness(start, self)
+		o.See(start, 3, record)
+		for s := 1.0; s < 13.5; s++ {
+			if fences(o, w, view, s) {
+				t.Fatalf("fenced at %v s", s)
+			}
+		}
+		if w.Acknowledge(at(12), "x", 3, 1).Acknowledged {
+			t.Error("acknowledged a version that it means to fence")
+		}
+		if !fences(o, w, view, 14) {
+			t.Error("not fenced 2.5 s after the last possible acknowledgement")
+		}
+	})
+	t.Run("witness still asked", func(t *testing.T) {
+		o, w := session.NewObserver(self), session.NewWitness(start, self)
+		o.See(start, 3, record)
+		for s := 10.0; s < 30; s++ {
+			if !w.Acknowledge(at(s), "x", 3, 1).Acknowledged || fences(o, w, view, s) {
+				t.Fatalf("at %v s: a living session was not acknowledged or fenced", s)
+			}
+		}
+	})
+	t.Run("stranger", func(t *testing.T) {
+		other := session.Identity{Instance: "z", Incarnation: 1}
+		o, w := session.NewObserver(other), session.NewWitness(start, other)
+		strange := &member.View{Self: member.Instance{Name: "z"}, Listed: map[string]bool{"b": true}}
+		o.See(start, 3, record)
+		if fences(o, w, strange, 60) {
+			t.Error("fenced without a release while a witness is listed")
+		}
+		o.Released("x", 2)
+		if fences(o, w, strange, 62) {
+			t.Error("fenced by the release of another version")
+		}
+		if fences(o, w, &member.View{Self: strange.Self}, 64) {
+			t.Error("fenced although the platform's list could not be read")
+		}
+		if !fences(o, w, &member.View{Self: strange.Self, Listed: map[string]bool{"z": true}}, 66) {
+			t.Error("not fenced although the platform names nobody")
+		}
+		o.See(at(70), 4, record)
+		o.Released("x", 4)
+		if fences(o, w, strange, 80) || !fences(o, w, strange, 85) {
+			t.Error("the term does not count from the sight of the new version")
+		}
+	})
+}
+
+// Guards against a restart that takes the session of an earlier process, which may still run, without a fence.
+func TestRestartWaitsForFence(t *testing.T) {
+	h := newHolder(t)
+	old := session.Record{Identity: session.Identity{Instance: "a", Incarnation: 0}, Generation: 4, Sequence: 1}
+	h.Answered(start, next(t, h, start, session.Read), session.Result{Version: 9, Record: old})
+	if op, ok := h.Next(at(0.5), peers); ok {
+		t.Fatalf("call %+v for a session of another process", op)
+	}
+	old.State = session.Fenced
+	h.Answered(at(1), next(t, h, at(1), session.Read), session.Result{Version: 10, Record: old})
+	op := next(t, h, at(1), session.Update)
+	if op.Version != 10 || op.Record.Generation != 5 {
+		t.Errorf("call %+v, want an update of version 10 with generation 5", op)
+	}
+}
+
+// Guards against authority after a graceful leave and against a session that is left to run out.
+func TestLeaveRenounces(t *testing.T) {
+	h, _ := held(t)
+	h.Leave(at(1))
+	if valid(h, at(1)) {
+		t.Error("authority while leaving")
+	}
+	op := next(t, h, at(1), session.Update)
+	h.Answered(at(2), op, session.Result{Outcome: session.Unknown})
+	h.Answered(at(3), next(t, h, at(3), session.Read), session.Result{Version: 2, Record: op.Record})
+	if op.Record.State != session.Renounced || !h.Ended() {
+		t.Errorf("wrote %+v, state %s", op.Record, h.State())
+	}
+}
