--- /dev/null
+++ b/internal/decide/keeper/history_test.go
@@ -0,0 +1,219 @@
+package keeper_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/decide/keeper"
+	"fuchsiahub.example/fuchsiahub/internal/decide/session"
+)
+
+// coldAllowance is that of the only server of the history. It never answers, so it stays cold.
+const coldAllowance = 4
+
+// faults are errors that the checker must catch.
+type faults struct {
+	// keeperIgnoresTerm lets a replaced keeper go on granting.
+	keeperIgnoresTerm bool
+	// newKeeperIsHasty skips the wait for earlier leases.
+	newKeeperIsHasty bool
+	// holderIgnoresTerm uses a lease after its end.
+	holderIgnoresTerm bool
+	// reordered lets overtaken requests through.
+	reordered bool
+}
+
+// leaseHolder is one instance as it uses its leases.
+type leaseHolder struct {
+	asker *keeper.Asker
+	lease balance.Leased
+	// shown is what the last request said that it holds; the instance uses no more until the reply.
+	shown int
+	// sequence is that of the last request.
+	sequence uint64
+	// paused is until when the instance neither asks nor hears; it may still use its lease.
+	paused time.Time
+}
+
+func (h *leaseHolder) slots(now time.Time, f faults) int {
+	if !f.holderIgnoresTerm && !now.Before(h.lease.Until) {
+		return 0
+	}
+	sum := 0
+	for _, g := range h.lease.Grants {
+		sum += g.Slots
+	}
+	return min(sum, h.shown)
+}
+
+type message struct {
+	holder *leaseHolder
+	sent   time.Time
+	req    keeper.Request
+	reply  keeper.Reply
+}
+
+type history struct {
+	t       *testing.T
+	bound   *keeper.Chart
+	rnd     *rand.Rand
+	faults  faults
+	now     time.Time
+	keepers []*bench
+	holders []*leaseHolder
+	// requests and replies are under way; any of them may arrive next, late or never.
+	requests, replies []message
+	accepted          uint64
+}
+
+func (h *history) newKeeper() {
+	b := &bench{t: h.t, authority: session.Authority{Until: at(1e6)}}
+	if n := len(h.keepers); n > 0 && !h.faults.keeperIgnoresTerm {
+		h.keepers[n-1].authority.Until = h.now
+	}
+	generation := uint64(len(h.keepers) + 1)
+	taken := h.now
+	if h.faults.newKeeperIsHasty {
+		taken = taken.Add(-keeper.Quiet)
+	}
+	b.authority.Generation = generation
+	b.shard = keeper.NewShard(h.bound, taken, key, keeper.Entry{Owner: keeper.Owner{Generation: generation}, Epoch: generation},
+		[]keeper.Server{{Name: "w1", Address: "10.0.0.1:80", Slots: 6, Cold: coldAllowance}}, nil)
+	h.keepers = append(h.keepers, b)
+}
+
+func (h *history) ask(holder *leaseHolder) {
+	if _, free := holder.asker.Due(); !free || h.now.Before(holder.paused) {
+		return
+	}
+	d := balance.Demand{Want: h.rnd.IntN(5)}
+	holder.shown = h.rnd.IntN(holder.slots(h.now, h.faults) + 1)
+	if holder.shown > 0 {
+		d.Held = []balance.HeldSlots{{Server: "w1", Slots: holder.shown}}
+	}
+	if req, ok := holder.asker.Ask(h.now, d, false); ok {
+		holder.sequence = req.Sequence
+		h.requests = append(h.requests, message{holder: holder, sent: h.now, req: req})
+	}
+}
+
+func take(rnd *rand.Rand, list *[]message) (message, bool) {
+	if len(*list) == 0 {
+		return message{}, false
+	}
+	i := rnd.IntN(len(*list))
+	m := (*list)[i]
+	*list = append((*list)[:i], (*list)[i+1:]...)
+	return m, true
+}
+
+func (h *history) serve() {
+	m, ok := take(h.rnd, &h.requests)
+	if !ok {
+		return
+	}
+	req := m.req
+	if h.faults.reordered {
+		h.accepted++
+		req.Sequence = h.accepted
+	}
+	b := h.keepers[len(h.keepers)-1]
+	if len(h.keepers) > 1 && h.rnd.IntN(4) == 0 {
+		b = h.keepers[len(h.keepers)-2]
+	}
+	reply, err := b.shard.Lease(h.now, b.authority, req)
+	if err != nil {
+		m.holder.asker.Failed(m.req.Sequence)
+		return
+	}
+	m.reply = reply
+	h.replies = append(h.replies, m)
+}
+
+func (h *history) receive() {
+	m, ok := take(h.rnd, &h.replies)
+	if !ok {
+		return
+	}
+	if h.now.Before(m.holder.paused) {
+		h.replies = append(h.replies, m)
+		return
+	}
+	lease, ok := m.holder.asker.Replied(h.now, m.sent, m.req.Sequence, m.reply)
+	if ok {
+		m.holder.lease, m.holder.shown = lease, 6
+	}
+}
+
+// run plays one history and returns the first moment at which the cold allowance is exceeded.
+func run(t *testing.T, bound *keeper.Chart, seed uint64, f faults) error {
+	h := &history{t: t, bound: bound, rnd: rand.New(rand.NewPCG(seed, 0)), faults: f, now: start}
+	for _, name := range []string{"x", "y", "z"} {
+		h.holders = append(h.holders, &leaseHolder{asker: keeper.NewAsker(key, session.Identity{Instance: name, Incarnation: 1})})
+	}
+	h.newKeeper()
+	for step := range 1000 {
+		h.now = h.now.Add(time.Duration(h.rnd.IntN(60)) * time.Millisecond)
+		holder := h.holders[h.rnd.IntN(len(h.holders))]
+		switch p := h.rnd.IntN(1000); {
+		case p < 300:
+			h.ask(holder)
+		case p < 550:
+			h.serve()
+		case p < 800:
+			h.receive()
+		case p < 985:
+			holder.asker.Failed(holder.sequence)
+		case p < 996:
+			holder.paused = h.now.Add(time.Duration(h.rnd.IntN(5000)) * time.Millisecond)
+		default:
+			h.newKeeper()
+		}
+		used := 0
+		for _, holder := range h.holders {
+			used += holder.slots(h.now, f)
+		}
+		if used > coldAllowance {
+			return fmt.Errorf("seed %d, step %d, %v: %d slots of a cold server in use, allowance %d", seed, step, h.now.Sub(start), used, coldAllowance)
+		}
+	}
+	return nil
+}
+
+const seeds = 1000
+
+// Guards against cold grants above the allowance, over all instances, when requests and replies are late, lost or
+// overtake each other and keepers are replaced.
+func TestColdGrantsStayWithinAllowance(t *testing.T) {
+	bound := bind(t)
+	for seed := range uint64(seeds) {
+		if err := run(t, bound, seed, faults{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a checker that sees nothing: each seeded fault must be caught.
+func TestCheckerCatchesSeededFaults(t *testing.T) {
+	bound := bind(t)
+	for name, f := range map[string]faults{
+		"keeper ignores its term":     {keeperIgnoresTerm: true},
+		"new keeper does not wait":    {newKeeperIsHasty: true},
+		"holder ignores its term":     {holderIgnoresTerm: true},
+		"overtaken requests accepted": {reordered: true},
+	} {
+		caught := 0
+		for seed := range uint64(seeds) {
+			if run(t, bound, seed, f) != nil {
+				caught++
+			}
+		}
+		t.Logf("%s: caught in %d of %d histories", name, caught, seeds)
+		if caught == 0 {
+			t.Errorf("%s: not caught", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/keeper/keeper_test.go
@@ -0,0 +1,388 @@
+package keeper_test
+
+import (
+	"testing"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/decide/keeper"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/decide/session"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	key   = keeper.Key{Service: "intake", Zone: "permian-a"}
+	entry = keeper.Entry{Owner: keeper.Owner{Identity: session.Identity{Instance: "a", Incarnation: 1}, Generation: 1}, Epoch: 3}
+)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func load(t testing.TB) *chart.Chart {
+	t.Helper()
+	ch, err := charts.Load("lease", charts.Params{"lease_term": keeper.Quiet, "warm_up_step": time.Second})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ch
+}
+
+func bind(t testing.TB) *keeper.Chart {
+	t.Helper()
+	bound, err := keeper.Bind(load(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bound
+}
+
+// bench is one shard and its holders.
+type bench struct {
+	t         testing.TB
+	shard     *keeper.Shard
+	authority session.Authority
+	sequence  uint64
+}
+
+func newBench(t testing.TB, warm []keeper.Warm, servers ...keeper.Server) *bench {
+	t.Helper()
+	return &bench{
+		t: t, shard: keeper.NewShard(bind(t), start, key, entry, servers, warm),
+		authority: session.Authority{Generation: 1, Until: at(1e6)},
+	}
+}
+
+// ask makes one exchange and returns the reply.
+func (b *bench) ask(now time.Time, holder string, want int, held []keeper.Held, reports ...balance.Report) keeper.Reply {
+	b.t.Helper()
+	b.sequence++
+	reply, err := b.shard.Lease(now, b.authority, keeper.Request{
+		Holder: session.Identity{Instance: holder, Incarnation: 1}, Sequence: b.sequence, Want: want, Held: held, Reports: reports,
+	})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return reply
+}
+
+func total(r keeper.Reply) int {
+	sum := 0
+	for _, g := range r.Grants {
+		sum += g.Slots
+	}
+	return sum
+}
+
+func worker(name string) keeper.Server {
+	return keeper.Server{Name: name, Address: "10.0.0.1:80", Slots: 6, Cold: 1}
+}
+
+func good(n int) balance.Report {
+	return balance.Report{Server: "w1", Good: n, Latency: 20 * time.Millisecond}
+}
+
+// Guards against a chart that grants to a server of unknown history before earlier leases have expired, that opens a
+// server without a ramp or a handover, and that keeps granting to a server in doubt.
+func TestChartReachesOpenOnlyByRampOrHandover(t *testing.T) {
+	decided := map[[2]string]bool{}
+	load(t).Walk(func(s chart.Step) {
+		row := [2]string{s.From, s.Event}
+		if decided[row] {
+			return // an inherited row behind one without a guard is never tried
+		}
+		decided[row] = s.Guard == ""
+		if s.To == "open" && s.From != "open" && s.Guard != "ramp_complete" && s.Guard != "trusted" {
+			t.Errorf("%s reaches open by %s", s.From, s.Event)
+		}
+		if s.From == "quiet" && (s.To == "cold" || s.To == "open") && s.Event != "settled" {
+			t.Errorf("quiet ends early by %s", s.Event)
+		}
+		if s.Event == "presume_cold" && s.To != "cold" && s.From != "quiet" && s.From != "draining" {
+			t.Errorf("%s stays %s in doubt", s.From, s.To)
+		}
+		if s.From == "draining" && s.To != "draining" && s.To != "quiet" && s.To != "gone" {
+			t.Errorf("a draining server becomes %s by %s", s.To, s.Event)
+		}
+	})
+}
+
+// Guards against grants beside those of an earlier keeper.
+func TestNewKeeperWaitsForEarlierLeases(t *testing.T) {
+	b := newBench(t, nil, worker("w1"))
+	if n := total(b.ask(at(2.3), "x", 6, nil)); n != 0 {
+		t.Errorf("%d slots granted before the longest earlier lease has expired", n)
+	}
+	r := b.ask(at(2.4), "x", 6, nil)
+	if total(r) != 1 || !r.Grants[0].Cold || r.Epoch != 3 {
+		t.Errorf("reply %+v, want one cold slot in epoch 3", r)
+	}
+}
+
+// Guards against a handover that is lost, and against one that is trusted although the server restarted.
+func TestHandedOverServersAreWarm(t *testing.T) {
+	b := newBench(t, []keeper.Warm{{Server: "w1", Incarnation: "i1"}, {Server: "w2", Incarnation: "i1"}}, worker("w1"), worker("w2"))
+	b.shard.Probed(at(1), keeper.Probe{Server: "w1", Answered: true, Incarnation: "i1"})
+	b.shard.Probed(at(1), keeper.Probe{Server: "w2", Answered: true, Incarnation: "i2"})
+	r := b.ask(at(3), "x", 12, nil)
+	for _, g := range r.Grants {
+		if g.Cold != (g.Server == "w2") {
+			t.Errorf("grant %+v", g)
+		}
+	}
+	if warm := b.shard.Close(at(3)); len(warm) != 1 || warm[0] != (keeper.Warm{Server: "w1", Incarnation: "i1"}) {
+		t.Errorf("handed over %+v, want the warm server only", warm)
+	}
+}
+
+// Guards against a cold allowance that holds for each instance instead of for all together, also when the reply with
+// the grant was lost.
+func TestColdAllowanceIsTotal(t *testing.T) {
+	b := newBench(t, nil, worker("w1"))
+	if n := total(b.ask(at(3), "x", 1, nil)); n != 1 {
+		t.Fatalf("first instance got %d slots", n)
+	}
+	for _, s := range []float64{3, 4, 5.3} {
+		if n := total(b.ask(at(s), "y", 1, nil)); n != 0 {
+			t.Errorf("second instance got %d slots at %v s", n, s)
+		}
+	}
+	if n := total(b.ask(at(5.5), "y", 1, nil)); n != 1 {
+		t.Errorf("second instance got %d slots after the first lease had expired", n)
+	}
+}
+
+// Guards against a busy slot that is granted again when its lease has run out.
+func TestBusySlotStaysCounted(t *testing.T) {
+	b := newBench(t, nil, worker("w1"))
+	b.ask(at(3), "x", 1, nil)
+	for s := 4.0; s < 10; s++ {
+		b.ask(at(s), "x", 0, []keeper.Held{{Server: "w1", Slots: 0, Busy: 1}})
+		if n := total(b.ask(at(s), "y", 1, nil)); n != 0 {
+			t.Fatalf("busy slot granted again at %v s", s)
+		}
+	}
+}
+
+// Guards against a ramp that grows without answers, that does not double, or that goes on after a bad answer.
+func TestRampDoublesWhileAnswersComeInTime(t *testing.T) {
+	b := newBench(t, nil, worker("w1"))
+	held := func(n int) []keeper.Held { return []keeper.Held{{Server: "w1", Slots: n}} }
+	b.ask(at(2.4), "x", 6, nil)
+	steps := []struct {
+		at      float64
+		held    int
+		reports []balance.Report
+		want    int
+	}{
+		{3, 1, []balance.Report{good(1)}, 1},
+		{4.1, 1, []balance.Report{good(1)}, 2},
+		{5.2, 2, nil, 4},
+		{6.3, 4, nil, 4}, // no answer since: the ramp waits
+		{6.4, 4, []balance.Report{good(4)}, 4},
+		{7.4, 4, []balance.Report{good(4)}, 6},
+		{7.5, 6, []balance.Report{{Server: "w1", Bad: 1}}, 1},
+	}
+	for _, step := range steps {
+		if n := total(b.ask(at(step.at), "x", 6, held(step.held), step.reports...)); n != step.want {
+			t.Errorf("at %v s: %d slots, want %d", step.at, n, step.want)
+		}
+	}
+}
+
+// Guards against a doubt that leaves a server warm, and against news of an earlier run that counts as a restart.
+func TestEveryDoubtPresumesCold(t *testing.T) {
+	doubts := map[string]func(*bench){
+		"refused probe":        func(b *bench) { b.shard.Probed(at(4), keeper.Probe{Server: "w1", Refused: true}) },
+		"new incarnation":      func(b *bench) { b.shard.Probed(at(4), keeper.Probe{Server: "w1", Answered: true, Incarnation: "i2"}) },
+		"reported incarnation": func(b *bench) { b.ask(at(4), "y", 0, nil, balance.Report{Server: "w1", Incarnation: "i2", Good: 1}) },
+		"reported down":        func(b *bench) { b.ask(at(4), "y", 0, nil, balance.Report{Server: "w1", State: balance.Down}) },
+		"sudden latency": func(b *bench) {
+			b.ask(at(3.9), "y", 0, nil, good(10))
+			b.ask(at(4), "y", 0, nil, balance.Report{Server: "w1", Good: 3, Latency: 90 * time.Millisecond})
+		},
+		"other address": func(b *bench) {
+			b.shard.Update(at(4), []keeper.Server{{Name: "w1", Address: "10.0.0.9:80", Slots: 6, Cold: 1}})
+		},
+	}
+	for name, doubt := range doubts {
+		b := newBench(t, []keeper.Warm{{Server: "w1", Incarnation: "i1"}}, worker("w1"))
+		if n := total(b.ask(at(3), "x", 4, nil)); n != 4 {
+			t.Fatalf("%d slots of a warm server", n)
+		}
+		doubt(b)
+		if n := total(b.ask(at(4.1), "x", 2, []keeper.Held{{Server: "w1", Slots: 4}})); n != 1 {
+			t.Errorf("%s: %d slots, want the cold allowance", name, n)
+		}
+	}
+	b := newBench(t, []keeper.Warm{{Server: "w1", Incarnation: "i1"}}, worker("w1"))
+	b.shard.Probed(at(1), keeper.Probe{Server: "w1", Answered: true, Incarnation: "i2"})
+	b.ask(at(3), "x", 1, nil, good(1))
+	b.ask(at(3.1), "y", 0, nil, balance.Report{Server: "w1", Incarnation: "i1", State: balance.Down})
+	if n := total(b.ask(at(4.2), "x", 6, []keeper.Held{{Server: "w1", Slots: 1}}, good(1))); n != 2 {
+		t.Errorf("%d slots after stale news, want the ramp to go on", n)
+	}
+}
+
+// Guards against new work for a leaving server, and against a stale health endpoint that ends a drain.
+func TestDrainingServerGetsNothing(t *testing.T) {
+	b := newBench(t, []keeper.Warm{{Server: "w1", Incarnation: "i1"}}, worker("w1"))
+	b.ask(at(3), "y", 0, nil, balance.Report{Server: "w1", Incarnation: "i1", State: balance.Draining})
+	for s := 4.0; s < 8; s++ {
+		b.shard.Probed(at(s), keeper.Probe{Server: "w1", Answered: true, Incarnation: "i1", Said: true, State: balance.Ready})
+		if n := total(b.ask(at(s), "x", 4, nil)); n != 0 {
+			t.Fatalf("%d slots of a draining server at %v s", n, s)
+		}
+	}
+	b.shard.Probed(at(9), keeper.Probe{Server: "w1", Answered: true, Incarnation: "i2", Said: true, State: balance.Ready})
+	if n := total(b.ask(at(12), "x", 4, nil)); n != 1 {
+		t.Errorf("%d slots after the restart, want the cold allowance", n)
+	}
+}
+
+// Guards against an instance that keeps more than its part while others want slots, and against parts that starve.
+func TestSlotsAreSharedFairly(t *testing.T) {
+	b := newBench(t, []keeper.Warm{{Server: "w1"}}, worker("w1"))
+	held := map[string]int{}
+	ask := func(s float64, holder string, want int) {
+		r := b.ask(at(s), holder, want, []keeper.Held{{Server: "w1", Slots: held[holder]}})
+		held[holder] = total(r)
+	}
+	for s := 3.0; s < 4; s += 0.25 {
+		ask(s, "x", 6)
+	}
+	if held["x"] != 6 {
+		t.Fatalf("a lone instance holds %d of 6 slots", held["x"])
+	}
+	for s := 4.0; s < 6; s += 0.25 {
+		for _, h := range []string{"x", "y", "z"} {
+			ask(s, h, 6)
+		}
+	}
+	if held["x"] != 2 || held["y"] != 2 || held["z"] != 2 {
+		t.Errorf("slots %v, want 2 each", held)
+	}
+	turns := map[string]int{}
+	for s := 6.0; s < 66; s += 0.25 {
+		for _, h := range []string{"x", "y", "z", "p", "q", "r", "s", "t"} {
+			ask(s, h, 6)
+			turns[h] += held[h]
+		}
+	}
+	for _, h := range []string{"x", "y", "z", "p", "q", "r", "s", "t"} {
+		if turns[h] < 90 { // an equal part of 240 rounds of 6 slots is 180; half of it bounds the unfairness of turns
+			t.Errorf("slots by instance %v: %s starves", turns, h)
+		}
+	}
+}
+
+// Guards against a delayed request that returns slots which are in use, and against grants without authority.
+func TestLateRequestAndLostAuthorityAreRefused(t *testing.T) {
+	b := newBench(t, nil, worker("w1"))
+	x := session.Identity{Instance: "x", Incarnation: 1}
+	if _, err := b.shard.Lease(at(3), b.authority, keeper.Request{Holder: x, Sequence: 2, Want: 1}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.shard.Lease(at(3.1), b.authority, keeper.Request{Holder: x, Sequence: 1}); err == nil {
+		t.Error("a request that was overtaken changed the accounts")
+	}
+	for _, a := range []session.Authority{{Generation: 1, Until: at(3)}, {Generation: 2, Until: at(9)}} {
+		if r, err := b.shard.Lease(at(4), a, keeper.Request{Holder: x, Sequence: 3, Want: 1}); err == nil {
+			t.Errorf("authority %+v granted %+v", a, r)
+		}
+	}
+}
+
+// Guards against a reply that is used after its term, after a newer request, or from an earlier keeper.
+func TestAskerRefusesStaleReplies(t *testing.T) {
+	a := keeper.NewAsker(key, session.Identity{Instance: "x", Incarnation: 1})
+	reply := func(epoch uint64) keeper.Reply { return keeper.Reply{Epoch: epoch, Term: keeper.Term} }
+	first, _ := a.Ask(at(0), balance.Demand{Want: 1}, false)
+	a.Failed(first.Sequence)
+	second, _ := a.Ask(at(1), balance.Demand{Want: 1}, false)
+	if _, ok := a.Replied(at(1.1), at(0), first.Sequence, reply(2)); ok {
+		t.Error("used the reply to a request that was given up")
+	}
+	if l, ok := a.Replied(at(1.2), at(1), second.Sequence, reply(2)); !ok || !l.Until.Equal(at(3)) {
+		t.Errorf("leased %+v, want a term from before the request", l)
+	}
+	third, _ := a.Ask(at(2), balance.Demand{Want: 1}, false)
+	if _, ok := a.Replied(at(2.1), at(2), third.Sequence, reply(1)); ok {
+		t.Error("used the reply of an earlier keeper")
+	}
+	fourth, _ := a.Ask(at(3), balance.Demand{Want: 1}, false)
+	if _, ok := a.Replied(at(5), at(3), fourth.Sequence, reply(2)); ok {
+		t.Error("used a reply whose term was over")
+	}
+}
+
+// Guards against two instances that take one shard, and against a shard that nobody takes.
+func TestClaims(t *testing.T) {
+	live := []member.Instance{{Name: "a", Incarnation: 1}, {Name: "b", Incarnation: 1}}
+	winner, _ := member.Rendezvous(key.String(), live)
+	loser := live[0]
+	if winner.Name == "a" {
+		loser = live[1]
+	}
+	owner := func(i member.Instance, generation uint64) keeper.Owner {
+		return keeper.Owner{Identity: session.Identity{Instance: i.Name, Incarnation: i.Incarnation}, Generation: generation}
+	}
+	record := func(generation uint64, state session.State) map[string]session.Record {
+		return map[string]session.Record{loser.Name: {Generation: generation, State: state}}
+	}
+	held := keeper.Entry{Owner: owner(loser, 4), Epoch: 7}
+	released := held
+	released.Released = true
+	cases := []struct {
+		name     string
+		entry    keeper.Entry
+		self     keeper.Owner
+		sessions map[string]session.Record
+		owned    map[string]uint64
+		want     bool
+	}{
+		{"unowned, winner", keeper.Entry{}, owner(winner, 1), nil, nil, true},
+		{"unowned, loser", keeper.Entry{}, owner(loser, 1), nil, nil, false},
+		{"released", released, owner(winner, 1), nil, nil, true},
+		{"owner not seen", held, owner(winner, 1), nil, nil, false},
+		{"owner active", held, owner(winner, 1), record(4, session.Active), nil, false},
+		{"owner fenced", held, owner(winner, 1), record(4, session.Fenced), nil, true},
+		{"fence of an earlier session", held, owner(winner, 1), record(3, session.Fenced), nil, false},
+		{"owner has a later session", held, owner(winner, 1), record(5, session.Active), nil, true},
+		{"own", held, owner(loser, 4), nil, map[string]uint64{"intake": 7}, false},
+		{"own, answer lost", held, owner(loser, 4), nil, nil, true},
+	}
+	for _, c := range cases {
+		table := keeper.Table{Zone: key.Zone, Entries: map[string]keeper.Entry{"intake": c.entry}}
+		claims := table.Claims(c.self, c.owned, []string{"intake"}, live, c.sessions)
+		if (len(claims) == 1) != c.want {
+			t.Errorf("%s: claims %v", c.name, claims)
+		}
+		next := table.Take(c.self, claims).Entries["intake"]
+		if c.want && (next.Epoch != c.entry.Epoch+1 || next.Owner != c.self || next.Released) {
+			t.Errorf("%s: entry after the claim %+v", c.name, next)
+		}
+	}
+}
+
+// Guards against probes above the budget, more than one a second for one server, and servers that are never probed.
+func TestProbesStayWithinBudget(t *testing.T) {
+	p := keeper.NewProber(start, 3)
+	targets := []keeper.Target{{Key: key, Server: "1"}, {Key: key, Server: "2"}, {Key: key, Server: "3"}, {Key: key, Server: "4"}}
+	probes, last := map[string]int{}, map[string]time.Time{}
+	sum := 0
+	for s := 0.0; s < 60; s += 0.125 {
+		for _, due := range p.Due(at(s), targets) {
+			if probes[due.Server] > 0 && at(s).Sub(last[due.Server]) < time.Second {
+				t.Fatalf("server %s probed twice within a second", due.Server)
+			}
+			probes[due.Server]++
+			last[due.Server] = at(s)
+			sum++
+		}
+	}
+	if sum > 180 || sum < 170 || probes["4"] < 40 {
+		t.Errorf("%d probes in 60 s of 3 a second: %v", sum, probes)
+	}
+}
--- /dev/null
+++ b/internal/decide/keeper/prober.go
@@ -0,0 +1,59 @@
+package keeper
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ProbeEvery is the least time between two probes of one server.
+const ProbeEvery = time.Second
+
+// Prober decides which servers are probed now. It is owned by one task.
+type Prober struct {
+	perSecond int
+	// tokens are probes that may be sent now, at most those of one second.
+	tokens float64
+	filled time.Time
+	last   map[Target]time.Time
+}
+
+// Target is one server of one shard.
+type Target struct {
+	Key    Key
+	Server string
+}
+
+// NewProber returns a prober with a budget for the whole instance.
+func NewProber(now time.Time, perSecond int) *Prober {
+	return &Prober{perSecond: perSecond, filled: now, last: map[Target]time.Time{}}
+}
+
+// Due returns the targets to probe now, those that have waited longest first. Others are forgotten.
+func (p *Prober) Due(now time.Time, targets []Target) []Target {
+	p.fill(now)
+	last := make(map[Target]time.Time, len(targets))
+	var due []Target
+	for _, t := range targets {
+		last[t] = p.last[t]
+		if now.Sub(last[t]) >= ProbeEvery {
+			due = append(due, t)
+		}
+	}
+	p.last = last
+	slices.SortStableFunc(due, func(a, b Target) int {
+		return cmp.Or(last[a].Compare(last[b]), cmp.Compare(a.Key.String(), b.Key.String()), cmp.Compare(a.Server, b.Server))
+	})
+	due = due[:min(len(due), int(p.tokens))]
+	for _, t := range due {
+		last[t] = now
+	}
+	p.tokens -= float64(len(due))
+	return due
+}
+
+func (p *Prober) fill(now time.Time) {
+	budget := float64(p.perSecond)
+	p.tokens = min(budget, p.tokens+budget*now.Sub(p.filled).Seconds())
+	p.filled = now
+}
