Add the tasks that hold sessions, keep shards and lease slots

The session task renews the session and answers witnesses, the keeper task takes shards, probes their servers and answers lease requests, and the holder task asks keepers for what the service tasks need. Lease requests carry a sequence and witness requests the incarnation of the witness, because a request that was overtaken, or that reaches a restarted witness, must not be believed.

--- a/internal/backend/codec.go
+++ b/internal/backend/codec.go
@@ -89,7 +89,8 @@
 
 // readServerState reads what the server says about itself. Malformed values are passed over.
 func readServerState(result *Result, header http.Header) {
-	result.Draining = header.Get(HeaderState) == "draining"
+	result.State = header.Get(HeaderState)
+	result.Draining = result.State == "draining"
 	result.Incarnation = header.Get(HeaderIncarnation)
 	running, slots, ok := strings.Cut(header.Get(HeaderLoad), "/")
 	if !ok {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -46,8 +46,9 @@
 	Err error
 	// Refused is true when no connection could be opened.
 	Refused bool
-	// Draining, Incarnation, Running and Slots are what the server said about itself.
+	// Draining, State, Incarnation, Running and Slots are what the server said about itself.
 	Draining    bool
+	State       string
 	Incarnation string
 	Running     int
 	Slots       int
--- a/internal/decide/keeper/asker.go
+++ b/internal/decide/keeper/asker.go
@@ -43,6 +43,9 @@
 	}
 }
 
+// Rest waits for the next regular exchange, because nobody can be asked now.
+func (a *Asker) Rest(now time.Time) { a.next = now.Add(KeepEvery) }
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -76,7 +79,7 @@
 		return balance.Leased{}, false
 	}
 	a.asking = false
-	until := sent.Add(r.Term)
+	until := sent.Add(min(r.Term, Term))
 	if r.Epoch < a.epoch || !now.Before(until) {
 		return balance.Leased{}, false
 	}
--- a/internal/decide/keeper/history_test.go
+++ b/internal/decide/keeper/history_test.go
@@ -205,15 +205,17 @@
 		"holder ignores its term":     {holderIgnoresTerm: true},
 		"overtaken requests accepted": {reordered: true},
 	} {
-		caught := 0
-		for seed := range uint64(seeds) {
-			if run(t, bound, seed, f) != nil {
-				caught++
-			}
+		if !caught(t, bound, f) {
+			t.Errorf("%s: not caught in %d histories", name, seeds)
 		}
-		t.Logf("%s: caught in %d of %d histories", name, caught, seeds)
-		if caught == 0 {
-			t.Errorf("%s: not caught", name)
+	}
+}
+
+func caught(t *testing.T, bound *keeper.Chart, f faults) bool {
+	for seed := range uint64(seeds) {
+		if run(t, bound, seed, f) != nil {
+			return true
 		}
 	}
+	return false
 }
--- a/internal/decide/keeper/table.go
+++ b/internal/decide/keeper/table.go
@@ -97,6 +97,16 @@
 	return next
 }
 
+// Holds reports whether the owner still has one of the services.
+func (t Table) Holds(self Owner, services map[string][]Warm) bool {
+	for service := range services {
+		if e := t.Entries[service]; e.Owner == self && !e.Released {
+			return true
+		}
+	}
+	return false
+}
+
 func (t Table) copy() Table {
 	entries := make(map[string]Entry, len(t.Entries)+1)
 	maps.Copy(entries, t.Entries)
--- /dev/null
+++ b/internal/node/errands.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+// errands are calls that a task makes without waiting for them. Each runs in its own goroutine and comes back as an
+// errandDone in the task's mailbox. The task ends after all of them have.
+type errands struct {
+	inbox *task.Mailbox[any]
+	open  int
+}
+
+// errandDone carries what an errand found. The task passes it to done and handles the message.
+type errandDone struct{ message any }
+
+// start runs a call with a time limit.
+func (e *errands) start(ctx context.Context, limit time.Duration, call func(ctx context.Context) any) {
+	e.open++
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		_ = e.inbox.Send(context.Background(), errandDone{message: call(callCtx)}) // a background context never ends
+	}()
+}
+
+func (e *errands) done(m errandDone) any {
+	e.open--
+	return m.message
+}
+
+// askUntil is task.Ask for a task that may end before it answers. A full mailbox refuses the question.
+func askUntil[M, R any](ctx context.Context, ended <-chan struct{}, inbox *task.Mailbox[M], build func(reply chan<- R) M) (R, error) {
+	reply := make(chan R, 1)
+	var zero R
+	if err := inbox.Offer(build(reply)); err != nil {
+		return zero, err
+	}
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	case <-ended:
+		return zero, fault.New(fault.Stopping, "ask another instance", "the task has ended")
+	}
+}
--- /dev/null
+++ b/internal/node/holder.go
@@ -0,0 +1,381 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/decide/keeper"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/decide/session"
+	"fuchsiahub.example/fuchsiahub/internal/peer"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+const (
+	// holderCapacity bounds the messages that wait at the holder task.
+	holderCapacity = 1024
+	// demandTimeout bounds the question to the own service task and the delivery of a lease to it.
+	demandTimeout = 250 * time.Millisecond
+	// leaseTimeout bounds one exchange with a keeper; two fit into a term.
+	leaseTimeout = 500 * time.Millisecond
+	// holderSync is how often the list of shards is compared with the documents.
+	holderSync = time.Second
+)
+
+// LeaseTaker is what the holder task needs of the task of a service. Service implements it.
+type LeaseTaker interface {
+	// Demand returns what the service needs of the shard in a zone. What it does not hold is given up: the service
+	// uses it no more, whether or not the keeper learns of it.
+	Demand(ctx context.Context, zone string) (balance.Demand, error)
+	// Lease brings the keeper's grants into force. They replace all earlier ones of the zone.
+	Lease(ctx context.Context, leased balance.Leased) error
+	// Notice passes on a change that the keeper saw of a server.
+	Notice(ctx context.Context, notice balance.Notice) error
+	// Short has a signal when the keepers are to be asked now.
+	Short() <-chan struct{}
+}
+
+// HolderConfig is what a holder task needs.
+type HolderConfig struct {
+	Self  member.Instance
+	Peers peer.Caller
+	// Own answers lease requests when this instance is the keeper.
+	Own func(ctx context.Context, in *peerpb.LeaseRequest) (*peerpb.LeaseReply, error)
+	// Owners returns which instance keeps each shard, as far as known.
+	Owners func() map[keeper.Key]string
+	View   func() *member.View
+	// Docs returns the documents in force; nil while there are none.
+	Docs func() *Documents
+	// Service returns the task of a service, and false when it is not served here.
+	Service func(name string) (LeaseTaker, bool)
+	Log     *slog.Logger
+}
+
+// Holder is the task that asks the keepers for the slots that the service tasks of this instance need.
+type Holder struct {
+	HolderConfig
+	id    session.Identity
+	inbox *task.Mailbox[any]
+	ended chan struct{}
+	errands
+
+	docs    *Documents
+	askers  map[keeper.Key]*asker
+	signals map[string]*signal
+	// hints are owners that other instances named, for shards whose owner is not known here.
+	hints   map[keeper.Key]string
+	leaving bool
+}
+
+// asker is one shard and what the service task was told of its servers.
+type asker struct {
+	*keeper.Asker
+	told map[string]balance.Notice
+	// busy is true while the service task is asked or told something. A demand that overtakes the delivery of a lease
+	// would tell the keeper that the lease is not held.
+	busy bool
+}
+
+// signal is the errand that waits for a service that is short of slots.
+type signal struct {
+	taker LeaseTaker
+	stop  context.CancelFunc
+}
+
+// Messages to a holder task.
+type (
+	shortOf struct {
+		service string
+		taker   LeaseTaker
+	}
+	demanded struct {
+		key    keeper.Key
+		demand balance.Demand
+		err    error
+	}
+	leaseReplied struct {
+		key  keeper.Key
+		sent time.Time
+		// to is the instance that was asked.
+		to       string
+		sequence uint64
+		out      *peerpb.LeaseReply
+		err      error
+	}
+	delivered struct {
+		key keeper.Key
+		err error
+	}
+	leaveLeases struct{}
+)
+
+// NewHolder returns the task. Run starts it.
+func NewHolder(config HolderConfig) *Holder {
+	h := &Holder{
+		HolderConfig: config, id: session.Identity{Instance: config.Self.Name, Incarnation: config.Self.Incarnation},
+		inbox: task.NewMailbox[any]("holder", holderCapacity), ended: make(chan struct{}),
+		askers: map[keeper.Key]*asker{}, signals: map[string]*signal{}, hints: map[keeper.Key]string{},
+	}
+	h.errands.inbox = h.inbox
+	return h
+}
+
+// Leave gives back every slot that is not busy. The task goes on renewing the busy ones until its context ends.
+func (h *Holder) Leave(ctx context.Context) error { return h.inbox.Send(ctx, leaveLeases{}) }
+
+// Run is the body of the holder's task. It ends after the context has ended and all calls have.
+func (h *Holder) Run(ctx context.Context) error {
+	defer close(h.ended)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	sync := time.NewTicker(holderSync)
+	defer sync.Stop()
+	h.sync(ctx)
+	done := ctx.Done()
+	for done != nil || h.open > 0 {
+		select {
+		case m := <-h.inbox.C():
+			h.handle(ctx, time.Now(), m)
+		case <-sync.C:
+			h.sync(ctx)
+		case <-timer.C:
+		case <-done:
+			done = nil
+		}
+		if done != nil {
+			timer.Reset(h.work(ctx, time.Now()))
+		}
+	}
+	return nil
+}
+
+// sync brings the shards and services of the documents in force into the task.
+func (h *Holder) sync(ctx context.Context) {
+	docs := h.Docs()
+	if docs == nil || ctx.Err() != nil {
+		return
+	}
+	for name := range docs.Services {
+		h.listen(ctx, name)
+	}
+	if docs == h.docs {
+		return
+	}
+	h.docs = docs
+	wanted := map[keeper.Key]bool{}
+	for name, doc := range docs.Services {
+		for _, server := range docs.servers(doc) {
+			key := keeper.Key{Service: name, Zone: server.Zone}
+			wanted[key] = true
+			if h.askers[key] == nil {
+				h.askers[key] = &asker{Asker: keeper.NewAsker(key, h.id), told: map[string]balance.Notice{}}
+			}
+		}
+	}
+	for key := range h.askers {
+		if !wanted[key] {
+			delete(h.askers, key)
+		}
+	}
+	for name, s := range h.signals {
+		if docs.Services[name] == nil {
+			s.stop()
+			delete(h.signals, name)
+		}
+	}
+}
+
+// listen waits for signals of a service that is short of slots. A service that was replaced is listened to anew.
+func (h *Holder) listen(ctx context.Context, name string) {
+	taker, ok := h.Service(name)
+	known := h.signals[name]
+	if !ok || known != nil && known.taker == taker {
+		return
+	}
+	if known != nil {
+		known.stop()
+	}
+	signalCtx, stop := context.WithCancel(ctx)
+	h.signals[name] = &signal{taker: taker, stop: stop}
+	h.open++
+	go func() {
+		defer stop()
+		for {
+			select {
+			case <-taker.Short():
+				_ = h.inbox.Send(signalCtx, shortOf{service: name, taker: taker}) // an error means that the loop ends
+			case <-signalCtx.Done():
+				_ = h.inbox.Send(context.Background(), errandDone{}) // a background context never ends
+				return
+			}
+		}
+	}()
+}
+
+func (h *Holder) handle(ctx context.Context, now time.Time, m any) {
+	switch m := m.(type) {
+	case errandDone:
+		h.handle(ctx, now, h.done(m))
+	case shortOf:
+		h.nudge(now, func(key keeper.Key) bool { return key.Service == m.service })
+	case demanded:
+		h.demanded(ctx, now, m)
+	case leaseReplied:
+		h.replied(ctx, now, m)
+	case delivered:
+		h.delivered(m)
+	case leaveLeases:
+		h.leaving = true
+		h.nudge(now, func(keeper.Key) bool { return true })
+	}
+}
+
+func (h *Holder) nudge(now time.Time, which func(keeper.Key) bool) {
+	for key, a := range h.askers {
+		if which(key) {
+			a.Nudge(now)
+		}
+	}
+}
+
+// work asks the services whose shards are due and returns when the next one is.
+func (h *Holder) work(ctx context.Context, now time.Time) time.Duration {
+	wake := now.Add(holderSync)
+	for key, a := range h.askers {
+		due, free := a.Due()
+		if !free || a.busy {
+			continue
+		}
+		if due.After(now) {
+			if due.Before(wake) {
+				wake = due
+			}
+			continue
+		}
+		h.askService(ctx, now, key, a)
+	}
+	return wake.Sub(now)
+}
+
+// askService asks a service task what it needs of a shard.
+func (h *Holder) askService(ctx context.Context, now time.Time, key keeper.Key, a *asker) {
+	taker, ok := h.Service(key.Service)
+	if !ok {
+		a.Rest(now)
+		return
+	}
+	a.busy = true
+	h.start(ctx, demandTimeout, func(ctx context.Context) any {
+		d, err := taker.Demand(ctx, key.Zone)
+		return demanded{key: key, demand: d, err: err}
+	})
+}
+
+// demanded sends what a service needs to the keeper of the shard.
+func (h *Holder) demanded(ctx context.Context, now time.Time, m demanded) {
+	a := h.askers[m.key]
+	if a == nil {
+		return
+	}
+	a.busy = false
+	to, known := h.owner(m.key)
+	if m.err != nil || !known {
+		a.Rest(now)
+		return
+	}
+	req, ok := a.Ask(now, m.demand, h.leaving)
+	if !ok {
+		return
+	}
+	in := leaseRequest(h.Self, m.key, req)
+	h.start(ctx, leaseTimeout, func(ctx context.Context) any {
+		reply := leaseReplied{key: m.key, sent: now, to: to, sequence: req.Sequence}
+		if to == h.id.Instance {
+			reply.out, reply.err = h.Own(ctx, in)
+		} else {
+			reply.out, reply.err = h.Peers.Lease(ctx, to, in)
+		}
+		return reply
+	})
+}
+
+// owner returns which instance to ask for a shard: its keeper or, while that is not known, the one that would take the
+// shard, since it may know.
+func (h *Holder) owner(key keeper.Key) (string, bool) {
+	if name, ok := h.Owners()[key]; ok {
+		return name, true
+	}
+	if name, ok := h.hints[key]; ok {
+		return name, true
+	}
+	region := h.docs.Fleet.RegionOf(key.Zone)
+	first, ok := member.Rendezvous(key.String(), h.View().In(region))
+	return first.Name, ok
+}
+
+// replied takes the keeper's answer. Without a usable one the leases run out and the service falls back.
+func (h *Holder) replied(ctx context.Context, now time.Time, m leaseReplied) {
+	a := h.askers[m.key]
+	if a == nil {
+		return
+	}
+	delete(h.hints, m.key)
+	if m.err == nil && m.out.GetNotKeeper() && m.out.GetKeeper() != "" && m.out.GetKeeper() != m.to {
+		h.hints[m.key] = m.out.GetKeeper()
+	}
+	if m.err != nil || m.out.GetNotKeeper() {
+		a.Failed(m.sequence)
+		return
+	}
+	reply, err := readLeaseReply(m.key, m.out)
+	if err != nil {
+		h.Log.Warn("lease reply refused", "keeper", m.to, "error", err)
+		a.Failed(m.sequence)
+		return
+	}
+	leased, ok := a.Replied(now, m.sent, m.sequence, reply)
+	if taker, served := h.Service(m.key.Service); served && ok {
+		a.busy = true
+		h.deliver(ctx, taker, m.key, leased, a.news(reply.Servers))
+	}
+}
+
+// deliver passes a lease and news of servers on to the service task.
+func (h *Holder) deliver(ctx context.Context, taker LeaseTaker, key keeper.Key, leased balance.Leased, news []balance.Notice) {
+	h.start(ctx, demandTimeout, func(ctx context.Context) any {
+		for _, n := range news {
+			if err := taker.Notice(ctx, n); err != nil {
+				return delivered{key: key, err: err}
+			}
+		}
+		return delivered{key: key, err: taker.Lease(ctx, leased)}
+	})
+}
+
+func (h *Holder) delivered(m delivered) {
+	a := h.askers[m.key]
+	if a == nil {
+		return
+	}
+	a.busy = false
+	if m.err != nil {
+		h.Log.Warn("service did not take a lease", "shard", m.key.String(), "error", m.err)
+		clear(a.told) // the next reply tells everything again
+	}
+}
+
+// news returns what the service task has not been told of the servers.
+func (a *asker) news(servers []balance.Report) []balance.Notice {
+	var list []balance.Notice
+	for _, s := range servers {
+		n := balance.Notice{Server: s.Server, Incarnation: s.Incarnation, State: s.State}
+		if a.told[s.Server] != n {
+			a.told[s.Server] = n
+			list = append(list, n)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/node/keeper.go
@@ -0,0 +1,288 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/decide/keeper"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/decide/session"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+const (
+	// keeperCapacity bounds the messages that wait at the keeper task. Lease requests are refused when it is full;
+	// holders ask again.
+	keeperCapacity = 1024
+	// keeperTurn is how often shards are taken and probes are sent.
+	keeperTurn = 250 * time.Millisecond
+	// handoverAge is how old the knowledge of a previous keeper may be. A server that got no work for longer may
+	// have become cold.
+	handoverAge = 10 * time.Second
+)
+
+// Standing says what the own session allows and what is known of the sessions of others. Session implements it.
+type Standing interface {
+	Authority() session.Authority
+	Seen() map[string]session.Record
+	Look(owners []session.Identity)
+}
+
+// KeeperConfig is what a keeper task needs.
+type KeeperConfig struct {
+	Self member.Instance
+	API  objectapi.API
+	View func() *member.View
+	// Docs returns the documents in force; nil while there are none.
+	Docs     func() *Documents
+	Standing Standing
+	Dial     backend.Dialer
+	// ProbesPerSecond is the budget of this instance for probes. Zero means no probes.
+	ProbesPerSecond int
+	Log             *slog.Logger
+}
+
+// Keeper is the task that takes shards, probes their servers and leases their slots.
+type Keeper struct {
+	KeeperConfig
+	id    session.Identity
+	inbox *task.Mailbox[any]
+	ended chan struct{}
+	errands
+
+	docs *Documents
+	// specs are the servers of each shard of the own region.
+	specs  map[keeper.Key]shardSpec
+	shards map[keeper.Key]*keeper.Shard
+	tables tables
+	prober *keeper.Prober
+	probes map[keeper.Target]*probePool
+	// leaving is true once shards are handed over; warm is what goes with them.
+	leaving bool
+	warm    map[string]map[string][]keeper.Warm
+	leavers []chan<- struct{}
+
+	owners atomic.Pointer[map[keeper.Key]string]
+}
+
+// shardSpec is what documents say about one shard.
+type shardSpec struct {
+	doc     *document.Service
+	servers []keeper.Server
+}
+
+// Messages to a keeper task.
+type (
+	leaseAsked struct {
+		in    *peerpb.LeaseRequest
+		reply chan<- leaseAnswer
+	}
+	leaseAnswer struct {
+		out *peerpb.LeaseReply
+		err error
+	}
+	leaveShards struct{ reply chan<- struct{} }
+)
+
+// NewKeeper returns the task. Run starts it.
+func NewKeeper(config KeeperConfig) *Keeper {
+	k := &Keeper{
+		KeeperConfig: config, id: session.Identity{Instance: config.Self.Name, Incarnation: config.Self.Incarnation},
+		inbox: task.NewMailbox[any]("keeper", keeperCapacity), ended: make(chan struct{}),
+		specs: map[keeper.Key]shardSpec{}, shards: map[keeper.Key]*keeper.Shard{}, tables: newTables(),
+		prober: keeper.NewProber(time.Now(), config.ProbesPerSecond), probes: map[keeper.Target]*probePool{},
+	}
+	k.errands.inbox = k.inbox
+	k.owners.Store(&map[keeper.Key]string{})
+	return k
+}
+
+// Owners returns which instance keeps each shard, as far as known. The map must not be changed.
+func (k *Keeper) Owners() map[keeper.Key]string { return *k.owners.Load() }
+
+// Lease answers the Lease message of a peer or of the own holder task.
+func (k *Keeper) Lease(ctx context.Context, in *peerpb.LeaseRequest) (*peerpb.LeaseReply, error) {
+	answer, err := askUntil(ctx, k.ended, k.inbox, func(reply chan<- leaseAnswer) any { return leaseAsked{in: in, reply: reply} })
+	if err != nil {
+		return nil, err
+	}
+	return answer.out, answer.err
+}
+
+// Leave ends all granting at once and returns when the shards are handed over in the object API.
+func (k *Keeper) Leave(ctx context.Context) error {
+	_, err := task.Ask(ctx, k.inbox, func(reply chan<- struct{}) any { return leaveShards{reply: reply} })
+	return err
+}
+
+// Run is the body of the keeper's task. It ends after the context has ended and all calls and probes have.
+func (k *Keeper) Run(ctx context.Context) error {
+	defer close(k.ended)
+	k.watch(ctx)
+	ticker := time.NewTicker(keeperTurn)
+	defer ticker.Stop()
+	done := ctx.Done()
+	for done != nil || k.open > 0 {
+		select {
+		case m := <-k.inbox.C():
+			k.handle(ctx, time.Now(), m)
+		case <-ticker.C:
+			if done != nil {
+				k.turn(ctx, time.Now())
+			}
+		case <-done:
+			done = nil
+			k.stopProbes()
+		}
+	}
+	return nil
+}
+
+func (k *Keeper) handle(ctx context.Context, now time.Time, m any) {
+	switch m := m.(type) {
+	case errandDone:
+		k.handle(ctx, now, k.done(m))
+	case leaseAsked:
+		out, err := k.lease(now, m.in)
+		m.reply <- leaseAnswer{out: out, err: err}
+	case leaveShards:
+		k.leavers = append(k.leavers, m.reply)
+		k.handOver(now)
+	case tablesRead:
+		k.tablesRead(now, m)
+	case tableWritten:
+		k.tableWritten(ctx, now, m)
+	case tableReadBack:
+		k.tableReadBack(now, m)
+	case probed:
+		k.probed(now, m)
+	}
+}
+
+// turn does what is due.
+func (k *Keeper) turn(ctx context.Context, now time.Time) {
+	k.syncDocuments(now)
+	k.dropLost()
+	k.claim(ctx, now)
+	k.probe(ctx, now)
+	k.Standing.Look(k.tables.owners())
+}
+
+// syncDocuments brings the servers of documents into force.
+func (k *Keeper) syncDocuments(now time.Time) {
+	docs := k.Docs()
+	if docs == nil || docs == k.docs {
+		return
+	}
+	k.docs = docs
+	k.specs = shardSpecs(docs, k.Self.Region)
+	for key, shard := range k.shards {
+		spec, ok := k.specs[key]
+		if !ok {
+			delete(k.shards, key) // the entry stays, so that the epoch goes on when the shard returns
+			continue
+		}
+		shard.Update(now, spec.servers)
+	}
+}
+
+// shardSpecs lists the shards of a region.
+func shardSpecs(docs *Documents, region string) map[keeper.Key]shardSpec {
+	specs := map[keeper.Key]shardSpec{}
+	for name, doc := range docs.Services {
+		for _, server := range docs.servers(doc) {
+			if docs.Fleet.RegionOf(server.Zone) != region {
+				continue
+			}
+			key := keeper.Key{Service: name, Zone: server.Zone}
+			spec := specs[key]
+			spec.doc = doc
+			spec.servers = append(spec.servers, keeper.Server{
+				Name: server.Name, Address: server.Address, Slots: doc.SlotsOf(server), Cold: doc.Servers.ColdAllowance,
+			})
+			specs[key] = spec
+		}
+	}
+	return specs
+}
+
+// dropLost forgets shards that were taken under a session that has ended.
+func (k *Keeper) dropLost() {
+	generation := k.Standing.Authority().Generation
+	for key, shard := range k.shards {
+		if shard.Entry().Generation != generation {
+			delete(k.shards, key)
+		}
+	}
+}
+
+// keep starts to keep a shard that was taken. Knowledge of the previous keeper counts only while it is fresh.
+func (k *Keeper) keep(now time.Time, key keeper.Key, entry keeper.Entry, warm []keeper.Warm) {
+	spec, ok := k.specs[key]
+	if !ok {
+		return
+	}
+	ch, err := charts.Load("lease", charts.Params{"lease_term": keeper.Quiet, "warm_up_step": spec.doc.Servers.WarmUpStep})
+	if err != nil {
+		k.Log.Error("shard cannot be kept", "shard", key.String(), "error", err)
+		return
+	}
+	bound, err := keeper.Bind(ch)
+	if err != nil {
+		k.Log.Error("shard cannot be kept", "shard", key.String(), "error", err)
+		return
+	}
+	k.Log.Info("keeping a shard", "shard", key.String(), "epoch", entry.Epoch, "handed_over", len(warm))
+	k.shards[key] = keeper.NewShard(bound, now, key, entry, spec.servers, warm)
+}
+
+// lease answers one request.
+func (k *Keeper) lease(now time.Time, in *peerpb.LeaseRequest) (*peerpb.LeaseReply, error) {
+	key, req, err := readLeaseRequest(in)
+	if err != nil {
+		return nil, err
+	}
+	shard, ok := k.shards[key]
+	if !ok {
+		return k.notKeeper(key), nil
+	}
+	reply, err := shard.Lease(now, k.Standing.Authority(), req)
+	if fault.Is(err, fault.Stopping) {
+		return k.notKeeper(key), nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return leaseReply(reply), nil
+}
+
+func (k *Keeper) notKeeper(key keeper.Key) *peerpb.LeaseReply {
+	owner := k.Owners()[key]
+	if owner == k.id.Instance {
+		owner = ""
+	}
+	return &peerpb.LeaseReply{NotKeeper: true, Keeper: owner}
+}
+
+// handOver ends all granting and collects what the next keepers should know.
+func (k *Keeper) handOver(now time.Time) {
+	if k.leaving {
+		return
+	}
+	k.leaving = true
+	k.warm = map[string]map[string][]keeper.Warm{}
+	for key, shard := range k.shards {
+		if k.warm[key.Zone] == nil {
+			k.warm[key.Zone] = map[string][]keeper.Warm{}
+		}
+		k.warm[key.Zone][key.Service] = shard.Close(now)
+	}
+}
--- /dev/null
+++ b/internal/node/keeperprobes.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/decide/keeper"
+)
+
+// probePool is the connection over which one server is probed.
+type probePool struct {
+	*backend.Pool
+	address string
+	stop    context.CancelFunc
+}
+
+// probed tells the keeper task what a probe showed.
+type probed struct {
+	key    keeper.Key
+	result keeper.Probe
+}
+
+// probe sends the probes that are due and keeps one connection to each server of the own shards.
+func (k *Keeper) probe(ctx context.Context, now time.Time) {
+	targets := k.syncProbes(ctx)
+	for _, target := range k.prober.Due(now, targets) {
+		pool, path := k.probes[target].Pool, k.specs[target.Key].doc.Servers.ProbePath
+		k.start(ctx, backend.ProbeTimeout, func(ctx context.Context) any {
+			return probed{key: target.Key, result: probeOf(target.Server, backend.Probe(ctx, pool, target.Key.Service, path))}
+		})
+	}
+}
+
+// syncProbes starts and stops connections and returns the servers that can be probed.
+func (k *Keeper) syncProbes(ctx context.Context) []keeper.Target {
+	var targets []keeper.Target
+	wanted := map[keeper.Target]string{}
+	for key := range k.shards {
+		for _, server := range k.specs[key].servers {
+			wanted[keeper.Target{Key: key, Server: server.Name}] = server.Address
+		}
+	}
+	for target, p := range k.probes {
+		if wanted[target] != p.address {
+			p.stop()
+			delete(k.probes, target)
+		}
+	}
+	for target, address := range wanted {
+		if k.probes[target] != nil || k.startProbes(ctx, target, address) {
+			targets = append(targets, target)
+		}
+	}
+	return targets
+}
+
+func (k *Keeper) startProbes(ctx context.Context, target keeper.Target, address string) bool {
+	pool, err := backend.NewPool(address, k.Dial, backend.Resize{Limit: 1})
+	if err != nil {
+		k.Log.Error("backend server cannot be probed", "shard", target.Key.String(), "server", target.Server, "error", err)
+		return false
+	}
+	poolCtx, stop := context.WithCancel(ctx)
+	k.probes[target] = &probePool{Pool: pool, address: address, stop: stop}
+	k.open++
+	go func() {
+		_ = pool.Run(poolCtx) // Run has no error to report
+		stop()
+		_ = k.inbox.Send(context.Background(), errandDone{}) // a background context never ends
+	}()
+	return true
+}
+
+func (k *Keeper) stopProbes() {
+	for _, p := range k.probes {
+		p.stop()
+	}
+}
+
+func (k *Keeper) probed(now time.Time, m probed) {
+	if shard, ok := k.shards[m.key]; ok {
+		shard.Probed(now, m.result)
+	}
+}
+
+// probeOf names what a server said in the terms of the keeper. A state that is not known counts as not said.
+func probeOf(server string, r backend.ProbeResult) keeper.Probe {
+	p := keeper.Probe{
+		Server: server, Refused: r.Refused, Answered: r.Answered, Incarnation: r.Incarnation, Running: r.Running, Slots: r.Slots, Said: true,
+	}
+	switch r.State {
+	case "ready":
+		p.State = balance.Ready
+	case "cold":
+		p.State = balance.Cold
+	case "draining":
+		p.State = balance.Draining
+	default:
+		p.Said = false
+	}
+	return p
+}
