--- a/charts/params.go
+++ b/charts/params.go
@@ -10,6 +10,7 @@
 		"dead_kept":     time.Hour,
 		"left_kept":     time.Minute,
 		"session_term":  10 * time.Second,
+		"witness_term":  2 * time.Second,
 		"lease_term":    2 * time.Second,
 		"eject_time":    5 * time.Second,
 		"warm_up_step":  1 * time.Second,
