Decide once-only claims in partitions

Cause: once-only routes had a policy but nothing that kept a request from running twice. Adds the charts of a claim and of a partition, the pure code that runs them, and the binary form of the objects. chart.Resume runs one event on a recorded state, because a machine for each kept claim would not fit into the memory of a node. Not wired yet.

--- a/charts/params.go
+++ b/charts/params.go
@@ -15,5 +15,13 @@
 		"idle_limit":    60 * time.Second,
 		"zone_quiet":    3 * time.Second,
 		"strike_expiry": 10 * time.Minute,
+		// The time in which a server that broke a connection must refuse another one, or report a new start, for the
+		// break to count as a crash.
+		"confirm_within": 30 * time.Second,
+		// 200 writes a second divided over 4 partitions.
+		"commit_interval": 20 * time.Millisecond,
+		"settle_delay":    time.Second,
+		"store_retry":     time.Second,
+		"takeover_pause":  time.Second,
 	}
 }
--- /dev/null
+++ b/internal/claimobject/read.go
@@ -0,0 +1,121 @@
+package claimobject
+
+import (
+	"encoding/binary"
+
+	"fuchsiahub.example/fuchsiahub/internal/decide/once"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+// ReadHead reads the value of a partition's head.
+func ReadHead(value []byte) (*once.Head, error) {
+	r := &reader{rest: value}
+	r.format()
+	h := &once.Head{Owner: r.holder(), Sequence: r.number(), Clock: r.number()}
+	for n := r.count(minSegmentBytes); n > 0; n-- {
+		h.Segments = append(h.Segments, once.SegmentRef{Number: r.number(), Expires: r.number()})
+	}
+	h.Entries = r.entries()
+	return h, r.end()
+}
+
+// ReadSegment reads the value of a sealed segment.
+func ReadSegment(value []byte) ([]once.Entry, error) {
+	r := &reader{rest: value}
+	r.format()
+	entries := r.entries()
+	return entries, r.end()
+}
+
+// Least sizes in bytes, by which counts are checked before memory is reserved.
+const (
+	minSegmentBytes = 2
+	minHolderBytes  = 2
+	minEntryBytes   = 28
+)
+
+// reader remembers the first fault; after it, all values are zero.
+type reader struct {
+	rest []byte
+	bad  bool
+}
+
+func (r *reader) end() error {
+	if r.bad || len(r.rest) > 0 {
+		return fault.New(fault.Invalid, "check what else writes objects of kind claims", "claims object is malformed")
+	}
+	return nil
+}
+
+func (r *reader) format() {
+	if b := r.bytes(1); len(b) == 1 && b[0] != Format {
+		r.bad = true
+	}
+}
+
+func (r *reader) bytes(n int) []byte {
+	if r.bad || n < 0 || n > len(r.rest) {
+		r.bad = true
+		return nil
+	}
+	b := r.rest[:n]
+	r.rest = r.rest[n:]
+	return b
+}
+
+func (r *reader) number() uint64 {
+	if r.bad {
+		return 0
+	}
+	n, size := binary.Uvarint(r.rest)
+	if size <= 0 {
+		r.bad = true
+		return 0
+	}
+	r.rest = r.rest[size:]
+	return n
+}
+
+// count reads a number of items that take at least the given bytes each.
+func (r *reader) count(least int) int {
+	n := r.number()
+	if n > uint64(len(r.rest)/least) {
+		r.bad = true
+		return 0
+	}
+	return int(n)
+}
+
+func (r *reader) holder() once.Holder {
+	length := r.count(1)
+	return once.Holder{Instance: string(r.bytes(length)), Incarnation: r.number()}
+}
+
+func (r *reader) entries() []once.Entry {
+	var holders []once.Holder
+	for n := r.count(minHolderBytes); n > 0; n-- {
+		holders = append(holders, r.holder())
+	}
+	base := r.number()
+	list := make([]once.Entry, r.count(minEntryBytes))
+	for i := range list {
+		r.entry(&list[i], holders, base)
+	}
+	return list
+}
+
+func (r *reader) entry(e *once.Entry, holders []once.Holder, base uint64) {
+	copy(e.Digest[:], r.bytes(len(e.Digest)))
+	copy(e.Check[:], r.bytes(len(e.Check)))
+	if b := r.bytes(1); len(b) == 1 {
+		e.State = once.StoredState(b[0])
+	}
+	holder := r.number()
+	e.Attempt = r.number()
+	e.Expires = base + r.number()
+	if holder >= uint64(len(holders)) {
+		r.bad = true
+		return
+	}
+	e.Holder = holders[holder]
+}
--- /dev/null
+++ b/internal/claimobject/write.go
@@ -0,0 +1,92 @@
+package claimobject
+
+import (
+	"encoding/binary"
+
+	"fuchsiahub.example/fuchsiahub/internal/decide/once"
+)
+
+// Format is the first byte of every object.
+const Format = 1
+
+// Head returns the value of a partition's head.
+func Head(h *once.Head) []byte {
+	w := &writer{}
+	w.buf = append(w.buf, Format)
+	w.holder(h.Owner)
+	w.number(h.Sequence)
+	w.number(h.Clock)
+	w.number(uint64(len(h.Segments)))
+	for _, s := range h.Segments {
+		w.number(s.Number)
+		w.number(s.Expires)
+	}
+	w.entries(h.Entries)
+	return w.buf
+}
+
+// Segment returns the value of a sealed segment.
+func Segment(entries []once.Entry) []byte {
+	w := &writer{}
+	w.buf = append(w.buf, Format)
+	w.entries(entries)
+	return w.buf
+}
+
+type writer struct{ buf []byte }
+
+func (w *writer) number(n uint64) { w.buf = binary.AppendUvarint(w.buf, n) }
+
+func (w *writer) holder(h once.Holder) {
+	w.number(uint64(len(h.Instance)))
+	w.buf = append(w.buf, h.Instance...)
+	w.number(h.Incarnation)
+}
+
+// entries writes each holder once and refers to it by number. Expiry is written as the distance from the earliest.
+func (w *writer) entries(list []once.Entry) {
+	holders, indexOf := holdersOf(list)
+	w.number(uint64(len(holders)))
+	for _, h := range holders {
+		w.holder(h)
+	}
+	base := earliest(list)
+	w.number(base)
+	w.number(uint64(len(list)))
+	w.buf = append(make([]byte, 0, len(w.buf)+len(list)*entryEstimateBytes), w.buf...)
+	for i := range list {
+		e := &list[i]
+		w.buf = append(w.buf, e.Digest[:]...)
+		w.buf = append(w.buf, e.Check[:]...)
+		w.buf = append(w.buf, byte(e.State))
+		w.number(uint64(indexOf[e.Holder]))
+		w.number(e.Attempt)
+		w.number(e.Expires - base)
+	}
+}
+
+// entryEstimateBytes is the room that is reserved for each entry.
+const entryEstimateBytes = 34
+
+func holdersOf(list []once.Entry) ([]once.Holder, map[once.Holder]int) {
+	var holders []once.Holder
+	indexOf := map[once.Holder]int{}
+	for i := range list {
+		if _, known := indexOf[list[i].Holder]; !known {
+			indexOf[list[i].Holder] = len(holders)
+			holders = append(holders, list[i].Holder)
+		}
+	}
+	return holders, indexOf
+}
+
+func earliest(list []once.Entry) uint64 {
+	if len(list) == 0 {
+		return 0
+	}
+	base := list[0].Expires
+	for i := range list {
+		base = min(base, list[i].Expires)
+	}
+	return base
+}
--- /dev/null
+++ b/internal/decide/once/clock.go
@@ -0,0 +1,42 @@
+package once
+
+import "time"
+
+// clock returns the time of the partition in milliseconds. An owner continues the clock of the last head that it read
+// by its own monotonic clock, so wall clocks are never compared and the clock never runs ahead.
+func (p *Partition) clock(now time.Time) uint64 {
+	return p.clockBase + uint64(max(0, now.Sub(p.clockFrom).Milliseconds()))
+}
+
+// expiry returns the time, in seconds of the partition's clock, until which a claim made now is kept.
+func (p *Partition) expiry(now time.Time, window time.Duration) uint32 {
+	return uint32((p.clock(now)+uint64(window.Milliseconds()))/1000) + 1
+}
+
+func (p *Partition) expireLater(d Digest, expires uint32) {
+	bucket := expires / expiryBucketSeconds
+	p.expires[bucket] = append(p.expires[bucket], d)
+}
+
+// expire forgets a claim whose window is over.
+func (p *Partition) expire(d Digest) {
+	rec, ok := p.records[d]
+	if ok && uint64(rec.expires) <= p.clock(p.now)/1000 {
+		p.fire("expire", step{now: p.now, digest: d})
+	}
+}
+
+// sweep forgets the claims of all buckets that are over.
+func (p *Partition) sweep() {
+	current := uint32(p.clock(p.now) / 1000 / expiryBucketSeconds)
+	if p.swept >= current {
+		return
+	}
+	for ; p.swept < current; p.swept++ {
+		for _, d := range p.expires[p.swept] {
+			p.expire(d)
+		}
+		delete(p.expires, p.swept)
+	}
+	p.deleteExpiredSegments()
+}
--- /dev/null
+++ b/internal/decide/once/commit.go
@@ -0,0 +1,148 @@
+package once
+
+// commit is the write that is in flight. Its content does not change until it is resolved.
+type commit struct {
+	head     Head
+	claims   []pending
+	confirms []uint64
+	// sealed holds the entries of the segment that the head names for the first time.
+	sealed []Entry
+	number uint64
+}
+
+func (p *Partition) headFull() bool { return len(p.inHead) >= p.limits.SealEntries }
+
+// freeze builds the next commit from all that waits.
+func (p *Partition) freeze() {
+	p.sequence++
+	p.commit = &commit{claims: p.next, confirms: p.confirms}
+	p.next, p.confirms, p.changed = nil, nil, false
+	p.commit.head = Head{
+		Owner: p.self, Sequence: p.sequence, Clock: p.clock(p.now),
+		Segments: append([]SegmentRef(nil), p.segments...), Entries: p.headEntries(),
+	}
+}
+
+// freezeSealed builds a commit whose entries go into a new segment. The sequence number names the segment: no other
+// owner writes a head with it, so no other owner writes a segment of this name that a head will name.
+func (p *Partition) freezeSealed() {
+	p.freeze()
+	c := p.commit
+	c.sealed, c.number = c.head.Entries, c.head.Sequence
+	c.head.Entries = nil
+	ref := SegmentRef{Number: c.number}
+	for _, e := range c.sealed {
+		ref.Expires = max(ref.Expires, e.Expires)
+	}
+	c.head.Segments = append(c.head.Segments, ref)
+	p.segments = append(p.segments, ref)
+	p.leaveHead()
+}
+
+// leaveHead makes later changes of the sealed claims go into the head again.
+func (p *Partition) leaveHead() {
+	for _, d := range p.inHead {
+		if rec, ok := p.records[d]; ok {
+			rec.inHead = false
+			p.records[d] = rec
+		}
+	}
+	p.inHead = p.inHead[:0]
+}
+
+// headEntries returns the entries of the head. Claims whose window is over are left out.
+func (p *Partition) headEntries() []Entry {
+	p.entries = p.entries[:0]
+	kept := p.inHead[:0]
+	for _, d := range p.inHead {
+		rec, ok := p.records[d]
+		if !ok || !rec.inHead {
+			continue
+		}
+		kept = append(kept, d)
+		p.entries = append(p.entries, Entry{
+			Digest: d, Check: rec.check, State: p.states.stored[rec.state], Holder: p.holders[rec.holder],
+			Attempt: rec.attempt, Expires: uint64(rec.expires),
+		})
+	}
+	p.inHead = kept
+	return p.entries
+}
+
+func (p *Partition) writeSegment() {
+	p.emit(WriteSegment{Number: p.commit.number, Entries: p.commit.sealed})
+}
+
+func (p *Partition) writeHead() { p.emit(WriteHead{Version: p.version, Head: &p.commit.head}) }
+
+// writtenVersion returns the version of the head after a write; a segment does not change it.
+func (p *Partition) writtenVersion(w Written) uint64 {
+	if p.machine.State() == "sealing" {
+		return p.version
+	}
+	return w.Version
+}
+
+// ownWrite reports whether the head that was read is the one in flight.
+func (p *Partition) ownWrite() bool {
+	return p.commit != nil && p.read.Head.Owner == p.self && p.read.Head.Sequence == p.commit.head.Sequence
+}
+
+// commitDone grants the claims of the commit.
+func (p *Partition) commitDone() {
+	c := p.commit
+	p.commit = nil
+	p.read = HeadRead{}
+	p.writtenClock = c.head.Clock
+	for _, waiting := range c.claims {
+		p.fire("committed", step{now: p.now, digest: waiting.digest, ticket: waiting.ticket})
+	}
+	p.confirm(c.confirms, true)
+}
+
+func (p *Partition) confirm(tickets []uint64, recorded bool) {
+	for _, t := range tickets {
+		p.emit(Confirmation{Ticket: t, Recorded: recorded})
+	}
+}
+
+// abandon refuses the claims that wait while the object API does not answer. They may be recorded, but they are never
+// granted.
+func (p *Partition) abandon() {
+	p.abandonList(p.commit.claims)
+	p.abandonList(p.next)
+}
+
+func (p *Partition) abandonList(list []pending) {
+	for i, waiting := range list {
+		p.fire("abandon", step{now: p.now, digest: waiting.digest, ticket: waiting.ticket})
+		list[i].ticket = 0
+	}
+}
+
+// deleteExpiredSegments asks for the removal of segments all of whose claims are over. The head keeps their names
+// until the removal is confirmed. The written clock decides, so that a later owner, which reads that clock, knows that
+// a segment may be missing.
+func (p *Partition) deleteExpiredSegments() {
+	clear(p.deleting)
+	for _, s := range p.segments {
+		if s.Expires <= p.writtenClock/1000 {
+			p.deleting[s.Number] = true
+			p.emit(DeleteSegment{Number: s.Number})
+		}
+	}
+}
+
+func (p *Partition) segmentDeleted(d SegmentDeleted) {
+	if !p.machine.In("owned") || !p.deleting[d.Number] {
+		return
+	}
+	delete(p.deleting, d.Number)
+	kept := p.segments[:0]
+	for _, s := range p.segments {
+		if s.Number != d.Number {
+			kept = append(kept, s)
+		}
+	}
+	p.segments = kept
+}
--- /dev/null
+++ b/internal/decide/once/digest.go
@@ -0,0 +1,46 @@
+package once
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"hash"
+	"strconv"
+
+	"fuchsiahub.example/fuchsiahub/internal/call"
+)
+
+// Digest identifies a once-only request without telling its key.
+type Digest [16]byte
+
+// Check tells two requests under one key apart. 64 bits are enough, because it is compared with one other value only.
+type Check [8]byte
+
+// DigestOf returns the keyed digest of a request's service, tenant and idempotency key.
+func DigestOf(secret []byte, service, tenant, key string) Digest {
+	var d Digest
+	mac := hmac.New(sha256.New, secret)
+	writeField(mac, "once")
+	writeField(mac, service)
+	writeField(mac, tenant)
+	writeField(mac, key)
+	copy(d[:], mac.Sum(nil))
+	return d
+}
+
+// CheckOf returns the keyed digest of what a resend must repeat: method, path, query and body.
+func CheckOf(secret []byte, req *call.Request) Check {
+	var c Check
+	mac := hmac.New(sha256.New, secret)
+	writeField(mac, "check")
+	writeField(mac, req.Method)
+	writeField(mac, req.Path)
+	writeField(mac, req.Query)
+	mac.Write(req.Body)
+	copy(c[:], mac.Sum(nil))
+	return c
+}
+
+// writeField writes the length before the text, so that no two lists of fields have the same digest.
+func writeField(to hash.Hash, text string) {
+	to.Write([]byte(strconv.Itoa(len(text)) + ":" + text))
+}
