Claim once-only requests and quarantine requests that crash servers

Cause: a once-only route sent its request without a claim, an idempotent request that was refused after a lost copy was told "not run", and a request that crashes servers could be sent without bound. The request chart gets states for the claim, for a run alone and for the examination of a broken connection, and settles its claim in every final state. A walk over all paths of the chart checks this; it found that two guards could see different quarantines, which would have released the claim of a request that may have run.

--- a/charts/params.go
+++ b/charts/params.go
@@ -15,6 +15,8 @@
 		"idle_limit":    60 * time.Second,
 		"zone_quiet":    3 * time.Second,
 		"strike_expiry": 10 * time.Minute,
+		// Longer than the dial by which the instance that lost a connection examines the server.
+		"examine": 2 * time.Second,
 		// The time in which a server that broke a connection must refuse another one, or report a new start, for the
 		// break to count as a crash.
 		"confirm_within": 30 * time.Second,
--- /dev/null
+++ b/charts/walk_test.go
@@ -0,0 +1,174 @@
+package charts
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+)
+
+func steps(t *testing.T, name string) []chart.Step {
+	t.Helper()
+	ch, err := Load(name, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []chart.Step
+	ch.Walk(func(s chart.Step) { list = append(list, s) })
+	return list
+}
+
+// walked is what is true of one request in the walk.
+type walked struct {
+	state            string
+	idempotent, once bool
+	claimed          bool
+	mayRun           bool // a copy was lost
+	remembered       bool // the chart has run remember_loss
+	settled          string
+}
+
+// holds says whether a guard can be true and can be false on a path.
+func (p walked) holds(guard string) (canBeTrue, canBeFalse bool) {
+	switch guard {
+	case "":
+		return true, false
+	case "once_only":
+		return p.once, !p.once
+	case "may_have_run":
+		return p.remembered, !p.remembered
+	case "quarantined_after_loss":
+		return p.remembered, true
+	case "quarantined_without_loss":
+		return !p.remembered, true
+	case "idempotent_resend_allowed":
+		return p.idempotent && !p.once, true
+	}
+	return true, true
+}
+
+// check walks one step and reports what must not happen.
+func (p walked) check(t *testing.T, s chart.Step) walked {
+	if slices.Contains(s.Actions, "send") {
+		if p.mayRun && !p.idempotent {
+			t.Errorf("%s -%s-> %s sends a request again that may have run: %+v", s.From, s.Event, s.To, p)
+		}
+		if p.once && !p.claimed {
+			t.Errorf("%s -%s-> %s sends a once-only request without a claim", s.From, s.Event, s.To)
+		}
+	}
+	p.mayRun = p.mayRun || s.Event == "lost"
+	p.claimed = p.claimed || s.Event == "claimed"
+	p.remembered = p.remembered || slices.Contains(s.Actions, "remember_loss")
+	for _, a := range s.Actions {
+		if strings.HasPrefix(a, "settle_") {
+			p.settled = a
+		}
+	}
+	if s.To == "refused" && p.mayRun {
+		t.Errorf("%s -%s-> refused says that a request did not run that may have run", s.From, s.Event)
+	}
+	if p.mayRun && p.settled == "settle_refused" {
+		t.Errorf("%s -%s-> %s releases the claim of a request that may have run", s.From, s.Event, s.To)
+	}
+	p.state = s.To
+	return p
+}
+
+// Guards against a path that sends a request twice although it may have run and is not idempotent, that says "not run"
+// of a request that may have run, or that ends without settling its claim.
+func TestRequestNeverRunsTwice(t *testing.T) {
+	list := steps(t, "request")
+	ch, _ := Load("request", nil)
+	seen := map[walked]bool{}
+	var queue []walked
+	for _, idempotent := range []bool{true, false} {
+		for _, once := range []bool{true, false} {
+			queue = append(queue, walked{state: "admitted", idempotent: idempotent, once: once})
+		}
+	}
+	for len(queue) > 0 {
+		p := queue[0]
+		queue = queue[1:]
+		if seen[p] {
+			continue
+		}
+		seen[p] = true
+		if ch.Final(p.state) && p.claimed && p.settled == "" {
+			t.Errorf("a request ends in %s without settling its claim", p.state)
+		}
+		decided := map[string]bool{} // events for which an earlier row surely applies
+		for _, s := range list {
+			if s.From != p.state || decided[s.Event] {
+				continue
+			}
+			canBeTrue, canBeFalse := p.holds(s.Guard)
+			if canBeTrue {
+				queue = append(queue, p.check(t, s))
+			}
+			decided[s.Event] = !canBeFalse
+		}
+	}
+	if len(seen) < 30 {
+		t.Errorf("walk has seen only %d paths", len(seen))
+	}
+}
+
+// Guards against a claim that is granted before its commit, or that is granted to two attempts.
+func TestClaimIsGrantedOnce(t *testing.T) {
+	for _, s := range steps(t, "claim") {
+		step := s.From + " -" + s.Event + "[" + s.Guard + "]-> " + s.To
+		if slices.Contains(s.Actions, "reply_granted") && (s.From != "committing" || s.Event != "committed") {
+			t.Errorf("%s grants a claim before it is committed", step)
+		}
+		if slices.Contains(s.Actions, "record_claim") && s.From != "free" && s.From != "released" {
+			t.Errorf("%s records a second claim", step)
+		}
+		taken := s.From == "claimed" || s.From == "answered" || s.From == "unknown"
+		if !taken || s.To == s.From || s.To == "gone" && s.Event == "expire" {
+			continue
+		}
+		if s.From != "claimed" || s.Guard != "own_attempt" {
+			t.Errorf("%s lets go of a claim that its holder did not settle", step)
+		}
+	}
+}
+
+// Guards against two writes in flight, and against grants for a write that is not known to have taken effect.
+func TestPartitionWritesOneAtATime(t *testing.T) {
+	writing := map[string]string{"taking": "write_head", "sealing": "write_segment", "writing": "write_head"}
+	for _, s := range steps(t, "partition") {
+		step := s.From + " -" + s.Event + "[" + s.Guard + "]-> " + s.To
+		for _, a := range s.Actions {
+			if strings.HasPrefix(a, "write_") && writing[s.To] != a {
+				t.Errorf("%s writes in a state that does not wait for the write", step)
+			}
+		}
+		if writing[s.From] != "" && s.Event != "written" && s.Event != "failed" {
+			t.Errorf("%s handles an event while a write is in flight", step)
+		}
+		known := s.Event == "written" && writing[s.From] == "write_head" || s.Event == "found" && s.Guard == "own_write"
+		if slices.Contains(s.Actions, "commit_done") && !known {
+			t.Errorf("%s grants claims although the write is not known to have taken effect", step)
+		}
+	}
+}
+
+// Guards against a quarantine after one crash, and against a mark that an answer does not clear.
+func TestQuarantineNeedsTwoCrashes(t *testing.T) {
+	cleared := map[string]bool{}
+	for _, s := range steps(t, "quarantine") {
+		if s.To == "condemned" && s.From != "condemned" && s.Guard != "other_crash" {
+			t.Errorf("%s -%s-> condemned without another crash", s.From, s.Event)
+		}
+		if s.Event == "cleared" && s.To == "forgotten" {
+			cleared[s.From] = true
+		}
+	}
+	for _, state := range []string{"watched", "suspected", "struck", "accused", "condemned"} {
+		if !cleared[state] {
+			t.Errorf("an answer does not clear state %s", state)
+		}
+	}
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -19,6 +19,8 @@
 	Remedy string
 	// NotRun is true only when it is certain that no backend server ran the request.
 	NotRun bool
+	// Earlier is true when the error tells of an earlier copy of a once-only request.
+	Earlier bool
 	// RetryAfter is how long the caller should wait before it sends again; zero means no advice.
 	RetryAfter time.Duration
 	// Regions lists the home regions that may serve the request; empty when the error is not about regions.
@@ -45,6 +47,12 @@
 	return e
 }
 
+// OfEarlierCopy marks an error that tells of an earlier copy of a once-only request.
+func (e *Error) OfEarlierCopy() *Error {
+	e.Earlier = true
+	return e
+}
+
 // Error returns the message, the cause and the remedy in one line.
 func (e *Error) Error() string {
 	text := e.Message
--- a/internal/fault/kinds.go
+++ b/internal/fault/kinds.go
@@ -30,6 +30,10 @@
 	InProgress Kind = "in-progress"
 	// AlreadyRun is a once-only request that has run and whose answer is no longer kept.
 	AlreadyRun Kind = "already-run"
+	// KeyReused is a once-only request whose key belongs to another request.
+	KeyReused Kind = "key-reused"
+	// NoClaimsKey is a once-only request at an instance without the setting claims.key.
+	NoClaimsKey Kind = "no-claims-key"
 	// MissingKey is a once-only request without an idempotency key.
 	MissingKey Kind = "missing-key"
 	// Quarantined is a request that crashed backend servers before.
--- a/internal/frontend/answer.go
+++ b/internal/frontend/answer.go
@@ -89,11 +89,16 @@
 	fault.TooManyHops:      http.StatusLoopDetected,
 	fault.InProgress:       http.StatusConflict,
 	fault.AlreadyRun:       http.StatusConflict,
+	fault.KeyReused:        http.StatusUnprocessableEntity,
+	fault.NoClaimsKey:      http.StatusServiceUnavailable,
 	fault.Quarantined:      http.StatusUnprocessableEntity,
 }
 
 // Status returns the HTTP status of an error.
 func Status(e *fault.Error) int {
+	if e.Earlier {
+		return http.StatusConflict
+	}
 	if status, ok := statuses[e.Kind]; ok {
 		return status
 	}
--- /dev/null
+++ b/internal/node/claimmessage.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/decide/once"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/peer"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
+)
+
+var claimStates = map[once.Verdict]peerpb.ClaimState{
+	once.Granted:          peerpb.ClaimState_CLAIM_STATE_GRANTED,
+	once.InProgress:       peerpb.ClaimState_CLAIM_STATE_IN_PROGRESS,
+	once.WasAnswered:      peerpb.ClaimState_CLAIM_STATE_ANSWERED,
+	once.OutcomeUnknown:   peerpb.ClaimState_CLAIM_STATE_OUTCOME_UNKNOWN,
+	once.StoreUnavailable: peerpb.ClaimState_CLAIM_STATE_STORE_UNAVAILABLE,
+	once.NotOwner:         peerpb.ClaimState_CLAIM_STATE_NOT_OWNER,
+	once.KeyReused:        peerpb.ClaimState_CLAIM_STATE_KEY_REUSED,
+}
+
+var settlementsOf = map[once.Settlement]peerpb.Settlement{
+	once.Released: peerpb.Settlement_SETTLEMENT_RELEASED,
+	once.Answered: peerpb.Settlement_SETTLEMENT_ANSWERED,
+	once.Unknown:  peerpb.Settlement_SETTLEMENT_UNKNOWN,
+}
+
+// HandleClaim answers the Claim message of a peer.
+func (c *Claims) HandleClaim(ctx context.Context, in *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	place := once.Place{Regions: in.Regions, Number: in.Partition}
+	m := once.Claim{
+		Window: time.Duration(in.WindowMs) * time.Millisecond, Attempt: in.Attempt,
+		Holder: once.Holder{Instance: in.GetSender().GetInstance(), Incarnation: in.GetSender().GetIncarnation()},
+	}
+	if err := c.checkMessage(in.Sender, place, in.Digest, in.Check, in.WindowMs); err != nil {
+		return nil, err
+	}
+	copy(m.Digest[:], in.Digest)
+	copy(m.Check[:], in.Check)
+	reply, err := c.partitions.claim(ctx, place, m)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.ClaimReply{State: claimStates[reply.Verdict], Answer: writeAnswer(reply.Answer), Owner: reply.owner}, nil
+}
+
+// HandleSettle answers the Settle message of a peer.
+func (c *Claims) HandleSettle(ctx context.Context, in *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
+	place := once.Place{Regions: in.Regions, Number: in.Partition}
+	m := once.Settle{
+		Window: time.Duration(in.WindowMs) * time.Millisecond, Attempt: in.Attempt, Answer: readAnswer(in.Answer),
+		Holder: once.Holder{Instance: in.GetSender().GetInstance(), Incarnation: in.GetSender().GetIncarnation()},
+	}
+	if err := c.checkMessage(in.Sender, place, in.Digest, in.Check, in.WindowMs); err != nil {
+		return nil, err
+	}
+	for how, value := range settlementsOf {
+		if value == in.Settlement {
+			m.Settlement = how
+		}
+	}
+	if m.Settlement == 0 {
+		return nil, badClaim("settlement is not known")
+	}
+	copy(m.Digest[:], in.Digest)
+	copy(m.Check[:], in.Check)
+	recorded, err := c.partitions.settle(ctx, place, m)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.SettleReply{Recorded: recorded}, nil
+}
+
+// maxWindowMs is the longest window that a message may ask for: the longest once_window and the longest deadline.
+const maxWindowMs = 25 * 60 * 60 * 1000
+
+// checkMessage refuses messages that do not follow the protocol, before they change any state.
+func (c *Claims) checkMessage(sender *peerpb.Sender, place once.Place, digest, check []byte, windowMs uint64) error {
+	switch {
+	case sender == nil || sender.Instance == "":
+		return badClaim("sender is missing")
+	case len(digest) != len(once.Digest{}) || len(check) != len(once.Check{}):
+		return badClaim("digest has the wrong length")
+	case windowMs == 0 || windowMs > maxWindowMs:
+		return badClaim("window is out of range")
+	case place.Number >= uint32(c.parts.Settings.Partitions):
+		return badClaim("partition does not exist; claims.partitions differs between instances")
+	case !allowed(place, c.parts.Region) || !allowed(place, sender.Region):
+		return badClaim("claim is outside its home regions")
+	}
+	return nil
+}
+
+func badClaim(problem string) error {
+	return fault.New(fault.BadPeer, "run the same version with the same claims settings on all instances", "claim message was refused: %s", problem)
+}
+
+func (c *Claims) sender() *peerpb.Sender {
+	return &peerpb.Sender{
+		Instance: c.parts.Self.Instance, Incarnation: c.parts.Self.Incarnation, Region: c.parts.Region, Protocol: peer.ProtocolVersion,
+	}
+}
+
+func claimMessage(sender *peerpb.Sender, held *claim) *peerpb.ClaimRequest {
+	return &peerpb.ClaimRequest{
+		Sender: sender, Partition: held.place.Number, Digest: held.digest[:], WindowMs: uint64(held.window.Milliseconds()),
+		Attempt: held.number, Regions: held.place.Regions, Check: held.check[:],
+	}
+}
+
+func settleMessage(sender *peerpb.Sender, s *settlement) *peerpb.SettleRequest {
+	return &peerpb.SettleRequest{
+		Sender: sender, Partition: s.place.Number, Digest: s.settle.Digest[:], Attempt: s.settle.Attempt,
+		Settlement: settlementsOf[s.settle.Settlement], Answer: writeAnswer(s.settle.Answer), Regions: s.place.Regions,
+		Check: s.settle.Check[:], WindowMs: uint64(s.settle.Window.Milliseconds()),
+	}
+}
+
+func readClaimReply(in *peerpb.ClaimReply) (claimReply, error) {
+	for verdict, state := range claimStates {
+		if state == in.State {
+			return claimReply{Reply: once.Reply{Verdict: verdict, Answer: readAnswer(in.Answer)}, owner: in.Owner}, nil
+		}
+	}
+	return claimReply{}, badClaim("state of the reply is not known")
+}
+
+func writeAnswer(a *call.Answer) *peerpb.KeptAnswer {
+	if a == nil {
+		return nil
+	}
+	kept := &peerpb.KeptAnswer{Status: int32(a.Status), Body: a.Body}
+	for _, f := range a.Header {
+		kept.Header = append(kept.Header, &peerpb.HeaderField{Name: f.Name, Value: f.Value})
+	}
+	return kept
+}
+
+func readAnswer(in *peerpb.KeptAnswer) *call.Answer {
+	if in == nil {
+		return nil
+	}
+	a := &call.Answer{Status: int(in.Status), Body: in.Body, Length: int64(len(in.Body))}
+	for _, f := range in.Header {
+		a.Header = append(a.Header, call.Field{Name: f.GetName(), Value: f.GetValue()})
+	}
+	return a
+}
--- /dev/null
+++ b/internal/node/claims.go
@@ -0,0 +1,243 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/decide/once"
+	"fuchsiahub.example/fuchsiahub/internal/decide/route"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/peer"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+// claimTimeout bounds how long an entry instance waits for the owner of a partition. It is longer than one call of the
+// object API, so that an unclear write can be read back.
+const claimTimeout = 3 * time.Second
+
+// ClaimSettings are the settings of once-only claims. Key and Partitions must be the same on all instances.
+type ClaimSettings struct {
+	// Key is the secret of the keyed digests. Without it, once-only routes are refused.
+	Key []byte
+	// Partitions is the number of partitions for each set of allowed regions. Default 4; zero means the default.
+	Partitions int
+	// WritesPerSecond is the write budget of all partitions. Default 200; zero means the default.
+	WritesPerSecond int
+	// KeptBytes is the most memory for kept answers at one instance and one set of allowed regions. Default 16 MiB;
+	// zero means the default.
+	KeptBytes int
+}
+
+// Defaults of ClaimSettings.
+const (
+	DefaultClaimPartitions = 4
+	DefaultClaimWrites     = 200
+	DefaultClaimKeptBytes  = 16 << 20
+)
+
+func (s *ClaimSettings) complete() {
+	if s.Partitions == 0 {
+		s.Partitions = DefaultClaimPartitions
+	}
+	if s.WritesPerSecond == 0 {
+		s.WritesPerSecond = DefaultClaimWrites
+	}
+	if s.KeptBytes == 0 {
+		s.KeptBytes = DefaultClaimKeptBytes
+	}
+}
+
+// ClaimParts is what Claims is built from.
+type ClaimParts struct {
+	Settings ClaimSettings
+	Self     once.Holder
+	// Region is that of this instance.
+	Region string
+	API    objectapi.API
+	Peers  peer.Caller
+	// View returns the current view of the fleet; it never returns nil.
+	View func() *member.View
+	// Sets returns how many sets of allowed regions the documents in force have; see once.RegionSets.
+	Sets func() int
+	Log  *slog.Logger
+}
+
+// Claims records once-only claims: for requests of this instance, and as owner of partitions for all instances.
+type Claims struct {
+	parts       ClaimParts
+	partitions  *partitions
+	settlements *settlements
+	attempt     atomic.Uint64
+}
+
+// claim is a claim that this instance may hold.
+type claim struct {
+	place  once.Place
+	digest once.Digest
+	check  once.Check
+	window time.Duration
+	holder once.Holder
+	number uint64
+	until  time.Time
+}
+
+// NewClaims returns the tasks of once-only claims. Run starts them.
+func NewClaims(parts ClaimParts) *Claims {
+	parts.Settings.complete()
+	c := &Claims{parts: parts, partitions: newPartitions(parts)}
+	c.settlements = newSettlements(c.send, parts.Log)
+	return c
+}
+
+// Run runs the tasks until the context ends and what is in flight is finished.
+func (c *Claims) Run(ctx context.Context) error {
+	settle := task.NewGroup(ctx)
+	settle.Go("settlements", c.settlements.run)
+	// The partitions end after the settlements, which may be for claims of this instance.
+	own := task.NewGroup(context.WithoutCancel(ctx))
+	own.Go("partitions", c.partitions.run)
+	first := settle.Wait()
+	own.Stop()
+	if err := own.Wait(); first == nil {
+		first = err
+	}
+	return first
+}
+
+// claimed is how an attempt to claim ended. Event is an event of charts/request.toml.
+type claimed struct {
+	event  string
+	claim  *claim // set when the claim is held or may be held
+	answer *call.Answer
+	err    error
+}
+
+// record asks the owner of the partition for the right to send a request.
+func (c *Claims) record(ctx context.Context, req *call.Request, policy route.Policy) claimed {
+	if c == nil || len(c.parts.Settings.Key) == 0 {
+		return claimed{event: "refused", err: fault.New(fault.NoClaimsKey, "set claims.key to the same secret in the settings of all instances",
+			"route %q runs a request at most once and no claims key is set", policy.Route.Name).Refused(0)}
+	}
+	held := c.newClaim(req, policy)
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	reply, err := c.ask(ctx, held)
+	if err != nil {
+		return claimed{event: "refused", claim: held, err: fault.Wrap(err, fault.StoreUnavailable, "send the request again later",
+			"the owner of the once-only claim did not answer").Refused(retryAfter)}
+	}
+	return verdicts(held, reply)
+}
+
+func (c *Claims) newClaim(req *call.Request, policy route.Policy) *claim {
+	secret := c.parts.Settings.Key
+	digest := once.DigestOf(secret, req.Service, req.Tenant, policy.Key)
+	window := policy.Route.OnceWindow + time.Until(policy.Deadline)
+	return &claim{
+		place: once.PlaceOf(digest, policy.Regions, c.parts.Settings.Partitions), digest: digest, check: once.CheckOf(secret, req),
+		window: window, holder: c.parts.Self, number: c.attempt.Add(1), until: time.Now().Add(window),
+	}
+}
+
+// ask sends the claim to the owner. When that instance names another owner, nothing was recorded and the other one is
+// asked once.
+func (c *Claims) ask(ctx context.Context, held *claim) (claimReply, error) {
+	owner, ok := held.place.Owner(c.parts.View())
+	if !ok {
+		return claimReply{}, fault.New(fault.PeerUnavailable, "check the instances of the allowed regions", "no instance may own partition %s", held.place.Name())
+	}
+	reply, err := c.askOne(ctx, owner.Name, held)
+	if err != nil || reply.Verdict != once.NotOwner || reply.owner == "" || reply.owner == owner.Name {
+		return reply, err
+	}
+	next, ok := c.parts.View().Find(reply.owner)
+	if !ok || !held.place.Allows(next.Region) {
+		return reply, nil
+	}
+	return c.askOne(ctx, next.Name, held)
+}
+
+func (c *Claims) askOne(ctx context.Context, owner string, held *claim) (claimReply, error) {
+	if owner == c.parts.Self.Instance {
+		return c.partitions.claim(ctx, held.place, once.Claim{
+			Digest: held.digest, Check: held.check, Window: held.window, Holder: held.holder, Attempt: held.number,
+		})
+	}
+	reply, err := c.parts.Peers.Claim(ctx, owner, claimMessage(c.sender(), held))
+	if err != nil {
+		return claimReply{}, err
+	}
+	return readClaimReply(reply)
+}
+
+// verdicts turns the owner's verdict into an event of charts/request.toml.
+func verdicts(held *claim, r claimReply) claimed {
+	switch r.Verdict {
+	case once.Granted:
+		return claimed{event: "claimed", claim: held}
+	case once.WasAnswered:
+		return replay(r.Answer)
+	case once.InProgress:
+		return duplicate(fault.New(fault.InProgress, "wait for the answer of the first copy, or send the same request again later",
+			"a request with the same key is in progress"))
+	case once.OutcomeUnknown:
+		return duplicate(fault.New(fault.OutcomeUnknown, "find out whether the request took effect before you use a new key",
+			"a request with the same key may have run and its answer was lost").OfEarlierCopy())
+	case once.KeyReused:
+		return claimed{event: "refused", err: fault.New(fault.KeyReused, "use a new key for each different request",
+			"the key belongs to a request with another method, path, query or body").Refused(0)}
+	case once.NotOwner:
+		return claimed{event: "refused", err: fault.New(fault.StoreUnavailable, "send the request again later",
+			"the owner of the once-only claim is changing").Refused(retryAfter)}
+	}
+	return claimed{event: "refused", claim: held, err: fault.New(fault.StoreUnavailable, "send the request again later",
+		"the once-only claim could not be recorded in the object API").Refused(retryAfter)}
+}
+
+func replay(answer *call.Answer) claimed {
+	if answer != nil {
+		return claimed{event: "replayed", answer: answer}
+	}
+	return duplicate(fault.New(fault.AlreadyRun, "read the result from the service; do not use a new key for the same work",
+		"a request with the same key has run and its answer is no longer kept"))
+}
+
+func duplicate(e *fault.Error) claimed { return claimed{event: "duplicate", err: e} }
+
+// settle tells the owner how the request of a claim ended. It does not wait for the owner.
+func (c *Claims) settle(held *claim, how once.Settlement, answer *call.Answer) {
+	if answer != nil && answer.Stream != nil {
+		answer = nil
+	}
+	c.settlements.add(&settlement{place: held.place, until: held.until, settle: once.Settle{
+		Digest: held.digest, Check: held.check, Window: held.window, Holder: held.holder, Attempt: held.number,
+		Settlement: how, Answer: answer,
+	}})
+}
+
+// send tells the owner about one settlement and reports whether it is recorded.
+func (c *Claims) send(ctx context.Context, s *settlement) bool {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	owner, ok := s.place.Owner(c.parts.View())
+	if !ok {
+		return false
+	}
+	if owner.Name == c.parts.Self.Instance {
+		recorded, err := c.partitions.settle(ctx, s.place, s.settle)
+		return err == nil && recorded
+	}
+	reply, err := c.parts.Peers.Settle(ctx, owner.Name, settleMessage(c.sender(), s))
+	return err == nil && reply.Recorded
+}
+
+// allowed reports whether an instance of the region may hold data of the partition.
+func allowed(place once.Place, region string) bool {
+	return place.Allows(region) && slices.IsSorted(place.Regions)
+}
--- /dev/null
+++ b/internal/node/claimstore.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/claimobject"
+	"fuchsiahub.example/fuchsiahub/internal/decide/once"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+// storeTimeout bounds one call of the object API. A write that takes longer counts as unclear and is read back.
+const storeTimeout = 2 * time.Second
+
+// claimStore turns effects of a partition into calls of the object API.
+type claimStore struct {
+	api   objectapi.API
+	place once.Place
+}
+
+// call carries out one effect. It returns nil for an effect that has no answer.
+func (s claimStore) call(ctx context.Context, e once.Effect) (once.StoreAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	switch e := e.(type) {
+	case once.ReadHead:
+		return failedOn(s.readHead(ctx))
+	case once.ReadSegment:
+		return failedOn(s.readSegment(ctx, e.Number))
+	case once.WriteHead:
+		return failedOn(s.writeHead(ctx, e))
+	case once.WriteSegment:
+		return failedOn(s.writeSegment(ctx, e))
+	case once.DeleteSegment:
+		return s.deleteSegment(ctx, e.Number)
+	}
+	return nil, nil
+}
+
+func failedOn(a once.StoreAnswer, err error) (once.StoreAnswer, error) {
+	if err != nil {
+		return once.StoreFailed{}, err
+	}
+	return a, nil
+}
+
+func (s claimStore) readHead(ctx context.Context) (once.StoreAnswer, error) {
+	o, err := s.api.Get(ctx, objectapi.Claims, s.place.Name())
+	if fault.Is(err, fault.NotFound) {
+		return once.HeadRead{}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	head, err := claimobject.ReadHead(o.Value)
+	if err != nil {
+		return nil, err
+	}
+	return once.HeadRead{Version: o.Version, Head: head}, nil
+}
+
+func (s claimStore) readSegment(ctx context.Context, number uint64) (once.StoreAnswer, error) {
+	o, err := s.api.Get(ctx, objectapi.Claims, s.place.SegmentName(number))
+	if fault.Is(err, fault.NotFound) {
+		return once.SegmentRead{Number: number, Missing: true}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	entries, err := claimobject.ReadSegment(o.Value)
+	if err != nil {
+		return nil, err
+	}
+	return once.SegmentRead{Number: number, Entries: entries}, nil
+}
+
+func (s claimStore) writeHead(ctx context.Context, e once.WriteHead) (once.StoreAnswer, error) {
+	value := claimobject.Head(e.Head)
+	var o objectapi.Object
+	var err error
+	if e.Version == 0 {
+		o, err = s.api.Create(ctx, objectapi.Claims, s.place.Name(), value)
+	} else {
+		o, err = s.api.Update(ctx, objectapi.Claims, s.place.Name(), e.Version, value)
+	}
+	return once.Written{Version: o.Version}, err
+}
+
+func (s claimStore) writeSegment(ctx context.Context, e once.WriteSegment) (once.StoreAnswer, error) {
+	_, err := s.api.Create(ctx, objectapi.Claims, s.place.SegmentName(e.Number), claimobject.Segment(e.Entries))
+	if err != nil && !fault.Is(err, fault.Conflict) {
+		return nil, err
+	}
+	return once.Written{}, nil
+}
+
+func (s claimStore) deleteSegment(ctx context.Context, number uint64) (once.StoreAnswer, error) {
+	name := s.place.SegmentName(number)
+	o, err := s.api.Get(ctx, objectapi.Claims, name)
+	if err == nil {
+		err = s.api.Delete(ctx, objectapi.Claims, name, o.Version)
+	}
+	if err != nil && !fault.Is(err, fault.NotFound) {
+		return nil, err
+	}
+	return once.SegmentDeleted{Number: number}, nil
+}
--- a/internal/node/do.go
+++ b/internal/node/do.go
@@ -15,15 +15,31 @@
 	directory *Directory
 	self      balance.Place
 	requests  *requestChart
+	// claims and quarantine are nil when the instance runs without them.
+	claims     *Claims
+	quarantine *Quarantine
 }
 
+// Option adds a part to a Server.
+type Option func(*Server)
+
+// WithClaims makes the server run once-only requests. Without it they are refused.
+func WithClaims(c *Claims) Option { return func(s *Server) { s.claims = c } }
+
+// WithQuarantine makes the server refuse requests that crashed backend servers.
+func WithQuarantine(q *Quarantine) Option { return func(s *Server) { s.quarantine = q } }
+
 // NewServer returns a server over the services of a directory.
-func NewServer(directory *Directory, self balance.Place) (*Server, error) {
+func NewServer(directory *Directory, self balance.Place, options ...Option) (*Server, error) {
 	requests, err := loadRequestChart()
 	if err != nil {
 		return nil, err
 	}
-	return &Server{directory: directory, self: self, requests: requests}, nil
+	s := &Server{directory: directory, self: self, requests: requests}
+	for _, add := range options {
+		add(s)
+	}
+	return s, nil
 }
 
 // MaxBody returns the largest request body of a service in bytes, or an error when no document names the service.
@@ -46,7 +62,9 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithDeadline(ctx, policy.Deadline)
-	answer, err := drive(s.requests, &exchange{ctx: ctx, service: entry.Task, req: req, policy: policy})
+	answer, err := drive(s.requests, &exchange{
+		ctx: ctx, service: entry.Task, claims: s.claims, quarantine: s.quarantine, req: req, policy: policy,
+	})
 	if answer != nil && answer.Stream != nil {
 		answer.Stream = &cancelOnClose{ReadCloser: answer.Stream, cancel: cancel}
 		return answer, err
--- /dev/null
+++ b/internal/node/partitions.go
@@ -0,0 +1,315 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/decide/once"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+const (
+	// partitionsCapacity bounds the claims and settlements that wait at the task. A full mailbox refuses claims.
+	partitionsCapacity = 1024
+	// sealEntries keeps the head below 100 KB of the 1 MB that an object may hold.
+	sealEntries = 2000
+	// pendingPerPartition keeps a commit, together with a full head, below 300 KB.
+	pendingPerPartition = 4096
+	// dropInterval is how often partitions that another instance owns are dropped from memory.
+	dropInterval = 10 * time.Second
+	// claimsStopLimit bounds how long commits and settlements are finished after the instance was told to stop.
+	claimsStopLimit = 5 * time.Second
+	// drainLimit is the longest time in which a leaving instance finishes its requests.
+	drainLimit = 30 * time.Second
+)
+
+// partitions is the task that owns the partitions of once-only claims whose owner is this instance.
+type partitions struct {
+	self     once.Holder
+	region   string
+	settings ClaimSettings
+	api      objectapi.API
+	view     func() *member.View
+	sets     func() int
+	log      *slog.Logger
+
+	inbox  *task.Mailbox[any]
+	ended  chan struct{}
+	open   map[string]*openPartition
+	peers  *once.Peers
+	charts map[time.Duration]*once.Charts
+	// ticket numbers the messages whose answers are in the maps below.
+	ticket   uint64
+	claims   map[uint64]chan<- claimReply
+	settles  map[uint64]chan<- bool
+	calls    int // calls of the object API in flight
+	stopping bool
+}
+
+type openPartition struct {
+	*once.Partition
+	store claimStore
+}
+
+// Messages to the partitions task.
+type (
+	ownerClaim struct {
+		place once.Place
+		claim once.Claim
+		reply chan<- claimReply
+	}
+	ownerSettle struct {
+		place  once.Place
+		settle once.Settle
+		reply  chan<- bool
+	}
+	storeAnswered struct {
+		to     *openPartition
+		answer once.StoreAnswer
+		err    error
+	}
+)
+
+// claimReply is the answer to a claim. Owner names the instance to ask when the verdict is NotOwner.
+type claimReply struct {
+	once.Reply
+	owner string
+}
+
+func newPartitions(parts ClaimParts) *partitions {
+	return &partitions{
+		self: parts.Self, region: parts.Region, settings: parts.Settings, api: parts.API, view: parts.View, sets: parts.Sets,
+		log: parts.Log, inbox: task.NewMailbox[any]("claims", partitionsCapacity), ended: make(chan struct{}),
+		open: map[string]*openPartition{}, peers: once.NewPeers(drainLimit), charts: map[time.Duration]*once.Charts{},
+		claims: map[uint64]chan<- claimReply{}, settles: map[uint64]chan<- bool{},
+	}
+}
+
+// claim asks the task of this instance. An error says that the claim was not handled.
+func (s *partitions) claim(ctx context.Context, place once.Place, c once.Claim) (claimReply, error) {
+	reply := make(chan claimReply, 1)
+	if err := s.inbox.Offer(ownerClaim{place: place, claim: c, reply: reply}); err != nil {
+		return claimReply{}, err
+	}
+	return await(ctx, s.ended, reply)
+}
+
+// settle tells the task of this instance how a claim ended, and reports whether that is recorded.
+func (s *partitions) settle(ctx context.Context, place once.Place, m once.Settle) (bool, error) {
+	reply := make(chan bool, 1)
+	if err := s.inbox.Offer(ownerSettle{place: place, settle: m, reply: reply}); err != nil {
+		return false, err
+	}
+	return await(ctx, s.ended, reply)
+}
+
+// await returns the reply of a task, or an error when the context or the task ends first.
+func await[R any](ctx context.Context, ended <-chan struct{}, reply <-chan R) (R, error) {
+	var none R
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-ctx.Done():
+		return none, ctx.Err()
+	case <-ended:
+		return none, context.Canceled
+	}
+}
+
+// run is the body of the task. After the context has ended it finishes what is in flight, for claimsStopLimit.
+func (s *partitions) run(ctx context.Context) error {
+	defer close(s.ended)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	drop := time.NewTicker(dropInterval)
+	defer drop.Stop()
+	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var limit <-chan time.Time
+	done := ctx.Done()
+	for !s.stopping || s.calls > 0 || !s.quiet() {
+		s.arm(timer)
+		select {
+		case m := <-s.inbox.C():
+			s.handle(calls, m)
+		case <-timer.C:
+			s.tick(calls)
+		case <-drop.C:
+			s.dropForeign()
+		case <-done:
+			done = nil
+			s.stopping = true
+			limit = time.After(claimsStopLimit)
+		case <-limit:
+			return nil
+		}
+	}
+	return nil
+}
+
+func (s *partitions) quiet() bool {
+	for _, p := range s.open {
+		if !p.Quiet() {
+			return false
+		}
+	}
+	return true
+}
+
+// arm sets the timer to the next timeout of a partition.
+func (s *partitions) arm(timer *time.Timer) {
+	next := time.Hour
+	for _, p := range s.open {
+		if due, ok := p.Deadline(); ok {
+			next = min(next, time.Until(due))
+		}
+	}
+	timer.Reset(next)
+}
+
+func (s *partitions) tick(ctx context.Context) {
+	now, view := time.Now(), s.view()
+	for _, p := range s.open {
+		p.Tick(now, view)
+		s.carryOut(ctx, p)
+	}
+}
+
+// dropForeign forgets partitions that another instance owns now.
+func (s *partitions) dropForeign() {
+	view := s.view()
+	for name, p := range s.open {
+		owner, ok := p.store.place.Owner(view)
+		if p.Quiet() && (!ok || owner.Name != s.self.Instance) {
+			delete(s.open, name)
+		}
+	}
+}
+
+func (s *partitions) handle(ctx context.Context, m any) {
+	switch m := m.(type) {
+	case ownerClaim:
+		s.handleClaim(ctx, m)
+	case ownerSettle:
+		s.handleSettle(ctx, m)
+	case storeAnswered:
+		s.handleAnswer(ctx, m)
+	}
+}
+
+func (s *partitions) handleClaim(ctx context.Context, m ownerClaim) {
+	view := s.view()
+	p, owner := s.partition(m.place, view)
+	if p == nil {
+		m.reply <- claimReply{Reply: once.Reply{Verdict: once.NotOwner}, owner: owner}
+		return
+	}
+	s.ticket++
+	m.claim.Ticket = s.ticket
+	s.claims[s.ticket] = m.reply
+	p.Claim(time.Now(), view, m.claim)
+	s.carryOut(ctx, p)
+}
+
+func (s *partitions) handleSettle(ctx context.Context, m ownerSettle) {
+	view := s.view()
+	p, _ := s.partition(m.place, view)
+	if p == nil {
+		m.reply <- false
+		return
+	}
+	s.ticket++
+	m.settle.Ticket = s.ticket
+	s.settles[s.ticket] = m.reply
+	p.Settle(time.Now(), view, m.settle)
+	s.carryOut(ctx, p)
+}
+
+func (s *partitions) handleAnswer(ctx context.Context, m storeAnswered) {
+	s.calls--
+	if m.err != nil {
+		s.log.Warn("object API call for once-only claims failed", "partition", m.to.store.place.Name(), "error", m.err)
+	}
+	if m.answer == nil {
+		return
+	}
+	m.to.Answer(time.Now(), s.view(), m.answer)
+	s.carryOut(ctx, m.to)
+}
+
+// partition returns the partition of a place when this instance is its owner in the view, and else the owner's name.
+func (s *partitions) partition(place once.Place, view *member.View) (*openPartition, string) {
+	owner, ok := place.Owner(view)
+	if s.stopping || !place.Allows(s.region) || !ok || owner.Name != s.self.Instance {
+		return nil, owner.Name
+	}
+	name := place.Name()
+	if p := s.open[name]; p != nil {
+		return p, ""
+	}
+	bound, err := s.bound()
+	if err != nil {
+		s.log.Error("partition of once-only claims cannot be opened", "partition", name, "error", err)
+		return nil, ""
+	}
+	limits := once.Limits{SealEntries: sealEntries, Pending: pendingPerPartition, KeptBytes: s.settings.KeptBytes / s.settings.Partitions}
+	p := &openPartition{Partition: bound.New(time.Now(), s.self, limits, s.peers), store: claimStore{api: s.api, place: place}}
+	s.open[name] = p
+	return p, ""
+}
+
+// bound returns the charts for the current write interval: the write budget is divided over the partitions of all sets
+// of allowed regions.
+func (s *partitions) bound() (*once.Charts, error) {
+	heads := s.settings.Partitions * max(1, s.sets())
+	interval := time.Second * time.Duration(heads) / time.Duration(s.settings.WritesPerSecond)
+	if known := s.charts[interval]; known != nil {
+		return known, nil
+	}
+	partition, err := charts.Load("partition", charts.Params{"commit_interval": interval})
+	if err != nil {
+		return nil, err
+	}
+	claim, err := charts.Load("claim", nil)
+	if err != nil {
+		return nil, err
+	}
+	bound, err := once.BindCharts(partition, claim)
+	if err == nil {
+		s.charts[interval] = bound
+	}
+	return bound, err
+}
+
+func (s *partitions) carryOut(ctx context.Context, p *openPartition) {
+	for _, e := range p.Effects() {
+		switch e := e.(type) {
+		case once.Reply:
+			answerTicket(s.claims, e.Ticket, claimReply{Reply: e})
+		case once.Confirmation:
+			answerTicket(s.settles, e.Ticket, e.Recorded)
+		default:
+			s.callStore(ctx, p, e)
+		}
+	}
+}
+
+// answerTicket answers the message with the ticket once. Its channel has room for the answer.
+func answerTicket[R any](open map[uint64]chan<- R, ticket uint64, answer R) {
+	if reply, ok := open[ticket]; ok {
+		delete(open, ticket)
+		reply <- answer
+	}
+}
+
+func (s *partitions) callStore(ctx context.Context, p *openPartition, e once.Effect) {
+	s.calls++
+	go func() {
+		answer, err := p.store.call(ctx, e)
+		s.inbox.SendUntil(s.ended, storeAnswered{to: p, answer: answer, err: err})
+	}()
+}
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -9,6 +9,8 @@
 	"fuchsiahub.example/fuchsiahub/internal/call"
 	"fuchsiahub.example/fuchsiahub/internal/chart"
 	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/decide/once"
+	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/decide/route"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 )
@@ -16,17 +18,29 @@
 // exchange is one request of a caller on its way. It is the context of charts/request.toml and is owned by the
 // caller's goroutine. Entry actions do the work of a state and leave the next event in next.
 type exchange struct {
-	ctx     context.Context
-	service *Service
-	req     *call.Request
-	policy  route.Policy
+	ctx        context.Context
+	service    *Service
+	claims     *Claims
+	quarantine *Quarantine
+	req        *call.Request
+	policy     route.Policy
 
 	next    string
 	taken   acquired
 	avoid   []string
 	resends int
-	answer  *call.Answer
-	err     error
+	// lost is true once a copy of the request may have run without an answer.
+	lost   bool
+	answer *call.Answer
+	err    error
+
+	// claim is set while this request holds, or may hold, a once-only claim.
+	claim *claim
+	// print is the fingerprint once it was needed.
+	print *quarantine.Fingerprint
+	// incarnation is what the chosen server reported before the request was sent.
+	incarnation string
+	endOfTrial  func()
 }
 
 // requestChart is the bound chart of requests, shared by all instances of a process.
@@ -39,20 +53,39 @@
 	}
 	return chart.Bind(ch, chart.Bindings[*exchange]{
 		Guards: map[string]func(*exchange) bool{
+			"once_only":                 func(e *exchange) bool { return e.policy.Once },
 			"resend_allowed":            (*exchange).resendAllowed,
-			"idempotent_resend_allowed": func(e *exchange) bool { return e.policy.Route.Idempotent && e.resendAllowed() },
+			"idempotent_resend_allowed": (*exchange).idempotentResendAllowed,
+			"may_have_run":              func(e *exchange) bool { return e.lost },
+			"connection_broken":         func(e *exchange) bool { return e.ctx.Err() == nil },
+			"quarantined":               func(e *exchange) bool { return e.treatment() == quarantine.Refuse },
+			"quarantined_after_loss":    func(e *exchange) bool { return e.lost && e.treatment() == quarantine.Refuse },
+			"quarantined_without_loss":  func(e *exchange) bool { return !e.lost && e.treatment() == quarantine.Refuse },
+			"must_run_alone":            func(e *exchange) bool { return e.treatment() == quarantine.Alone },
 		},
 		Actions: map[string]func(*exchange){
-			"take_server":  (*exchange).takeServer,
-			"send":         (*exchange).send,
-			"spend_resend": func(e *exchange) { e.resends++ },
-			"tell_unknown": (*exchange).tellUnknown,
+			"record_claim":       (*exchange).recordClaim,
+			"take_server":        (*exchange).takeServer,
+			"give_back":          (*exchange).giveBack,
+			"take_trial":         (*exchange).takeTrial,
+			"end_trial":          (*exchange).endTrial,
+			"send":               (*exchange).send,
+			"report_loss":        (*exchange).reportLoss,
+			"spend_resend":       func(e *exchange) { e.resends++ },
+			"remember_loss":      func(e *exchange) { e.lost = true },
+			"refuse_quarantined": (*exchange).refuseQuarantined,
+			"refuse_crowded":     (*exchange).refuseCrowded,
+			"settle_answered":    func(e *exchange) { e.settle(once.Answered) },
+			"settle_refused":     func(e *exchange) { e.settle(once.Released) },
+			"settle_unknown":     func(e *exchange) { e.settle(once.Unknown) },
+			"tell_unknown":       (*exchange).tellUnknown,
 		},
 	})
 }
 
 // drive runs a request to its end and returns the answer or a typed error.
 func drive(bound *requestChart, e *exchange) (*call.Answer, error) {
+	e.next = "start"
 	m := bound.New(time.Now(), e)
 	for !m.Final() {
 		if err := m.Fire(time.Now(), e.next); err != nil {
@@ -66,6 +99,25 @@
 	return e.resends < e.policy.Resends && e.ctx.Err() == nil
 }
 
+// idempotentResendAllowed names once-only requests although a document cannot make them idempotent: a second run is the
+// one thing that must not happen to them.
+func (e *exchange) idempotentResendAllowed() bool {
+	return e.policy.Route.Idempotent && !e.policy.Once && e.resendAllowed()
+}
+
+// recordClaim is the entry action of "claiming".
+func (e *exchange) recordClaim() {
+	c := e.claims.record(e.ctx, e.req, e.policy)
+	e.next, e.claim, e.answer, e.err = c.event, c.claim, c.answer, c.err
+}
+
+// settle tells the owner of the claim how the request ended, if there is a claim.
+func (e *exchange) settle(how once.Settlement) {
+	if e.claim != nil {
+		e.claims.settle(e.claim, how, e.answer)
+	}
+}
+
 // takeServer is the entry action of "waiting".
 func (e *exchange) takeServer() {
 	e.taken = e.service.take(e.ctx, acquire{
@@ -80,18 +132,42 @@
 	e.next = "granted"
 }
 
+// giveBack returns a server that the request was not sent to.
+func (e *exchange) giveBack() {
+	e.service.giveBack(e.taken.grant, balance.Result{Fate: call.NotSent})
+	e.avoid = append(e.avoid, e.taken.grant.Server)
+}
+
 // send is the entry action of "sent".
 func (e *exchange) send() {
 	req := *e.req
 	req.Deadline = e.policy.Deadline
 	req.RetriesLeft = max(0, e.policy.Resends-e.resends)
-	result := e.taken.pool.Do(e.ctx, &req)
+	e.incarnation = e.quarantine.incarnation(e.server())
+	e.received(e.exchange(&req))
+}
+
+// exchange sends one copy. The deadline is checked by the clock, because after a pause of the process the timer of the
+// context may be late, and a once-only request must not be sent after its claim has expired.
+func (e *exchange) exchange(req *call.Request) backend.Result {
+	if !time.Now().Before(e.policy.Deadline) {
+		return backend.Result{Fate: call.NotSent, Err: context.DeadlineExceeded}
+	}
+	return e.taken.pool.Do(e.ctx, req)
+}
+
+// received takes the result of the exchange that decides the request.
+func (e *exchange) received(result backend.Result) {
 	e.service.giveBack(e.taken.grant, outcome(result))
+	e.quarantine.note(e.server(), result)
 	e.avoid = append(e.avoid, e.taken.grant.Server)
 	e.answer, e.err = result.Answer, result.Err
 	e.next = eventOf(result)
-	if e.next == "not_run" {
-		e.err = notRun(result)
+	switch e.next {
+	case "not_run":
+		e.answer, e.err = nil, notRun(result)
+	case "answered":
+		e.clearMark()
 	}
 }
 
@@ -125,7 +201,7 @@
 	return r
 }
 
-// tellUnknown is the entry action of "unknown".
+// tellUnknown is an entry action of "unknown".
 func (e *exchange) tellUnknown() {
 	e.answer = nil
 	e.err = fault.Wrap(e.err, fault.OutcomeUnknown, "find out whether the request took effect before you send it again",
