Check histories of once-only requests

Callers send over 10,000 requests to four instances under outages, lost and late writes, lost messages, pauses, kills and differing views; porcupine checks that each key runs at most once and that "not run" is true. An owner that grants before its commit is caught. The run found keys that stayed claimed: a paused owner handled a claim after the next owner had confirmed its release. The release of a claim whose answer was lost is now sent a second time.

--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -85,6 +85,8 @@
 	holder once.Holder
 	number uint64
 	until  time.Time
+	// unsure is true when the owner did not answer: the claim may still be on its way.
+	unsure bool
 }
 
 // NewClaims returns the tasks of once-only claims. Run starts them.
@@ -129,6 +131,7 @@
 	defer cancel()
 	reply, err := c.ask(ctx, held)
 	if err != nil {
+		held.unsure = true
 		return claimed{event: "refused", claim: held, err: fault.Wrap(err, fault.StoreUnavailable, "send the request again later",
 			"the owner of the once-only claim did not answer").Refused(retryAfter)}
 	}
@@ -215,7 +218,7 @@
 	if answer != nil && answer.Stream != nil {
 		answer = nil
 	}
-	c.settlements.add(&settlement{place: held.place, until: held.until, settle: once.Settle{
+	c.settlements.add(&settlement{place: held.place, until: held.until, again: held.unsure, settle: once.Settle{
 		Digest: held.digest, Check: held.check, Window: held.window, Holder: held.holder, Attempt: held.number,
 		Settlement: how, Answer: answer,
 	}})
--- /dev/null
+++ b/internal/node/fakes_test.go
@@ -0,0 +1,372 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/peer"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
+)
+
+// memoryAPI is an object API in memory. Each call asks fault for what goes wrong.
+type memoryAPI struct {
+	objectapi.API // the calls that claims do not use
+	latency       time.Duration
+
+	mu      sync.Mutex
+	objects map[string]objectapi.Object
+	version uint64
+	writes  int
+	bytes   int
+	down    bool
+	lose    func() bool // the answer of a write that took effect is lost
+	late    func() bool // a write takes effect after its caller was told that it is unclear
+}
+
+func newMemoryAPI() *memoryAPI {
+	never := func() bool { return false }
+	return &memoryAPI{objects: map[string]objectapi.Object{}, lose: never, late: never, latency: 2 * time.Millisecond}
+}
+
+func (m *memoryAPI) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+func (m *memoryAPI) Get(_ context.Context, kind objectapi.Kind, name string) (objectapi.Object, error) {
+	time.Sleep(m.latency)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return objectapi.Object{}, fault.New(fault.StoreUnavailable, "", "down")
+	}
+	o, ok := m.objects[string(kind)+"/"+name]
+	if !ok {
+		return o, fault.New(fault.NotFound, "", "%s does not exist", name)
+	}
+	return o, nil
+}
+
+func (m *memoryAPI) Create(ctx context.Context, kind objectapi.Kind, name string, value []byte) (objectapi.Object, error) {
+	return m.write(kind, name, 0, value)
+}
+
+func (m *memoryAPI) Update(ctx context.Context, kind objectapi.Kind, name string, version uint64, value []byte) (objectapi.Object, error) {
+	return m.write(kind, name, version, value)
+}
+
+func (m *memoryAPI) write(kind objectapi.Kind, name string, version uint64, value []byte) (objectapi.Object, error) {
+	time.Sleep(m.latency)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ambiguous := fault.New(fault.AmbiguousWrite, "", "answer was lost")
+	switch {
+	case m.down:
+		return objectapi.Object{}, fault.New(fault.StoreUnavailable, "", "down")
+	case m.late():
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			_, _ = m.apply(kind, name, version, value)
+		}()
+		return objectapi.Object{}, ambiguous
+	}
+	o, err := m.apply(kind, name, version, value)
+	if m.lose() {
+		return objectapi.Object{}, ambiguous
+	}
+	return o, err
+}
+
+func (m *memoryAPI) apply(kind objectapi.Kind, name string, version uint64, value []byte) (objectapi.Object, error) {
+	key := string(kind) + "/" + name
+	if m.objects[key].Version != version {
+		return objectapi.Object{}, fault.New(fault.Conflict, "", "version %d is not current", version)
+	}
+	m.version++
+	m.writes++
+	m.bytes += len(value)
+	o := objectapi.Object{Kind: kind, Name: name, Version: m.version, Value: value}
+	m.objects[key] = o
+	return o, nil
+}
+
+func (m *memoryAPI) Delete(_ context.Context, kind objectapi.Kind, name string, version uint64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.objects, string(kind)+"/"+name)
+	return nil
+}
+
+// gate is what an instance sends and receives through. A closed gate holds everything back, as a paused process does;
+// a dead one refuses everything.
+type gate struct {
+	mu   sync.Mutex
+	open chan struct{} // closed while the gate is open
+	dead bool
+}
+
+func newGate() *gate {
+	g := &gate{open: make(chan struct{})}
+	close(g.open)
+	return g
+}
+
+func (g *gate) pause() (resume func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	open := make(chan struct{})
+	g.open = open
+	return func() { close(open) }
+}
+
+func (g *gate) kill() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dead = true
+}
+
+func (g *gate) pass() error {
+	g.mu.Lock()
+	open := g.open
+	g.mu.Unlock()
+	<-open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.dead {
+		return fault.New(fault.PeerUnavailable, "", "instance is dead")
+	}
+	return nil
+}
+
+// gatedAPI is the object API as one instance reaches it.
+type gatedAPI struct {
+	*memoryAPI
+	gate *gate
+}
+
+func (a gatedAPI) Get(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error) {
+	if err := a.gate.pass(); err != nil {
+		return objectapi.Object{}, err
+	}
+	return a.memoryAPI.Get(ctx, kind, name)
+}
+
+func (a gatedAPI) Create(ctx context.Context, kind objectapi.Kind, name string, value []byte) (objectapi.Object, error) {
+	return a.Update(ctx, kind, name, 0, value)
+}
+
+func (a gatedAPI) Update(ctx context.Context, kind objectapi.Kind, name string, version uint64, value []byte) (objectapi.Object, error) {
+	if err := a.gate.pass(); err != nil {
+		return objectapi.Object{}, err
+	}
+	return a.memoryAPI.Update(ctx, kind, name, version, value)
+}
+
+// network carries messages between instances by name.
+type network struct {
+	mu       sync.Mutex
+	handlers map[string]peer.Handlers
+	gates    map[string]*gate
+	lose     func() bool // a message or its reply is lost
+}
+
+func (n *network) join(name string, g *gate, h peer.Handlers) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[name], n.gates[name] = h, g
+}
+
+// link is the network as one instance reaches it.
+type link struct {
+	peer.Caller // the calls that are not used
+	net         *network
+	gate        *gate
+}
+
+// deliver carries one message and its reply.
+func deliver[In, Out any](ctx context.Context, l link, to string, in In, pick func(peer.Handlers) func(context.Context, In) (Out, error)) (Out, error) {
+	var none Out
+	type reply struct {
+		out Out
+		err error
+	}
+	done := make(chan reply, 1)
+	go func() {
+		err := l.gate.pass()
+		l.net.mu.Lock()
+		h, g := l.net.handlers[to], l.net.gates[to]
+		loseMessage, loseReply := l.net.lose(), l.net.lose()
+		l.net.mu.Unlock()
+		time.Sleep(time.Millisecond)
+		if err != nil || g == nil || g.pass() != nil || loseMessage {
+			return
+		}
+		// The context of the handler ends some time after that of the caller, as over a network.
+		out, err := pick(h)(context.WithoutCancel(ctx), in)
+		time.Sleep(time.Millisecond)
+		if g.pass() == nil && !loseReply {
+			done <- reply{out, err}
+		}
+	}()
+	select {
+	case r := <-done:
+		return r.out, r.err
+	case <-ctx.Done():
+		return none, ctx.Err()
+	}
+}
+
+func (l link) Claim(ctx context.Context, to string, in *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	return deliver(ctx, l, to, in, func(h peer.Handlers) func(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+		return h.Claim
+	})
+}
+
+func (l link) Settle(ctx context.Context, to string, in *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
+	return deliver(ctx, l, to, in, func(h peer.Handlers) func(context.Context, *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
+		return h.Settle
+	})
+}
+
+func (l link) Strike(ctx context.Context, to string, in *peerpb.StrikeRequest) (*peerpb.StrikeReply, error) {
+	return deliver(ctx, l, to, in, func(h peer.Handlers) func(context.Context, *peerpb.StrikeRequest) (*peerpb.StrikeReply, error) {
+		return h.Strike
+	})
+}
+
+// fakeServers are backend servers in memory. Serve decides what becomes of a request: it returns an answer, or crashes
+// the server, or breaks the connection.
+type fakeServers struct {
+	mu      sync.Mutex
+	starts  map[string]int
+	down    map[string]bool
+	sockets map[string][]net.Conn
+	serve   func(server string, r *http.Request, body string) ending
+}
+
+// ending is what becomes of a request at a backend server.
+type ending struct {
+	status int
+	body   string
+	notRun bool
+	breaks bool
+	// crashes stops the server for this long.
+	crashes time.Duration
+}
+
+func newFakeServers(serve func(string, *http.Request, string) ending) *fakeServers {
+	return &fakeServers{starts: map[string]int{}, down: map[string]bool{}, sockets: map[string][]net.Conn{}, serve: serve}
+}
+
+// dialer connects through the gate of one instance.
+func (f *fakeServers) dialer(g *gate) backend.Dialer {
+	return func(_ context.Context, address string) (net.Conn, error) {
+		if err := g.pass(); err != nil {
+			return nil, err
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.down[address] {
+			return nil, fmt.Errorf("dial %s: %w", address, syscall.ECONNREFUSED)
+		}
+		near, far := net.Pipe()
+		f.sockets[address] = append(f.sockets[address], far)
+		go f.run(address, far)
+		return gatedConn{Conn: near, gate: g}, nil
+	}
+}
+
+// gatedConn holds writes back while the instance is paused, and refuses them once it is dead.
+type gatedConn struct {
+	net.Conn
+	gate *gate
+}
+
+func (c gatedConn) Write(p []byte) (int, error) {
+	if err := c.gate.pass(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+func (f *fakeServers) run(address string, socket net.Conn) {
+	defer func() { _ = socket.Close() }()
+	reader := bufio.NewReader(socket)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		end := f.serve(address, r, string(body))
+		if end.crashes > 0 {
+			f.crash(address, end.crashes)
+		}
+		if end.breaks || end.crashes > 0 {
+			return
+		}
+		if !f.answer(address, socket, end) {
+			return
+		}
+	}
+}
+
+func (f *fakeServers) answer(address string, socket net.Conn, end ending) bool {
+	f.mu.Lock()
+	incarnation := fmt.Sprint(f.starts[address])
+	f.mu.Unlock()
+	head := fmt.Sprintf("HTTP/1.1 %d OK\r\nContent-Length: %d\r\n%s: %s\r\n", end.status, len(end.body), backend.HeaderIncarnation, incarnation)
+	if end.notRun {
+		head += backend.HeaderNotRun + ": true\r\n"
+	}
+	_, err := io.Copy(socket, strings.NewReader(head+"\r\n"+end.body))
+	return err == nil
+}
+
+// crash breaks all connections of a server and refuses new ones for a time.
+func (f *fakeServers) crash(address string, length time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down[address] {
+		return
+	}
+	f.down[address] = true
+	f.starts[address]++
+	for _, s := range f.sockets[address] {
+		_ = s.Close()
+	}
+	f.sockets[address] = nil
+	time.AfterFunc(length, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.down[address] = false
+	})
+}
+
+// chance returns a function that is true with the given probability, for one sequence of random numbers.
+func chance(rnd *rand.Rand, p float64) func() bool {
+	var mu sync.Mutex
+	return func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return rnd.Float64() < p
+	}
+}
--- /dev/null
+++ b/internal/node/once_test.go
@@ -0,0 +1,484 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+	"fuchsiahub.example/fuchsiahub/internal/chartfile"
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/decide/once"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/peer"
+)
+
+// instance is one running instance of the test: the tasks of claims and quarantine and the path of requests.
+type instance struct {
+	self   member.Instance
+	gate   *gate
+	view   atomic.Pointer[member.View]
+	claims *Claims
+	server *Server
+	stop   context.CancelFunc
+	ended  chan struct{}
+}
+
+// cluster is a few instances over one object API, one network and one set of backend servers.
+type cluster struct {
+	api     *memoryAPI
+	net     *network
+	servers *fakeServers
+	docs    *Documents
+	// chart replaces charts/claim.toml when it is not nil.
+	chart *chart.Chart
+}
+
+func (c *cluster) start(t *testing.T, self member.Instance) *instance {
+	t.Helper()
+	i := &instance{self: self, gate: newGate(), ended: make(chan struct{})}
+	i.view.Store(&member.View{Self: self, Live: []member.Instance{self}})
+	place := balance.Place{Region: self.Region, Zone: self.Zone}
+	log := slog.New(slog.DiscardHandler)
+	caller := link{net: c.net, gate: i.gate}
+	i.claims = NewClaims(ClaimParts{
+		Settings: ClaimSettings{Key: []byte("secret")}, Self: once.Holder{Instance: self.Name, Incarnation: self.Incarnation},
+		Region: self.Region, API: gatedAPI{c.api, i.gate}, Peers: caller, View: i.view.Load, Sets: func() int { return 1 }, Log: log,
+	})
+	if c.chart != nil {
+		replaceClaimChart(t, i.claims, c.chart)
+	}
+	q, err := NewQuarantine(QuarantineParts{
+		Secret: []byte("secret"), Self: self, Peers: caller, View: i.view.Load, Dial: c.servers.dialer(i.gate), Log: log,
+		RegionOf: c.docs.Fleet.RegionOf,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	directory := NewDirectory(place, c.servers.dialer(i.gate), log)
+	i.server, err = NewServer(directory, place, WithClaims(i.claims), WithQuarantine(q))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	i.stop = stop
+	go i.run(ctx, directory, q)
+	c.net.join(self.Name, i.gate, peer.Handlers{Claim: i.claims.HandleClaim, Settle: i.claims.HandleSettle, Strike: q.HandleStrike})
+	if err := directory.Apply(ctx, c.docs); err != nil {
+		t.Fatal(err)
+	}
+	return i
+}
+
+func (i *instance) run(ctx context.Context, directory *Directory, q *Quarantine) {
+	var tasks sync.WaitGroup
+	for _, run := range []func(context.Context) error{i.claims.Run, q.Run, directory.Run} {
+		tasks.Go(func() { _ = run(ctx) })
+	}
+	tasks.Wait()
+	close(i.ended)
+}
+
+func replaceClaimChart(t *testing.T, c *Claims, ch *chart.Chart) {
+	t.Helper()
+	interval := time.Second * DefaultClaimPartitions / DefaultClaimWrites
+	partition, err := charts.Load("partition", charts.Params{"commit_interval": interval})
+	if err != nil {
+		t.Fatal(err)
+	}
+	bound, err := once.BindCharts(partition, ch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.partitions.charts[interval] = bound
+}
+
+// earlyAnswer is charts/claim.toml with the fault that the owner grants a claim before its commit.
+func earlyAnswer(t *testing.T) *chart.Chart {
+	t.Helper()
+	text, err := os.ReadFile("../../charts/claim.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	spec, err := chartfile.Read("claim.toml", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range spec.States {
+		for i, on := range s.On {
+			if slices.Contains(on.Do, "record_claim") {
+				s.On[i].Do = append(on.Do, "reply_granted")
+			}
+		}
+	}
+	ch, err := chart.Compile(spec, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ch
+}
+
+// attempt is one request of a caller, as input of the history.
+type attempt struct {
+	key, id string
+}
+
+// end is how it ended for its caller, and whether a backend server ran it.
+type end struct {
+	kind   fault.Kind // empty: answered
+	notRun bool
+	by     string // id of the request whose answer came
+	ran    bool
+}
+
+// runState is what is known of one key.
+type runState struct {
+	by string // id of the request that ran
+}
+
+// atMostOnce is the model: each key runs at most once; a request that was refused as not run has not run; an answer is
+// that of the request that ran; "already run" is said only after a run.
+var atMostOnce = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			key := op.Input.(attempt).key
+			byKey[key] = append(byKey[key], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return runState{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, in, out := state.(runState), input.(attempt), output.(end)
+		if out.ran {
+			if s.by != "" || out.notRun {
+				return false, s
+			}
+			s.by = in.id
+		}
+		switch {
+		case out.kind == "":
+			return out.by == s.by, s
+		case out.kind == fault.AlreadyRun:
+			return s.by != "", s
+		}
+		return true, s
+	},
+}
+
+// history collects what callers and backend servers saw.
+type history struct {
+	mu    sync.Mutex
+	start time.Time
+	ops   []porcupine.Operation
+	ran   map[string]time.Time // by request id
+	twice int                  // requests that ran twice under one id
+	kinds map[fault.Kind]int
+	// unfinished counts keys that had never run when the faults were over, and stuck those of them that stayed claimed.
+	unfinished, stuck int
+}
+
+func (h *history) run(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, again := h.ran[id]; again {
+		h.twice++
+	}
+	h.ran[id] = time.Now()
+}
+
+func (h *history) add(op porcupine.Operation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, op)
+	h.kinds[op.Output.(end).kind]++
+}
+
+// resendUnfinished sends every key that never ran once more, when all faults are over. A release that was lost shows as
+// a request in progress that no instance holds.
+func (h *history) resendUnfinished(i *instance) {
+	ran, keys := map[string]bool{}, map[string]bool{}
+	for _, op := range h.finish() {
+		key := op.Input.(attempt).key
+		keys[key] = true
+		ran[key] = ran[key] || op.Output.(end).ran
+	}
+	for key := range keys {
+		if ran[key] {
+			continue
+		}
+		h.unfinished++
+		_, err := i.server.Do(context.Background(), onceRequest(key, key+"#last", 3*time.Second))
+		if fault.Is(err, fault.InProgress) {
+			h.stuck++
+		}
+	}
+}
+
+// finish fills in which requests ran. A run may come after the caller has given up; the operation ends after both.
+func (h *history) finish() []porcupine.Operation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range h.ops {
+		out := h.ops[i].Output.(end)
+		if at, ran := h.ran[h.ops[i].Input.(attempt).id]; ran {
+			out.ran = true
+			h.ops[i].Return = max(h.ops[i].Return, int64(at.Sub(h.start)))
+		}
+		h.ops[i].Output = out
+	}
+	return h.ops
+}
+
+// The size of the history runs.
+const (
+	historyCallers   = 40
+	historyKeys      = 130 // per caller
+	historyInstances = 4
+)
+
+var onceRegions = []document.Region{{Name: "permian", Zones: []string{"permian-a", "permian-b"}}}
+
+func onceDocuments(names ...string) *Documents {
+	doc := &document.Service{
+		Name: "intake", Owner: "dispatch", Servers: document.Servers{Slots: 20, WarmUpStep: time.Second},
+		Queue: document.Queue{Length: 200}, Retry: document.Retry{Attempts: 2},
+		Routes: []document.Route{
+			{Name: "dispatch", Path: "/dispatch", OnceOnly: true, Deadline: 5 * time.Second},
+			{Name: "lookup", Path: "/lookup/*", Idempotent: true, Deadline: 5 * time.Second},
+		},
+	}
+	for _, name := range names {
+		doc.Servers.List = append(doc.Servers.List, document.Server{Name: name, Address: name, Zone: "permian-a"})
+	}
+	doc.Complete()
+	return &Documents{
+		Services: map[string]*document.Service{"intake": doc},
+		Fleet:    &document.Fleet{Name: "pecos", Regions: onceRegions},
+	}
+}
+
+func onceRequest(key, id string, deadline time.Duration) *call.Request {
+	return &call.Request{
+		ID: id, Service: "intake", Method: "POST", Path: "/dispatch", Body: []byte("crew to " + key), RetriesLeft: 2,
+		Header: []call.Field{{Name: "Idempotency-Key", Value: key}}, Deadline: time.Now().Add(deadline),
+	}
+}
+
+// chaos changes which instances live and what works. It is the only place where instances start and stop.
+type chaos struct {
+	t         *testing.T
+	rnd       *rand.Rand
+	cluster   *cluster
+	instances [historyInstances]atomic.Pointer[instance]
+	faults    map[string]int
+}
+
+func (x *chaos) start(n int) {
+	zone := []string{"permian-a", "permian-b"}[n%2]
+	self := member.Instance{Name: fmt.Sprintf("entry-%d", n), Incarnation: uint64(time.Now().UnixNano()), Region: "permian", Zone: zone}
+	x.instances[n].Store(x.cluster.start(x.t, self))
+}
+
+// publish tells each instance who is alive, some of them late, so that two instances take themselves for the owner.
+func (x *chaos) publish(without int) {
+	var live []member.Instance
+	for n := range x.instances {
+		if n != without {
+			live = append(live, x.instances[n].Load().self)
+		}
+	}
+	for n := range x.instances {
+		i := x.instances[n].Load()
+		view := &member.View{Self: i.self, Live: live}
+		time.AfterFunc(time.Duration(x.rnd.IntN(2000))*time.Millisecond, func() { i.view.Store(view) })
+	}
+}
+
+func (x *chaos) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(1000+x.rnd.IntN(3000)) * time.Millisecond)
+		n := x.rnd.IntN(historyInstances)
+		switch x.rnd.IntN(4) {
+		case 0:
+			x.faults["outage"]++
+			x.cluster.api.setDown(true)
+			time.Sleep(time.Duration(x.rnd.IntN(4000)) * time.Millisecond)
+			x.cluster.api.setDown(false)
+		case 1:
+			x.faults["pause"]++
+			resume := x.instances[n].Load().gate.pause()
+			x.publish(n)
+			time.Sleep(time.Duration(500+x.rnd.IntN(8000)) * time.Millisecond)
+			resume()
+			x.publish(-1)
+		case 2:
+			x.faults["kill"]++
+			old := x.instances[n].Load()
+			old.gate.kill()
+			old.stop()
+			x.publish(n)
+			time.Sleep(time.Duration(x.rnd.IntN(4000)) * time.Millisecond)
+			<-old.ended
+			x.start(n)
+			x.publish(-1)
+		case 3:
+			x.faults["view"]++
+			x.publish(n)
+			time.Sleep(time.Duration(x.rnd.IntN(3000)) * time.Millisecond)
+			x.publish(-1)
+		}
+	}
+}
+
+// recordHistory runs callers against instances under faults and returns what was seen.
+func recordHistory(t *testing.T, seed uint64, claim *chart.Chart) (*history, []porcupine.Operation, map[string]int) {
+	t.Helper()
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	h := &history{start: time.Now(), ran: map[string]time.Time{}, kinds: map[fault.Kind]int{}}
+	misbehave := chance(rand.New(rand.NewPCG(seed, 2)), 0.02)
+	c := &cluster{api: newMemoryAPI(), docs: onceDocuments("intake-1", "intake-2", "intake-3"), chart: claim}
+	c.api.lose = chance(rand.New(rand.NewPCG(seed, 3)), 0.03)
+	c.api.late = chance(rand.New(rand.NewPCG(seed, 4)), 0.02)
+	c.net = &network{handlers: map[string]peer.Handlers{}, gates: map[string]*gate{}, lose: chance(rand.New(rand.NewPCG(seed, 5)), 0.02)}
+	c.servers = newFakeServers(func(_ string, r *http.Request, _ string) ending {
+		id := r.Header.Get(backend.HeaderRequestID)
+		if misbehave() {
+			return ending{status: 503, notRun: true}
+		}
+		h.run(id)
+		time.Sleep(10 * time.Millisecond)
+		if misbehave() {
+			return ending{breaks: true}
+		}
+		return ending{status: 200, body: id}
+	})
+	x := &chaos{t: t, rnd: rnd, cluster: c, faults: map[string]int{}}
+	for n := range historyInstances {
+		x.start(n)
+	}
+	x.publish(-1)
+	time.Sleep(3 * time.Second)
+	ctx, cancel := context.WithCancel(t.Context())
+	var faults sync.WaitGroup
+	faults.Go(func() { x.run(ctx) })
+	var callers sync.WaitGroup
+	for n := range historyCallers {
+		caller := &caller{n: n, rnd: rand.New(rand.NewPCG(seed, 100+uint64(n))), history: h, chaos: x}
+		callers.Go(caller.run)
+	}
+	callers.Wait()
+	cancel()
+	faults.Wait()
+	time.Sleep(2 * releaseAgain)
+	h.resendUnfinished(x.instances[0].Load())
+	for n := range x.instances {
+		i := x.instances[n].Load()
+		i.stop()
+		<-i.ended
+	}
+	return h, h.finish(), x.faults
+}
+
+// caller sends each of its keys until it learns the outcome, to any instance, sometimes twice at a time.
+type caller struct {
+	n       int
+	rnd     *rand.Rand
+	history *history
+	chaos   *chaos
+	sent    atomic.Int64
+}
+
+func (c *caller) run() {
+	for k := range historyKeys {
+		key := fmt.Sprintf("%d-%d", c.n, k)
+		for try := 0; try < 4; try++ {
+			if c.rnd.IntN(4) == 0 {
+				var both sync.WaitGroup
+				first, second := c.rnd.IntN(historyInstances), c.rnd.IntN(historyInstances)
+				both.Go(func() { c.send(key, first) })
+				both.Go(func() { c.send(key, second) })
+				both.Wait()
+			} else if c.send(key, c.rnd.IntN(historyInstances)) && c.rnd.IntN(3) > 0 {
+				break
+			}
+			time.Sleep(time.Duration(c.rnd.IntN(400)) * time.Millisecond)
+		}
+	}
+}
+
+// send sends one copy and reports whether the caller knows the outcome now.
+func (c *caller) send(key string, to int) bool {
+	id := fmt.Sprintf("%s#%d", key, c.sent.Add(1))
+	i := c.chaos.instances[to].Load()
+	callTime := time.Since(c.history.start)
+	answer, err := i.server.Do(context.Background(), onceRequest(key, id, 3*time.Second))
+	out := end{}
+	if err != nil {
+		e := fault.As(err)
+		out.kind, out.notRun = e.Kind, e.NotRun
+	} else {
+		out.by = string(answer.Body)
+	}
+	if i.gate.pass() != nil { // the caller of a killed instance learns nothing
+		out = end{kind: "connection-lost"}
+	}
+	c.history.add(porcupine.Operation{
+		ClientId: c.n, Input: attempt{key: key, id: id}, Output: out, Call: int64(callTime), Return: int64(time.Since(c.history.start)),
+	})
+	return out.kind == "" || out.kind == fault.AlreadyRun
+}
+
+// Guards against a once-only request that runs twice, or that runs although its caller was told "not run", under
+// outages of the object API, lost and late writes, lost messages, paused and killed instances, two instances that take
+// themselves for the owner, and callers that send to several instances.
+func TestOnceOnlyHistories(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, ops, faults := recordHistory(t, seed, nil)
+				result := porcupine.CheckOperations(atMostOnce, ops)
+				t.Logf("seed %d: %d operations, %d runs, %d keys left, endings %v, faults %v", seed, len(ops), len(h.ran), h.unfinished, h.kinds, faults)
+				if !result || h.twice > 0 {
+					t.Errorf("a key ran twice, or a request ran that was refused as not run")
+				}
+				if h.stuck > 0 {
+					t.Errorf("%d of %d keys that never ran stay claimed", h.stuck, h.unfinished)
+				}
+				if len(ops) < 10_000 {
+					t.Errorf("only %d operations", len(ops))
+				}
+			})
+		})
+	}
+}
+
+// Guards against a checker that sees nothing: an owner that grants a claim before its commit must be caught.
+func TestHistoryCheckerCatchesEarlyAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, ops, _ := recordHistory(t, 1, earlyAnswer(t))
+		if porcupine.CheckOperations(atMostOnce, ops) {
+			t.Errorf("the checker accepts %d operations with %d runs of an owner that answers before its commit", len(ops), len(h.ran))
+		}
+	})
+}
--- a/internal/node/settlements.go
+++ b/internal/node/settlements.go
@@ -19,6 +19,9 @@
 	settleCalls = 64
 	// settleRetry is the wait before settlements that were not confirmed are sent again.
 	settleRetry = 500 * time.Millisecond
+	// releaseAgain is the wait before the release of a claim whose answer was lost is sent a second time. A paused owner
+	// can handle the claim after another owner has confirmed the release; the second release then frees the key.
+	releaseAgain = 15 * time.Second
 )
 
 // settlements is the task that tells owners how claims ended, again and again until they confirm.
@@ -30,7 +33,7 @@
 	results chan settleResult
 	ended   chan struct{}
 	ready   []*settlement
-	failed  []*settlement
+	failed  []*settlement // sent again later
 	calls   int
 	dropped int
 }
@@ -41,6 +44,10 @@
 	settle once.Settle
 	// until is when the claim's window has surely ended.
 	until time.Time
+	// again asks for a second copy after the first was confirmed.
+	again bool
+	// due is when a copy that waits is sent.
+	due time.Time
 }
 
 type settleResult struct {
@@ -117,22 +124,33 @@
 	}
 }
 
-// finished keeps a settlement that was not confirmed. Its answer is not kept, so that an owner that is away costs
+// finished keeps a settlement that was not confirmed, or that is to be sent again. Its answer is not kept, so that an owner that is away costs
 // little memory here.
 func (t *settlements) finished(r settleResult) {
 	t.calls--
-	if r.confirmed {
+	s := r.settlement
+	if r.confirmed && !s.again {
 		return
 	}
-	r.settlement.settle.Answer = nil
-	t.failed = append(t.failed, r.settlement)
+	if r.confirmed {
+		s.again = false
+		s.due = time.Now().Add(releaseAgain)
+	}
+	s.settle.Answer = nil
+	t.failed = append(t.failed, s)
 }
 
+// retry sends again what is due and drops what no longer matters.
 func (t *settlements) retry(now time.Time) {
+	kept := t.failed[:0]
 	for _, s := range t.failed {
-		if now.Before(s.until) {
+		switch {
+		case now.Before(s.due):
+			kept = append(kept, s)
+		case now.Before(s.until):
 			t.ready = append(t.ready, s)
 		}
 	}
-	t.failed = nil
+	clear(t.failed[len(kept):])
+	t.failed = kept
 }
