Test quarantine over several instances

A request that crashes every server is sent 60 times among 120 others over three instances. It crashes two servers; no other request is quarantined.

--- a/internal/node/once_test.go
+++ b/internal/node/once_test.go
@@ -61,6 +61,7 @@
 		Settings: ClaimSettings{Key: []byte("secret")}, Self: once.Holder{Instance: self.Name, Incarnation: self.Incarnation},
 		Region: self.Region, API: gatedAPI{c.api, i.gate}, Peers: caller, View: i.view.Load, Sets: func() int { return 1 }, Log: log,
 	})
+	i.claims.partitions.limits.SealEntries = 100 // many sealed segments in a short run
 	if c.chart != nil {
 		replaceClaimChart(t, i.claims, c.chart)
 	}
@@ -265,6 +266,7 @@
 		Queue: document.Queue{Length: 200}, Retry: document.Retry{Attempts: 2},
 		Routes: []document.Route{
 			{Name: "dispatch", Path: "/dispatch", OnceOnly: true, Deadline: 5 * time.Second},
+			{Name: "report", Path: "/report/*", Deadline: 5 * time.Second},
 			{Name: "lookup", Path: "/lookup/*", Idempotent: true, Deadline: 5 * time.Second},
 		},
 	}
--- a/internal/node/partitions.go
+++ b/internal/node/partitions.go
@@ -39,6 +39,7 @@
 
 	inbox  *task.Mailbox[any]
 	ended  chan struct{}
+	limits once.Limits
 	open   map[string]*openPartition
 	peers  *once.Peers
 	charts map[time.Duration]*once.Charts
@@ -86,6 +87,9 @@
 		log: parts.Log, inbox: task.NewMailbox[any]("claims", partitionsCapacity), ended: make(chan struct{}),
 		open: map[string]*openPartition{}, peers: once.NewPeers(drainLimit), charts: map[time.Duration]*once.Charts{},
 		claims: map[uint64]chan<- claimReply{}, settles: map[uint64]chan<- bool{},
+		limits: once.Limits{
+			SealEntries: sealEntries, Pending: pendingPerPartition, KeptBytes: parts.Settings.KeptBytes / parts.Settings.Partitions,
+		},
 	}
 }
 
@@ -256,8 +260,7 @@
 		s.log.Error("partition of once-only claims cannot be opened", "partition", name, "error", err)
 		return nil, ""
 	}
-	limits := once.Limits{SealEntries: sealEntries, Pending: pendingPerPartition, KeptBytes: s.settings.KeptBytes / s.settings.Partitions}
-	p := &openPartition{Partition: bound.New(time.Now(), s.self, limits, s.peers), store: claimStore{api: s.api, place: place}}
+	p := &openPartition{Partition: bound.New(time.Now(), s.self, s.limits, s.peers), store: claimStore{api: s.api, place: place}}
 	s.open[name] = p
 	return p, ""
 }
--- /dev/null
+++ b/internal/node/quarantine_test.go
@@ -0,0 +1,170 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/peer"
+)
+
+// crashRun is what happened in one run of poisonAmongInnocents.
+type crashRun struct {
+	crashes     int64 // servers that crashed
+	condemned   bool  // the poison request was refused
+	quarantined int64 // innocent requests that were refused by the quarantine
+	unanswered  int64 // innocent requests that were never answered
+}
+
+const (
+	crashInstances = 3
+	innocents      = 120
+	crashSendLimit = 60
+)
+
+// poisonAmongInnocents sends one request that crashes servers, again and again, among many others, over several
+// instances. Servers report an incarnation.
+func poisonAmongInnocents(t *testing.T, seed uint64, route string) crashRun {
+	t.Helper()
+	var run crashRun
+	var crashes atomic.Int64
+	var names []string
+	for n := range 6 {
+		names = append(names, fmt.Sprintf("atlas-%d", n))
+	}
+	c := &cluster{api: newMemoryAPI(), docs: onceDocuments(names...)}
+	c.docs.Services["intake"].Servers.Slots = 6
+	c.net = &network{handlers: map[string]peer.Handlers{}, gates: map[string]*gate{}, lose: func() bool { return false }}
+	c.servers = newFakeServers(func(_ string, r *http.Request, _ string) ending {
+		time.Sleep(20 * time.Millisecond)
+		if strings.HasSuffix(r.URL.Path, "/poison") {
+			crashes.Add(1)
+			return ending{crashes: 500 * time.Millisecond}
+		}
+		time.Sleep(20 * time.Millisecond)
+		return ending{status: 200}
+	})
+	var instances []*instance
+	var live []member.Instance
+	for n := range crashInstances {
+		live = append(live, member.Instance{Name: fmt.Sprintf("entry-%d", n), Incarnation: 1, Region: "permian", Zone: "permian-a"})
+		instances = append(instances, c.start(t, live[n]))
+	}
+	for n, i := range instances {
+		i.view.Store(&member.View{Self: live[n], Live: live})
+	}
+	send := func(rnd *rand.Rand, path string) error {
+		i := instances[rnd.IntN(crashInstances)]
+		_, err := i.server.Do(context.Background(), &call.Request{ID: path, Service: "intake", Method: "POST", Path: route + path, RetriesLeft: 2})
+		return err
+	}
+	var callers sync.WaitGroup
+	var quarantined, unanswered atomic.Int64
+	stop := make(chan struct{})
+	for n := range innocents {
+		rnd := rand.New(rand.NewPCG(seed, uint64(n)))
+		callers.Go(func() {
+			path := fmt.Sprint(n)
+			for answered := false; ; {
+				err := send(rnd, path)
+				answered = answered || err == nil
+				if fault.Is(err, fault.Quarantined) {
+					quarantined.Add(1)
+				}
+				time.Sleep(time.Duration(rnd.IntN(100)) * time.Millisecond)
+				select {
+				case <-stop:
+					if !answered {
+						unanswered.Add(1)
+					}
+					return
+				default:
+				}
+			}
+		})
+	}
+	rnd := rand.New(rand.NewPCG(seed, innocents))
+	time.Sleep(2 * time.Second)
+	for range crashSendLimit {
+		run.condemned = fault.Is(send(rnd, "poison"), fault.Quarantined)
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(2 * time.Second)
+	close(stop)
+	callers.Wait()
+	for _, i := range instances {
+		i.stop()
+		<-i.ended
+	}
+	run.crashes, run.quarantined, run.unanswered = crashes.Load(), quarantined.Load(), unanswered.Load()
+	return run
+}
+
+// Guards against a request that crashes more than two servers, against innocent requests that are condemned because
+// they ran beside it, and against a quarantine that only one instance knows of.
+func TestPoisonRequestCrashesTwoServers(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3, 4} {
+		route := []string{"/lookup/", "/report/"}[seed%2] // idempotent and not
+		t.Run(fmt.Sprint("seed", seed, route), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				run := poisonAmongInnocents(t, seed, route)
+				t.Logf("%+v", run)
+				if run.crashes > 2 || !run.condemned {
+					t.Errorf("the request crashed %d servers; condemned: %v", run.crashes, run.condemned)
+				}
+				if run.quarantined > 0 || run.unanswered > 0 {
+					t.Errorf("%d innocent requests were quarantined, %d never answered", run.quarantined, run.unanswered)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a strike that leaves the home regions of its request.
+func TestStrikesStayInHomeRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{api: newMemoryAPI(), docs: onceDocuments("intake-1", "intake-2", "intake-3", "intake-4")}
+		c.docs.Fleet.Regions = append(c.docs.Fleet.Regions, document.Region{Name: "gulf", Zones: []string{"gulf-a"}})
+		c.docs.Services["intake"].Routes[2].HomeRegions = []string{"permian"}
+		c.net = &network{handlers: map[string]peer.Handlers{}, gates: map[string]*gate{}, lose: func() bool { return false }}
+		c.servers = newFakeServers(func(string, *http.Request, string) ending { return ending{crashes: time.Second} })
+		live := []member.Instance{
+			{Name: "entry-0", Incarnation: 1, Region: "permian", Zone: "permian-a"},
+			{Name: "entry-1", Incarnation: 1, Region: "permian", Zone: "permian-b"},
+			{Name: "entry-2", Incarnation: 1, Region: "gulf", Zone: "gulf-a"},
+		}
+		var instances []*instance
+		for _, self := range live {
+			i := c.start(t, self)
+			i.view.Store(&member.View{Self: self, Live: live})
+			instances = append(instances, i)
+		}
+		for range 3 {
+			_, err := instances[0].server.Do(t.Context(), &call.Request{Service: "intake", Method: "GET", Path: "/lookup/1", RetriesLeft: 2})
+			if err == nil {
+				t.Error("a request that crashes every server was answered")
+			}
+			time.Sleep(time.Second)
+		}
+		for n, known := range []bool{true, true, false} {
+			if instances[n].server.quarantine.active() != known {
+				t.Errorf("instance in %s knows of the strikes: %v", live[n].Region, !known)
+			}
+		}
+		for _, i := range instances {
+			i.stop()
+			<-i.ended
+		}
+	})
+}
