--- /dev/null
+++ b/internal/decide/once/partition_test.go
@@ -0,0 +1,338 @@
+package once_test
+
+import (
+	"testing"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/decide/once"
+)
+
+// store is the object API of one partition: the head and its segments.
+type store struct {
+	version  uint64
+	head     once.Head
+	segments map[uint64][]once.Entry
+	down     bool
+	// lose makes the answer of the next write be lost after it took effect.
+	lose bool
+}
+
+func (s *store) call(e once.Effect) once.StoreAnswer {
+	if s.down {
+		return once.StoreFailed{}
+	}
+	switch e := e.(type) {
+	case once.ReadHead:
+		if s.version == 0 {
+			return once.HeadRead{}
+		}
+		head := s.head
+		return once.HeadRead{Version: s.version, Head: &head}
+	case once.ReadSegment:
+		entries, ok := s.segments[e.Number]
+		return once.SegmentRead{Number: e.Number, Entries: entries, Missing: !ok}
+	case once.WriteSegment:
+		s.segments[e.Number] = append([]once.Entry(nil), e.Entries...)
+		return once.Written{}
+	case once.DeleteSegment:
+		delete(s.segments, e.Number)
+		return once.SegmentDeleted{Number: e.Number}
+	case once.WriteHead:
+		return s.write(e)
+	}
+	return nil
+}
+
+func (s *store) write(e once.WriteHead) once.StoreAnswer {
+	if e.Version != s.version {
+		return once.StoreFailed{}
+	}
+	s.version++
+	s.head = *e.Head
+	s.head.Entries = append([]once.Entry(nil), e.Head.Entries...)
+	if s.lose {
+		s.lose = false
+		return once.StoreFailed{}
+	}
+	return once.Written{Version: s.version}
+}
+
+// owner runs one partition and gathers its replies.
+type owner struct {
+	*once.Partition
+	store    *store
+	now      time.Time
+	view     *member.View
+	verdicts map[uint64]once.Reply
+	recorded map[uint64]bool
+	ticket   uint64
+}
+
+var (
+	start  = time.Unix(1000, 0)
+	entry1 = once.Holder{Instance: "entry-1", Incarnation: 1}
+	entry2 = once.Holder{Instance: "entry-2", Incarnation: 1}
+)
+
+func newOwner(t *testing.T, name string, s *store, limits once.Limits) *owner {
+	t.Helper()
+	partition, err := charts.Load("partition", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	claim, err := charts.Load("claim", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bound, err := once.BindCharts(partition, claim)
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := &member.View{Live: []member.Instance{{Name: "entry-1", Incarnation: 1}, {Name: "entry-2", Incarnation: 1}}}
+	return &owner{
+		Partition: bound.New(start, once.Holder{Instance: name, Incarnation: 1}, limits, once.NewPeers(30*time.Second)),
+		store:     s, now: start, view: view, verdicts: map[uint64]once.Reply{}, recorded: map[uint64]bool{},
+	}
+}
+
+var roomy = once.Limits{SealEntries: 100, Pending: 100, KeptBytes: 1 << 20}
+
+func newStore() *store { return &store{segments: map[uint64][]once.Entry{}} }
+
+// settleDown carries out effects until none is left.
+func (o *owner) settleDown() {
+	for {
+		effects := o.Effects()
+		if len(effects) == 0 {
+			return
+		}
+		for _, e := range effects {
+			switch e := e.(type) {
+			case once.Reply:
+				o.verdicts[e.Ticket] = e
+			case once.Confirmation:
+				o.recorded[e.Ticket] = e.Recorded
+			default:
+				o.Answer(o.now, o.view, o.store.call(e))
+			}
+		}
+	}
+}
+
+// pass lets time pass in small steps.
+func (o *owner) pass(d time.Duration) {
+	step := min(d, 10*time.Millisecond)
+	if d > time.Minute {
+		step = time.Second
+	}
+	for ; d > 0; d -= step {
+		o.now = o.now.Add(step)
+		o.Tick(o.now, o.view)
+		o.settleDown()
+	}
+}
+
+func digest(n byte) once.Digest { return once.Digest{n} }
+
+func (o *owner) claim(d once.Digest, check byte, h once.Holder, attempt uint64) once.Reply {
+	o.ticket++
+	ticket := o.ticket
+	o.Claim(o.now, o.view, once.Claim{Digest: d, Check: once.Check{check}, Window: time.Hour, Holder: h, Attempt: attempt, Ticket: ticket})
+	o.settleDown()
+	o.pass(100 * time.Millisecond)
+	return o.verdicts[ticket]
+}
+
+func (o *owner) settle(d once.Digest, h once.Holder, attempt uint64, how once.Settlement, answer *call.Answer) bool {
+	o.ticket++
+	ticket := o.ticket
+	o.Settle(o.now, o.view, once.Settle{
+		Digest: d, Check: once.Check{1}, Window: time.Hour, Holder: h, Attempt: attempt, Settlement: how, Answer: answer, Ticket: ticket,
+	})
+	o.settleDown()
+	o.pass(2 * time.Second)
+	return o.recorded[ticket]
+}
+
+// Guards against a resend that is told the wrong thing in any state of its claim.
+func TestResendInEachState(t *testing.T) {
+	kept := &call.Answer{Status: 200, Body: []byte("crew 7")}
+	tests := []struct {
+		name   string
+		before func(*owner)
+		check  byte
+		want   once.Verdict
+	}{
+		{"free", func(o *owner) {}, 1, once.Granted},
+		{"claimed", func(o *owner) { o.claim(digest(1), 1, entry1, 1) }, 1, once.InProgress},
+		{"claimed by an instance that is gone", func(o *owner) {
+			o.claim(digest(1), 1, entry1, 1)
+			o.view = &member.View{Live: o.view.Live[1:]}
+			o.claim(digest(1), 1, entry2, 1)
+			o.pass(31 * time.Second)
+		}, 1, once.OutcomeUnknown},
+		{"claimed by an instance that left just now", func(o *owner) {
+			o.claim(digest(1), 1, entry1, 1)
+			o.view = &member.View{Live: o.view.Live[1:]}
+			o.claim(digest(1), 1, entry2, 1)
+		}, 1, once.InProgress},
+		{"claimed by an earlier process of the instance", func(o *owner) {
+			o.claim(digest(1), 1, entry1, 1)
+			o.view = &member.View{Live: []member.Instance{{Name: "entry-1", Incarnation: 2}, o.view.Live[1]}}
+		}, 1, once.OutcomeUnknown},
+		{"answered", func(o *owner) {
+			o.claim(digest(1), 1, entry1, 1)
+			o.settle(digest(1), entry1, 1, once.Answered, kept)
+		}, 1, once.WasAnswered},
+		{"unknown", func(o *owner) {
+			o.claim(digest(1), 1, entry1, 1)
+			o.settle(digest(1), entry1, 1, once.Unknown, nil)
+		}, 1, once.OutcomeUnknown},
+		{"released", func(o *owner) {
+			o.claim(digest(1), 1, entry1, 1)
+			o.settle(digest(1), entry1, 1, once.Released, nil)
+		}, 1, once.Granted},
+		{"released by another attempt", func(o *owner) {
+			o.claim(digest(1), 1, entry1, 1)
+			o.settle(digest(1), entry1, 2, once.Released, nil)
+		}, 1, once.InProgress},
+		{"another request under the key", func(o *owner) { o.claim(digest(1), 1, entry1, 1) }, 2, once.KeyReused},
+		{"another request under an answered key", func(o *owner) {
+			o.claim(digest(1), 1, entry1, 1)
+			o.settle(digest(1), entry1, 1, once.Answered, kept)
+		}, 2, once.KeyReused},
+		{"window is over", func(o *owner) {
+			o.claim(digest(1), 1, entry1, 1)
+			o.settle(digest(1), entry1, 1, once.Answered, kept)
+			o.pass(61 * time.Minute)
+		}, 1, once.Granted},
+		{"window is not over", func(o *owner) {
+			o.claim(digest(1), 1, entry1, 1)
+			o.settle(digest(1), entry1, 1, once.Answered, kept)
+			o.pass(59 * time.Minute)
+		}, 1, once.WasAnswered},
+		{"object API is down", func(o *owner) {
+			o.claim(digest(2), 1, entry1, 1)
+			o.store.down = true
+		}, 1, once.StoreUnavailable},
+		{"answer of the write is lost", func(o *owner) {
+			o.claim(digest(2), 1, entry1, 1)
+			o.store.lose = true
+		}, 1, once.Granted},
+		{"another instance has taken over", func(o *owner) {
+			o.claim(digest(2), 1, entry1, 1)
+			o.store.version++
+			o.store.head.Owner.Instance = "entry-9"
+		}, 1, once.StoreUnavailable},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			o := newOwner(t, "entry-1", newStore(), roomy)
+			test.before(o)
+			reply := o.claim(digest(1), test.check, entry2, 7)
+			if reply.Verdict != test.want {
+				t.Errorf("verdict %d, want %d", reply.Verdict, test.want)
+			}
+			if test.want == once.WasAnswered && reply.Answer != kept {
+				t.Error("the kept answer was not given again")
+			}
+		})
+	}
+}
+
+// Guards against a late claim that is granted after its release, which nobody would ever settle.
+func TestReleasedAttemptIsNotGranted(t *testing.T) {
+	o := newOwner(t, "entry-1", newStore(), roomy)
+	if !o.settle(digest(1), entry1, 5, once.Released, nil) {
+		t.Error("the release was not confirmed")
+	}
+	if v := o.claim(digest(1), 1, entry1, 5).Verdict; v != once.StoreUnavailable {
+		t.Errorf("verdict %d for a released attempt", v)
+	}
+	if v := o.claim(digest(1), 1, entry1, 6).Verdict; v != once.Granted {
+		t.Errorf("verdict %d for the next attempt", v)
+	}
+}
+
+// Guards against a release that is confirmed before it is written.
+func TestReleaseIsConfirmedAfterItsCommit(t *testing.T) {
+	o := newOwner(t, "entry-1", newStore(), roomy)
+	o.claim(digest(1), 1, entry1, 1)
+	o.store.down = true
+	if o.settle(digest(1), entry1, 1, once.Released, nil) {
+		t.Error("the release was confirmed while the object API was down")
+	}
+	o.store.down = false
+	if o.pass(5 * time.Second); !o.recorded[o.ticket] {
+		t.Error("the release was not confirmed after the outage")
+	}
+}
+
+// Guards against a confirmed settlement that a later owner does not know, and against claims that are lost when the
+// head is sealed or an expired segment is removed.
+func TestNextOwnerKnowsAllClaims(t *testing.T) {
+	s := newStore()
+	first := newOwner(t, "entry-1", s, once.Limits{SealEntries: 5, Pending: 100, KeptBytes: 1 << 20})
+	for n := range byte(30) {
+		first.claim(digest(n), 1, entry1, uint64(n))
+		if n%3 == 0 && !first.settle(digest(n), entry1, uint64(n), once.Answered, nil) {
+			t.Fatalf("settlement %d was not confirmed", n)
+		}
+	}
+	if len(s.segments) < 3 {
+		t.Errorf("only %d segments were sealed", len(s.segments))
+	}
+	second := newOwner(t, "entry-2", s, roomy)
+	for n := range byte(30) {
+		want := once.InProgress
+		if n%3 == 0 {
+			want = once.WasAnswered
+		}
+		if v := second.claim(digest(n), 1, entry2, uint64(n)).Verdict; v != want {
+			t.Errorf("claim %d: verdict %d, want %d", n, v, want)
+		}
+	}
+	if v := first.claim(digest(99), 1, entry1, 99).Verdict; v == once.Granted {
+		t.Error("the earlier owner granted a claim after it was replaced")
+	}
+	second.pass(2 * time.Hour)
+	second.claim(digest(100), 1, entry2, 100)
+	second.pass(2 * time.Minute)
+	if _, claims := second.State(); len(s.segments) > 0 || claims > 1 {
+		t.Errorf("%d segments and %d claims are kept after the window", len(s.segments), claims)
+	}
+}
+
+// Guards against a claim that expires early because the clock of a later owner runs ahead.
+func TestWindowSurvivesTakeover(t *testing.T) {
+	s := newStore()
+	first := newOwner(t, "entry-1", s, roomy)
+	first.claim(digest(1), 1, entry1, 1)
+	first.settle(digest(1), entry1, 1, once.Unknown, nil)
+	second := newOwner(t, "entry-2", s, roomy)
+	second.now = start.Add(240 * time.Hour) // a wall clock that is far off
+	if v := second.claim(digest(1), 1, entry2, 1).Verdict; v != once.OutcomeUnknown {
+		t.Errorf("verdict %d right after the takeover", v)
+	}
+}
+
+// Guards against kept answers that grow without bound.
+func TestKeptAnswersAreBounded(t *testing.T) {
+	o := newOwner(t, "entry-1", newStore(), once.Limits{SealEntries: 100, Pending: 100, KeptBytes: 10_000})
+	for n := range byte(20) {
+		o.claim(digest(n), 1, entry1, uint64(n))
+		o.settle(digest(n), entry1, uint64(n), once.Answered, &call.Answer{Status: 200, Body: make([]byte, 1000)})
+	}
+	kept := 0
+	for n := range byte(20) {
+		if o.claim(digest(n), 1, entry2, uint64(n)).Answer != nil {
+			kept++
+		}
+	}
+	if kept < 5 || kept > 10 {
+		t.Errorf("%d answers of 1000 bytes are kept in 10000 bytes", kept)
+	}
+}
--- /dev/null
+++ b/internal/node/claims_test.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/frontend"
+	"fuchsiahub.example/fuchsiahub/internal/peer"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
+)
+
+// single starts one instance whose backend server answers every request, and counts the runs.
+func single(t *testing.T, runs *int) (*cluster, *instance) {
+	c := &cluster{api: newMemoryAPI(), docs: onceDocuments("intake-1")}
+	c.net = &network{handlers: map[string]peer.Handlers{}, gates: map[string]*gate{}, lose: func() bool { return false }}
+	c.servers = newFakeServers(func(_ string, r *http.Request, body string) ending {
+		*runs++
+		return ending{status: 201, body: "ran " + body}
+	})
+	return c, c.start(t, member.Instance{Name: "entry-0", Incarnation: 1, Region: "permian", Zone: "permian-a"})
+}
+
+func (i *instance) end() {
+	i.stop()
+	<-i.ended
+}
+
+// Guards against a resend that runs again, that gets no answer, or that gets the answer of another request.
+func TestResendGetsTheSameAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runs := 0
+		_, i := single(t, &runs)
+		for range 3 {
+			answer, err := i.server.Do(t.Context(), onceRequest("a", "1", time.Second))
+			if err != nil || answer.Status != 201 || string(answer.Body) != "ran crew to a" {
+				t.Errorf("answer %+v, error %v", answer, err)
+			}
+			time.Sleep(time.Second)
+		}
+		other := onceRequest("a", "2", time.Second)
+		other.Body = []byte("another crew")
+		_, err := i.server.Do(t.Context(), other)
+		if e := fault.As(err); e.Kind != fault.KeyReused || !e.NotRun || frontend.Status(e) != http.StatusUnprocessableEntity {
+			t.Errorf("another body under the key: %v", err)
+		}
+		if runs != 1 {
+			t.Errorf("the request ran %d times", runs)
+		}
+		i.end()
+	})
+}
+
+// Guards against an outage of the object API that stops other requests, or that is not told as "not run".
+func TestOutageRefusesOnceOnlyRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runs := 0
+		c, i := single(t, &runs)
+		c.api.setDown(true)
+		_, err := i.server.Do(t.Context(), onceRequest("a", "1", 5*time.Second))
+		if e := fault.As(err); e.Kind != fault.StoreUnavailable || !e.NotRun || e.RetryAfter == 0 || runs != 0 {
+			t.Errorf("%d runs, error %v", runs, err)
+		}
+		if _, err := i.server.Do(t.Context(), &call.Request{Service: "intake", Method: "GET", Path: "/lookup/1"}); err != nil {
+			t.Errorf("another request: %v", err)
+		}
+		c.api.setDown(false)
+		time.Sleep(5 * time.Second)
+		if _, err := i.server.Do(t.Context(), onceRequest("a", "2", 5*time.Second)); err != nil || runs != 2 {
+			t.Errorf("after the outage: %d runs, error %v", runs, err)
+		}
+		i.end()
+	})
+}
+
+// Guards against a once-only request that runs without a claim because no key is set.
+func TestNoClaimsKeyRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runs := 0
+		_, i := single(t, &runs)
+		i.claims.parts.Settings.Key = nil
+		_, err := i.server.Do(t.Context(), onceRequest("a", "1", time.Second))
+		if e := fault.As(err); e.Kind != fault.NoClaimsKey || !e.NotRun || e.Remedy == "" || runs != 0 {
+			t.Errorf("%d runs, error %v", runs, err)
+		}
+		i.end()
+	})
+}
+
+// Guards against an unknown outcome of an earlier copy that has another status than the other duplicates.
+func TestDuplicatesAreConflicts(t *testing.T) {
+	for _, verdict := range []peerpb.ClaimState{
+		peerpb.ClaimState_CLAIM_STATE_IN_PROGRESS, peerpb.ClaimState_CLAIM_STATE_ANSWERED, peerpb.ClaimState_CLAIM_STATE_OUTCOME_UNKNOWN,
+	} {
+		reply, err := readClaimReply(&peerpb.ClaimReply{State: verdict})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := verdicts(&claim{}, reply)
+		if e := fault.As(c.err); c.event != "duplicate" || c.claim != nil || e.NotRun || frontend.Status(e) != http.StatusConflict {
+			t.Errorf("%s: event %q, error %v", verdict, c.event, c.err)
+		}
+	}
+}
+
+// Guards against claims and kept answers that leave their home regions, and against malformed messages that change state.
+func TestClaimMessagesAreChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runs := 0
+		c, i := single(t, &runs)
+		c.docs.Fleet.Regions = append(c.docs.Fleet.Regions, document.Region{Name: "gulf", Zones: []string{"gulf-a"}})
+		good := func() *peerpb.ClaimRequest {
+			return &peerpb.ClaimRequest{
+				Sender:    &peerpb.Sender{Instance: "entry-1", Incarnation: 1, Region: "permian"},
+				Partition: 1, Digest: make([]byte, 16), Check: make([]byte, 8), WindowMs: 1000, Regions: []string{"permian"},
+			}
+		}
+		if reply, err := i.claims.HandleClaim(t.Context(), good()); err != nil || reply.State != peerpb.ClaimState_CLAIM_STATE_GRANTED {
+			t.Errorf("good message: %v, %v", reply, err)
+		}
+		for name, spoil := range map[string]func(*peerpb.ClaimRequest){
+			"no sender":           func(m *peerpb.ClaimRequest) { m.Sender = nil },
+			"sender elsewhere":    func(m *peerpb.ClaimRequest) { m.Sender.Region = "gulf" },
+			"owner elsewhere":     func(m *peerpb.ClaimRequest) { m.Regions = []string{"gulf"}; m.Sender.Region = "gulf" },
+			"regions not sorted":  func(m *peerpb.ClaimRequest) { m.Regions = []string{"permian", "gulf"} },
+			"short digest":        func(m *peerpb.ClaimRequest) { m.Digest = m.Digest[1:] },
+			"no check":            func(m *peerpb.ClaimRequest) { m.Check = nil },
+			"no window":           func(m *peerpb.ClaimRequest) { m.WindowMs = 0 },
+			"too long a window":   func(m *peerpb.ClaimRequest) { m.WindowMs = 1 << 40 },
+			"partition too large": func(m *peerpb.ClaimRequest) { m.Partition = 4 },
+		} {
+			m := good()
+			spoil(m)
+			if _, err := i.claims.HandleClaim(t.Context(), m); !fault.Is(err, fault.BadPeer) {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+		i.end()
+	})
+}
