--- a/internal/claimobject/read.go
+++ b/internal/claimobject/read.go
@@ -12,9 +12,7 @@
 	r := &reader{rest: value}
 	r.format()
 	h := &once.Head{Owner: r.holder(), Sequence: r.number(), Clock: r.number()}
-	for n := r.count(minSegmentBytes); n > 0; n-- {
-		h.Segments = append(h.Segments, once.SegmentRef{Number: r.number(), Expires: r.number()})
-	}
+	h.Segments = r.segments()
 	h.Entries = r.entries()
 	return h, r.end()
 }
@@ -76,6 +74,30 @@
 	return n
 }
 
+// distance reads a number that may be negative.
+func (r *reader) distance() uint64 {
+	if r.bad {
+		return 0
+	}
+	n, size := binary.Varint(r.rest)
+	if size <= 0 {
+		r.bad = true
+		return 0
+	}
+	r.rest = r.rest[size:]
+	return uint64(n)
+}
+
+func (r *reader) segments() []once.SegmentRef {
+	var list []once.SegmentRef
+	var last once.SegmentRef
+	for n := r.count(minSegmentBytes); n > 0; n-- {
+		last = once.SegmentRef{Number: last.Number + r.number(), Expires: last.Expires + r.distance()}
+		list = append(list, last)
+	}
+	return list
+}
+
 // count reads a number of items that take at least the given bytes each.
 func (r *reader) count(least int) int {
 	n := r.number()
--- a/internal/claimobject/write.go
+++ b/internal/claimobject/write.go
@@ -17,10 +17,7 @@
 	w.number(h.Sequence)
 	w.number(h.Clock)
 	w.number(uint64(len(h.Segments)))
-	for _, s := range h.Segments {
-		w.number(s.Number)
-		w.number(s.Expires)
-	}
+	w.segments(h.Segments)
 	w.entries(h.Entries)
 	return w.buf
 }
@@ -43,6 +40,16 @@
 	w.number(h.Incarnation)
 }
 
+// segments writes the distances between neighbours, which are small: numbers rise, and expiry changes little.
+func (w *writer) segments(list []once.SegmentRef) {
+	var last once.SegmentRef
+	for _, s := range list {
+		w.number(s.Number - last.Number)
+		w.buf = binary.AppendVarint(w.buf, int64(s.Expires-last.Expires))
+		last = s
+	}
+}
+
 // entries writes each holder once and refers to it by number. Expiry is written as the distance from the earliest.
 func (w *writer) entries(list []once.Entry) {
 	holders, indexOf := holdersOf(list)
--- /dev/null
+++ b/internal/decide/once/bench_test.go
@@ -0,0 +1,208 @@
+package once_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/claimobject"
+	"fuchsiahub.example/fuchsiahub/internal/decide/once"
+)
+
+func numbered(n int) once.Digest {
+	var d once.Digest
+	binary.BigEndian.PutUint64(d[:], uint64(n)*0x9e3779b97f4a7c15)
+	binary.BigEndian.PutUint64(d[8:], uint64(n))
+	return d
+}
+
+// traffic is a partition under load in virtual time, with a call of the object API of 2 ms.
+type traffic struct {
+	*owner
+	rnd      *rand.Rand
+	claims   int
+	asked    map[uint64]time.Time
+	settling []int // claims by the millisecond in which they are settled
+	inCall   []once.Effect
+	due      time.Time
+	writes   int
+	bytes    int
+	granted  int
+	refused  int
+	wait     time.Duration
+}
+
+const storeLatency = 2 * time.Millisecond
+
+func newTraffic(b *testing.B, seed uint64) *traffic {
+	b.Helper()
+	return &traffic{owner: newOwnerFor(b, newStore()), rnd: rand.New(rand.NewPCG(seed, 1)), asked: map[uint64]time.Time{}}
+}
+
+func newOwnerFor(b *testing.B, s *store) *owner {
+	b.Helper()
+	return newOwner(b, "entry-1", s, once.Limits{SealEntries: 2000, Pending: 4096, KeptBytes: 4 << 20})
+}
+
+// run lets a time pass with claims at random times, each settled 50 ms after it was granted.
+func (t *traffic) run(length time.Duration, perSecond float64) {
+	for end := t.now.Add(length); t.now.Before(end); {
+		t.now = t.now.Add(time.Millisecond)
+		t.Tick(t.now, t.view)
+		for waiting := t.rnd.ExpFloat64(); waiting < perSecond/1000; waiting += t.rnd.ExpFloat64() {
+			t.ask()
+		}
+		t.settleDue()
+		t.carryOut()
+	}
+}
+
+func (t *traffic) ask() {
+	t.claims++
+	t.ticket++
+	t.asked[t.ticket] = t.now
+	t.Claim(t.now, t.view, once.Claim{Digest: numbered(t.claims), Window: time.Hour, Holder: entry1, Attempt: t.ticket, Ticket: t.ticket})
+}
+
+func (t *traffic) settleDue() {
+	for len(t.settling) > 0 && t.asked[uint64(t.settling[0])].Add(50*time.Millisecond).Before(t.now) {
+		n := t.settling[0]
+		t.settling = t.settling[1:]
+		delete(t.asked, uint64(n))
+		t.Settle(t.now, t.view, once.Settle{Digest: numbered(n), Window: time.Hour, Holder: entry1, Attempt: uint64(n), Settlement: once.Answered})
+	}
+}
+
+func (t *traffic) carryOut() {
+	for _, e := range t.Effects() {
+		switch e := e.(type) {
+		case once.Reply:
+			t.replied(e)
+		case once.Confirmation:
+		default:
+			t.inCall = append(t.inCall, e)
+			t.due = t.now.Add(storeLatency)
+		}
+	}
+	if len(t.inCall) == 0 || t.now.Before(t.due) {
+		return
+	}
+	calls := t.inCall
+	t.inCall = nil
+	for _, e := range calls {
+		t.count(e)
+		t.Answer(t.now, t.view, t.store.call(e))
+	}
+	t.carryOut()
+}
+
+func (t *traffic) replied(r once.Reply) {
+	if r.Verdict != once.Granted {
+		t.refused++
+		return
+	}
+	t.granted++
+	t.wait += t.now.Sub(t.asked[r.Ticket])
+	t.settling = append(t.settling, int(r.Ticket))
+}
+
+func (t *traffic) count(e once.Effect) {
+	switch e := e.(type) {
+	case once.WriteHead:
+		t.writes++
+		t.bytes += len(claimobject.Head(e.Head))
+	case once.WriteSegment:
+		t.writes++
+		t.bytes += len(claimobject.Segment(e.Entries))
+	}
+}
+
+// BenchmarkLoad reports, for one partition of four, what claims at a rate cost. The figures are in virtual time.
+func BenchmarkLoad(b *testing.B) {
+	for _, load := range []struct{ perSecond, seconds float64 }{{1, 60}, {10, 60}, {100, 60}, {1000, 60}, {4000, 60}, {100, 4000}} {
+		b.Run(fmt.Sprintf("claims=%g/seconds=%g", load.perSecond, load.seconds), func(b *testing.B) {
+			for b.Loop() {
+				t := newTraffic(b, 1)
+				t.run(time.Duration(load.seconds)*time.Second, load.perSecond)
+				b.ReportMetric(float64(t.writes)/load.seconds, "writes/s")
+				b.ReportMetric(float64(t.bytes)/float64(t.granted), "B-written/claim")
+				b.ReportMetric(float64(t.wait.Microseconds())/float64(t.granted)/1000, "ms-wait/claim")
+				b.ReportMetric(float64(t.refused), "refused")
+			}
+		})
+	}
+}
+
+// BenchmarkOutage reports how many claims are refused when the object API is down for 10 s.
+func BenchmarkOutage(b *testing.B) {
+	for b.Loop() {
+		t := newTraffic(b, 1)
+		t.run(10*time.Second, 100)
+		before := t.refused
+		t.store.down = true
+		asked := t.claims
+		t.run(10*time.Second, 100)
+		asked = t.claims - asked
+		t.store.down = false
+		t.run(10*time.Second, 100)
+		b.ReportMetric(float64(before), "refused-before")
+		b.ReportMetric(float64(asked), "asked-during")
+		b.ReportMetric(float64(t.refused-before), "refused")
+	}
+}
+
+// BenchmarkClaim reports the time of one claim and its settlement in group commits of 100, with the encoding of the
+// objects, while the window holds a number of claims.
+func BenchmarkClaim(b *testing.B) {
+	for _, kept := range []int{0, 300_000} {
+		b.Run(fmt.Sprintf("kept=%d", kept), func(b *testing.B) {
+			t := newTraffic(b, 1)
+			for t.claims < kept {
+				t.batch(1000)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := 0; n < b.N; n += 100 {
+				t.batch(100)
+			}
+		})
+	}
+}
+
+// batch commits a number of claims at once and settles them with the next batch.
+func (t *traffic) batch(size int) {
+	t.settleDue()
+	for range size {
+		t.ask()
+	}
+	for range 30 {
+		t.now = t.now.Add(2 * time.Millisecond)
+		t.Tick(t.now, t.view)
+		t.carryOut()
+	}
+}
+
+// BenchmarkMemory reports the memory of a claim that is kept for its window.
+func BenchmarkMemory(b *testing.B) {
+	const kept = 400_000
+	for b.Loop() {
+		t := newTraffic(b, 1)
+		before := heap()
+		for t.claims < kept {
+			t.batch(1000)
+		}
+		t.store, t.asked, t.settling = nil, nil, nil
+		b.ReportMetric(float64(heap()-before)/kept, "B-heap/claim")
+		runtime.KeepAlive(t.owner)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/decide/once/commit.go
+++ b/internal/decide/once/commit.go
@@ -10,7 +10,20 @@
 	number uint64
 }
 
-func (p *Partition) headFull() bool { return len(p.inHead) >= p.limits.SealEntries }
+const (
+	// sealLeast is the number of entries below which a head is not sealed.
+	sealLeast = 200
+	// segmentsPerEntry compares an entry of about 32 bytes with the name of a segment, which takes about 4 bytes in the
+	// head.
+	segmentsPerEntry = 4
+)
+
+// headFull reports whether the head is sealed by the next commit. Every commit writes the entries and the names of the
+// segments again. Fewer entries make more segments, so the head is sealed when its entries take twice as many bytes as
+// the names.
+func (p *Partition) headFull() bool {
+	return len(p.inHead) >= min(p.limits.SealEntries, max(sealLeast, len(p.segments)/segmentsPerEntry))
+}
 
 // freeze builds the next commit from all that waits.
 func (p *Partition) freeze() {
--- a/internal/decide/once/partition.go
+++ b/internal/decide/once/partition.go
@@ -10,7 +10,7 @@
 
 // Limits bound the memory and the objects of one partition.
 type Limits struct {
-	// SealEntries is how many entries the head holds before it is sealed.
+	// SealEntries is the most entries that the head holds before it is sealed.
 	SealEntries int
 	// Pending is how many messages wait for a commit or for the partition to be loaded.
 	Pending int
--- a/internal/decide/once/partition_test.go
+++ b/internal/decide/once/partition_test.go
@@ -39,7 +39,7 @@
 		return once.Written{}
 	case once.DeleteSegment:
 		delete(s.segments, e.Number)
-		return once.SegmentDeleted{Number: e.Number}
+		return once.SegmentDeleted(e)
 	case once.WriteHead:
 		return s.write(e)
 	}
@@ -77,7 +77,7 @@
 	entry2 = once.Holder{Instance: "entry-2", Incarnation: 1}
 )
 
-func newOwner(t *testing.T, name string, s *store, limits once.Limits) *owner {
+func newOwner(t testing.TB, name string, s *store, limits once.Limits) *owner {
 	t.Helper()
 	partition, err := charts.Load("partition", nil)
 	if err != nil {
