--- a/charts/params.go
+++ b/charts/params.go
@@ -20,5 +20,15 @@
 		"strike_expiry": 10 * time.Minute,
 		"down_time":     1 * time.Second,
 		"audit_pause":   10 * time.Second,
+		// Longer than the dial by which the instance that lost a connection examines the server.
+		"examine": 2 * time.Second,
+		// The time in which a server that broke a connection must refuse another one, or report a new start, for the
+		// break to count as a crash.
+		"confirm_within": 30 * time.Second,
+		// 200 writes a second divided over 4 partitions.
+		"commit_interval": 20 * time.Millisecond,
+		"settle_delay":    time.Second,
+		"store_retry":     time.Second,
+		"takeover_pause":  time.Second,
 	}
 }
