--- a/charts/params.go
+++ b/charts/params.go
@@ -14,6 +14,7 @@
 		"drain_limit":   30 * time.Second,
 		"idle_limit":    60 * time.Second,
 		"zone_quiet":    3 * time.Second,
+		"zone_return":   10 * time.Second,
 		"strike_expiry": 10 * time.Minute,
 	}
 }
--- a/internal/decide/balance/pick.go
+++ b/internal/decide/balance/pick.go
@@ -6,32 +6,73 @@
 	"time"
 )
 
-// Pick chooses a server with room, and false when none has.
+// Pick chooses a server with room. It returns false when none has, or when waiting for a better one costs less than
+// taking what has room.
 func (f *Fleet) Pick(now time.Time, rnd *rand.Rand, want Want) (Grant, bool) {
-	var best *server
-	var bestRank rank
-	start := 0
-	if len(f.order) > 0 {
-		start = rnd.IntN(len(f.order))
+	if len(f.order) == 0 {
+		return Grant{}, false
 	}
+	if f.tuning.Order == ByReport {
+		return f.pickReported(now, rnd, want)
+	}
+	chance := rnd.Float64()
+	start := rnd.IntN(len(f.order))
+	var best *server
+	var least time.Duration
 	for i := range f.order {
 		s := f.order[(start+i)%len(f.order)]
-		if !f.usable(s, want) {
+		if !f.usable(now, s, want, chance) {
 			continue
 		}
-		if r := f.rank(s); best == nil || r.less(bestRank) {
-			best, bestRank = s, r
+		if s.trickles(now) {
+			return s.grant(now), true
+		}
+		if cost := f.cost(now, s); best == nil || cost < least {
+			best, least = s, cost
 		}
 	}
-	if best == nil {
+	if best == nil || !f.worth(now, best, want) {
 		return Grant{}, false
 	}
 	return best.grant(now), true
 }
 
+// pickReported draws two servers with room and takes the one with the lower load.
+func (f *Fleet) pickReported(now time.Time, rnd *rand.Rand, want Want) (Grant, bool) {
+	chance := rnd.Float64()
+	var drawn [2]*server
+	seen := 0
+	for _, s := range f.order {
+		if !f.usable(now, s, want, chance) || f.distance(s) == farRegion {
+			continue
+		}
+		seen++
+		if seen <= len(drawn) {
+			drawn[seen-1] = s
+		} else if i := rnd.IntN(seen); i < len(drawn) {
+			drawn[i] = s
+		}
+	}
+	switch {
+	case seen == 0:
+		return Grant{}, false
+	case seen > 1 && drawn[1].load(now) < drawn[0].load(now):
+		return drawn[1].grant(now), true
+	}
+	return drawn[0].grant(now), true
+}
+
 // Possible reports whether any server could serve the request once it has room.
-func (f *Fleet) Possible(want Want) bool {
-	return slices.ContainsFunc(f.order, func(s *server) bool { return f.reachable(s, want) && s.allowance() > 0 })
+func (f *Fleet) Possible(now time.Time, want Want) bool {
+	return slices.ContainsFunc(f.order, func(s *server) bool { return f.reachable(s, want) && s.hopeful(now) })
+}
+
+// hopeful reports whether the server may get work soon. With keepers, a lease can arrive at any moment.
+func (s *server) hopeful(now time.Time) bool {
+	if s.fleet.view.NoKeepers {
+		return s.allowance(now) > 0
+	}
+	return !s.machine.In("draining") && !s.machine.In("ejected") && s.zone.share(now) > 0
 }
 
 func (f *Fleet) reachable(s *server, want Want) bool {
@@ -41,33 +82,84 @@
 	return want.CrossRegion || s.region == f.view.Self.Region
 }
 
-func (f *Fleet) usable(s *server, want Want) bool {
-	return f.reachable(s, want) && s.inFlight < s.allowance() && !slices.Contains(want.Avoid, s.spec.Name)
+func (f *Fleet) usable(now time.Time, s *server, want Want, chance float64) bool {
+	return f.reachable(s, want) && s.inFlight < s.allowance(now) && chance < s.zone.share(now) &&
+		!slices.Contains(want.Avoid, s.spec.Name)
+}
+
+// trickles reports whether a server that is not warm is due for a request that warms it.
+func (s *server) trickles(now time.Time) bool {
+	return (s.needsToken() || s.machine.In("warming")) && s.inFlight == 0 && now.Sub(s.grantedAt) >= trickleInterval &&
+		s.fleet.distance(s) != farRegion
+}
+
+// cost is the expected time of a request at a server: distance, latency, requests in flight and failures.
+func (f *Fleet) cost(now time.Time, s *server) time.Duration {
+	delay := float64(s.expected(now))
+	delay *= 1 + s.crowding(now)
+	delay *= 1 + failureCost*s.failures
+	return f.hop(s) + time.Duration(delay)
 }
 
-// rank orders servers: nearer ones first, then those with the least expected delay.
-type rank struct {
-	distance int
-	delay    time.Duration
+// failureCost is how many times its latency a failed request costs: it is sent again after the failure.
+const failureCost = 4
+
+// crowding is the part of a service time that a request waits at the server. A leased slot is free when it is used.
+func (s *server) crowding(now time.Time) float64 {
+	switch {
+	case s.fleet.tuning.Order == ByReportedDelay:
+		return s.load(now)
+	case !s.fleet.view.NoKeepers && s.shard.live(now):
+		return float64(s.inFlight) / float64(4*s.slots)
+	}
+	return float64(s.inFlight)
 }
 
-func (r rank) less(other rank) bool {
-	if r.distance != other.distance {
-		return r.distance < other.distance
+// load is the part of the slots that is in use, by the server's last report or by the own requests in flight.
+func (s *server) load(now time.Time) float64 {
+	busy := s.inFlight
+	if now.Sub(s.reported.at) < reportLife {
+		busy = max(busy, s.reported.running)
 	}
-	return r.delay < other.delay
+	return float64(busy) / float64(s.slots)
 }
 
-func (f *Fleet) rank(s *server) rank {
-	return rank{distance: f.distance(s), delay: time.Duration(s.inFlight+1) * max(s.latency, time.Millisecond) / time.Duration(s.slots)}
+// worth reports whether a server with room is better than waiting. What it costs above the best reachable server must
+// not exceed the expected wait; inside the region one usual service time is added, because the wait is an estimate.
+func (f *Fleet) worth(now time.Time, s *server, want Want) bool {
+	far := f.distance(s) == farRegion
+	if !f.tuning.Patient && !far {
+		return true
+	}
+	best := s.expected(now) + f.hop(s)
+	for _, other := range f.order {
+		if f.reachable(other, want) && other.hopeful(now) && !other.needsToken() {
+			best = min(best, other.expected(now)+f.hop(other))
+		}
+	}
+	patience := want.Wait
+	if !far {
+		patience += best
+	}
+	return s.expected(now)+f.hop(s)-best <= patience
 }
 
+const (
+	ownZone = iota
+	ownRegion
+	farRegion
+)
+
 func (f *Fleet) distance(s *server) int {
 	switch {
 	case s.spec.Zone == f.view.Self.Zone:
-		return 0
+		return ownZone
 	case s.region == f.view.Self.Region:
-		return 1
+		return ownRegion
 	}
-	return 2
+	return farRegion
+}
+
+func (f *Fleet) hop(s *server) time.Duration {
+	return [...]time.Duration{ownZone: 0, ownRegion: zoneHop, farRegion: regionHop}[f.distance(s)]
 }
--- a/internal/decide/balance/server.go
+++ b/internal/decide/balance/server.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/call"
@@ -10,57 +11,87 @@
 
 // server is one backend server as this instance sees it. It is the context of charts/backend.toml.
 type server struct {
+	fleet   *Fleet
 	spec    document.Server
 	region  string
-	out     bool
+	zone    *zone
+	shard   *shard
 	slots   int
 	cold    int // cold allowance of the document
-	limit   int // current limit below slots, lowered when the server sheds
 	ramp    int // allowance while warming
+	limit   limit
 	machine *chart.Machine[*server]
 
 	inFlight    int
 	latency     time.Duration // moving average
+	usual       time.Duration // slower moving average
+	sampledAt   time.Time
+	grantedAt   time.Time
+	failures    float64 // moving average of failed requests, from 0 to 1
 	badInRow    int
+	lateInRow   int
 	incarnation string
+	// coldSince is when the server was last presumed cold. Failures of earlier grants say nothing new.
+	coldSince time.Time
+	// doubted is true until the keeper has been told that the server was presumed cold.
+	doubted  bool
+	lease    holding
+	reported reportedLoad
+	report   Report
+	news     bool
+}
+
+type reportedLoad struct {
+	running, slots int
+	at             time.Time
 }
 
 const (
 	// latencyWeight is the share of a new sample in the moving average, as 1/latencyWeight.
 	latencyWeight = 8
-	// outlierFailures is how many failures in a row make a serving server an outlier.
+	// usualWeight is the same for the slower average.
+	usualWeight = 64
+	// outlierFailures is how many failures in a row make a server an outlier.
 	outlierFailures = 3
+	// lateFactor times the usual latency is late.
+	lateFactor = 4
+	// lateAnswers is how many late answers in a row are taken for a cold server. One or two come from the tail of the
+	// service times.
+	lateAnswers = 3
+	// ejectedShare is the largest part of the servers that may be ejected, as 1/ejectedShare.
+	ejectedShare = 3
 )
 
 func bind(ch *chart.Chart) (*chart.Bound[*server], error) {
 	return chart.Bind(ch, chart.Bindings[*server]{
 		Guards: map[string]func(*server) bool{
-			"ramp_complete": func(s *server) bool { return s.ramp >= s.slots },
-			"outlier":       func(s *server) bool { return s.badInRow >= outlierFailures },
+			"ramp_complete": func(s *server) bool { return s.ramp >= s.slots && !s.lease.cold },
+			"outlier":       func(s *server) bool { return s.badInRow >= outlierFailures && s.fleet.mayEject() },
+			"late_in_row":   func(s *server) bool { return s.lateInRow >= lateAnswers && s.fleet.tuning.Late },
 		},
 		Actions: map[string]func(*server){
 			"clear_ramp":  func(s *server) { s.ramp = s.cold },
 			"grow_ramp":   func(s *server) { s.ramp = min(2*s.ramp, s.slots) },
-			"lower_limit": func(s *server) { s.limit = max(1, s.limit/2) },
+			"lower_limit": func(s *server) { s.limit.halve() },
 		},
 	})
 }
 
-func newServer(bound *chart.Bound[*server], now time.Time, doc *document.Service) *server {
-	s := &server{ramp: doc.Servers.ColdAllowance}
-	s.machine = bound.New(now, s)
+func newServer(f *Fleet, now time.Time) *server {
+	s := &server{fleet: f, ramp: f.view.Service.Servers.ColdAllowance}
+	s.machine = f.bound.New(now, s)
 	return s
 }
 
-func (s *server) update(spec document.Server, view View) {
+func (s *server) update(spec document.Server) {
+	view := s.fleet.view
 	s.spec = spec
 	s.region = view.Zones.RegionOf(spec.Zone)
-	s.out = view.Zones.IsOut(spec.Zone)
+	s.zone = s.fleet.zones[spec.Zone]
+	s.shard = s.fleet.shard(spec.Zone)
 	s.slots = view.Service.SlotsOf(spec)
 	s.cold = view.Service.Servers.ColdAllowance
-	if s.limit == 0 || s.limit > s.slots {
-		s.limit = s.slots
-	}
+	s.limit.bound(s.slots)
 }
 
 func (s *server) fire(now time.Time, event string) {
@@ -69,52 +100,214 @@
 	}
 }
 
+// needsToken reports whether the server gets work only under a cold grant.
+func (s *server) needsToken() bool {
+	return s.lease.cold || s.machine.In("unknown") || s.machine.In("cold")
+}
+
 // allowance is how many requests this instance may have in flight at the server.
-func (s *server) allowance() int {
+func (s *server) allowance(now time.Time) int {
+	if s.machine.In("draining") || s.machine.In("ejected") || s.zone.share(now) == 0 {
+		return 0
+	}
+	if s.fleet.view.NoKeepers {
+		return s.bearable()
+	}
+	live := s.shard.live(now)
 	switch {
-	case s.out || s.machine.In("draining") || s.machine.In("ejected"):
+	case s.doubted:
 		return 0
+	case s.needsToken() && !(live && s.lease.cold):
+		return 0
+	case s.needsToken():
+		return s.lease.slots
+	case live:
+		return min(s.lease.slots, s.bearable())
+	}
+	return min(s.fleet.fallback(s.slots), s.bearable())
+}
+
+// bearable is what the server bears by what this instance knows itself.
+func (s *server) bearable() int {
+	switch {
 	case s.machine.In("unknown") || s.machine.In("cold"):
 		return s.cold
 	case s.machine.In("warming"):
 		return s.ramp
 	}
-	return s.limit
+	return s.limit.value
 }
 
 func (s *server) grant(now time.Time) Grant {
 	s.inFlight++
+	s.grantedAt = now
+	s.fire(now, "token")
 	return Grant{Server: s.spec.Name, Address: s.spec.Address, Zone: s.spec.Zone, At: now}
 }
 
-func (s *server) done(now time.Time, r Result) {
+func (s *server) done(now time.Time, g Grant, r Result) {
 	s.inFlight--
-	s.fire(now, "token")
-	restarted := r.Incarnation != "" && s.incarnation != "" && r.Incarnation != s.incarnation
-	if r.Incarnation != "" {
-		s.incarnation = r.Incarnation
+	if r.Cancelled {
+		s.cancelled(now, now.Sub(g.At))
+		return
 	}
+	restarted := r.Incarnation != "" && s.incarnation != "" && r.Incarnation != s.incarnation
+	s.note(now, r)
 	switch {
 	case r.Draining:
-		s.fire(now, "drain")
-	case r.Refused || restarted || r.Fate == call.MaybeRun && r.Failed:
-		s.fire(now, "presume_cold")
+		s.drain(now)
+	case restarted:
+		s.presumeCold(now, r.Incarnation)
+		s.tell(Cold)
+	case r.Refused || r.Failed && r.Fate != call.Answered:
+		s.broken(now, g)
 	case r.Shed:
 		s.fire(now, "shed")
 	case r.Failed:
-		s.badInRow++
-		s.fire(now, "answer_bad")
+		s.failed(now)
 	case r.Fate == call.Answered:
-		s.badInRow = 0
-		s.sample(r.Latency)
+		s.answered(now, r.Latency)
+	}
+}
+
+// cancelled learns from a request that was given up: the server is at least that slow.
+func (s *server) cancelled(now time.Time, waited time.Duration) {
+	if waited > s.latency {
+		s.sample(now, waited)
+	}
+}
+
+// broken handles a connection that was refused, reset or found closed. The server may have started again.
+func (s *server) broken(now time.Time, g Grant) {
+	if g.At.Before(s.coldSince) {
+		return
+	}
+	s.fail()
+	s.presumeCold(now, "")
+	s.tell(Down)
+}
+
+// drain handles an answer that says that the server is leaving.
+func (s *server) drain(now time.Time) {
+	if s.machine.In("draining") {
+		return
+	}
+	s.fire(now, "drain")
+	s.tell(Draining)
+}
+
+// presumeCold takes every sign that the server may have started again: in doubt it waits for the keeper.
+func (s *server) presumeCold(now time.Time, incarnation string) {
+	s.coldSince = now
+	s.doubted = !s.fleet.view.NoKeepers
+	s.lease = holding{cold: s.doubted}
+	s.incarnation = incarnation
+	s.latency, s.lateInRow = 0, 0
+	if s.machine.In("draining") && incarnation != "" {
+		s.fire(now, "restart")
+		return
+	}
+	s.fire(now, "presume_cold")
+}
+
+func (s *server) failed(now time.Time) {
+	s.fail()
+	s.report.Bad++
+	s.fire(now, "answer_bad")
+}
+
+func (s *server) fail() {
+	s.badInRow++
+	s.failures += (1 - s.failures) / latencyWeight
+}
+
+func (s *server) answered(now time.Time, latency time.Duration) {
+	s.badInRow = 0
+	s.failures -= s.failures / latencyWeight
+	s.report.Latency = (s.report.Latency*time.Duration(s.report.Good) + latency) / time.Duration(s.report.Good+1)
+	s.report.Good++
+	late := latency > lateFactor*s.norm()
+	s.sample(now, latency)
+	if !late {
+		s.lateInRow = 0
 		s.fire(now, "answer_good")
+		return
+	}
+	s.lateInRow++
+	before := s.machine.State()
+	s.fire(now, "answer_late")
+	if before != "cold" && s.machine.In("cold") {
+		s.coldSince = now
+		s.doubted = !s.fleet.view.NoKeepers
+		s.tell(Cold)
+	}
+}
+
+// norm is the latency that answers of this server are compared with.
+func (s *server) norm() time.Duration {
+	if s.usual == 0 {
+		return s.fleet.typical
+	}
+	return s.usual
+}
+
+func (s *server) sample(now time.Time, latency time.Duration) {
+	s.sampledAt = now
+	s.limit.sample(now, latency, s.usual, s.fleet.tuning.Adapt)
+	s.fleet.sample(latency)
+	s.latency = average(s.latency, latency, latencyWeight)
+	s.usual = average(s.usual, latency, usualWeight)
+}
+
+// average moves an average towards a sample; the first sample is the average.
+func average(old, sample time.Duration, weight int) time.Duration {
+	if old == 0 {
+		return sample
 	}
+	return old + (sample-old)/time.Duration(weight)
 }
 
-func (s *server) sample(latency time.Duration) {
+// expected is the latency of one request. What is known fades towards the usual value of the service, so that a
+// server that was slow is tried again.
+func (s *server) expected(now time.Time) time.Duration {
+	typical := s.fleet.typical
 	if s.latency == 0 {
-		s.latency = latency
-		return
+		return typical
+	}
+	age := now.Sub(s.sampledAt)
+	if age < forgetLatency/16 || s.latency <= typical {
+		return s.latency
+	}
+	weight := math.Exp2(-float64(age) / float64(forgetLatency))
+	return typical + time.Duration(weight*float64(s.latency-typical))
+}
+
+// note keeps what an answer says about the server.
+func (s *server) note(now time.Time, r Result) {
+	if r.Incarnation != "" {
+		s.incarnation = r.Incarnation
+	}
+	s.news = true
+	if r.Slots > 0 {
+		s.reported = reportedLoad{running: r.Running, slots: r.Slots, at: now}
+		s.report.Running, s.report.Slots = r.Running, r.Slots
 	}
-	s.latency += (latency - s.latency) / latencyWeight
+}
+
+// tell records a sign for the keeper's next report and as a notice to send at once.
+func (s *server) tell(seen ReportedState) {
+	s.report.State = seen
+	s.news = true
+	s.fleet.notices = append(s.fleet.notices, Notice{Server: s.spec.Name, Incarnation: s.incarnation, State: seen})
+}
+
+// takeReport returns what was seen since the last report.
+func (s *server) takeReport() (Report, bool) {
+	r := s.report
+	r.Server = s.spec.Name
+	r.Incarnation = s.incarnation
+	seen := s.news
+	s.report = Report{}
+	s.news = false
+	return r, seen
 }
--- /dev/null
+++ b/internal/decide/balance/shard.go
@@ -0,0 +1,188 @@
+package balance
+
+import (
+	"slices"
+	"time"
+)
+
+// shard is what the keeper of one zone granted.
+type shard struct {
+	epoch uint64
+	until time.Time
+}
+
+func (sh *shard) live(now time.Time) bool { return sh.until.After(now) }
+
+// holding is the lease of one server.
+type holding struct {
+	slots       int
+	cold        bool
+	incarnation string
+}
+
+// Lease brings a grant of a keeper into force. It replaces the earlier grant of the shard; one of a lower epoch is
+// ignored.
+func (f *Fleet) Lease(now time.Time, l Leased) {
+	sh := f.shard(l.Zone)
+	if l.Epoch < sh.epoch {
+		return
+	}
+	sh.epoch = l.Epoch
+	sh.until = l.Until
+	for _, s := range f.order {
+		if s.spec.Zone != l.Zone {
+			continue
+		}
+		i := slices.IndexFunc(l.Grants, func(g SlotGrant) bool { return g.Server == s.spec.Name })
+		if i < 0 {
+			s.lease = holding{cold: s.lease.cold}
+			continue
+		}
+		s.hold(now, l.Grants[i])
+	}
+}
+
+// hold takes the keeper's word about one server. A grant that was on its way when the server was presumed cold is
+// void: the keeper has not heard of it.
+func (s *server) hold(now time.Time, g SlotGrant) {
+	if s.doubted {
+		s.lease = holding{cold: true}
+		return
+	}
+	if g.Incarnation != "" && g.Incarnation != s.incarnation {
+		if s.incarnation != "" {
+			s.fire(now, "restart")
+		}
+		s.incarnation = g.Incarnation
+	}
+	s.lease = holding{slots: g.Slots, cold: g.Cold, incarnation: g.Incarnation}
+	switch {
+	case !g.Cold:
+		s.fire(now, "warmed")
+	case s.machine.In("unknown"):
+		s.fire(now, "token")
+	case s.machine.In("serving") || s.machine.In("shedding"):
+		s.fire(now, "presume_cold")
+	}
+}
+
+// Demand returns what this instance needs of a shard and what answers said since the last Demand. Idle slots above
+// the reserve are given up before the keeper hears of it, so the keeper may grant them to others at once.
+func (f *Fleet) Demand(now time.Time, zone string) Demand {
+	var d Demand
+	idle := f.reserve(zone)
+	for _, s := range f.byCost(now, zone) {
+		kept := 0
+		if !s.lease.cold {
+			kept = min(max(0, s.lease.slots-s.inFlight), idle)
+		}
+		idle -= kept
+		s.lease.slots = min(s.lease.slots, s.inFlight+kept)
+		if s.lease.slots > 0 || s.inFlight > 0 {
+			d.Held = append(d.Held, HeldSlots{Server: s.spec.Name, Slots: s.lease.slots, Busy: s.inFlight})
+		}
+		if r, ok := s.takeReport(); ok {
+			d.Reports = append(d.Reports, r)
+		}
+		s.doubted = false
+	}
+	d.Want = f.backlog + idle
+	return d
+}
+
+// reserve is how many idle slots of a zone are kept for requests that have not arrived.
+func (f *Fleet) reserve(zone string) int {
+	if zone != f.view.Self.Zone {
+		return 0
+	}
+	return f.tuning.Reserve
+}
+
+// Asks reports whether the keepers are to be asked or told something now rather than at the next interval.
+func (f *Fleet) Asks(now time.Time) bool {
+	if f.view.NoKeepers {
+		return false
+	}
+	return f.backlog > 0 || len(f.notices) > 0 || f.Short(now, f.view.Self.Zone)
+}
+
+// Short reports whether the keeper of a zone could help now: requests wait, or the reserve is used up.
+func (f *Fleet) Short(now time.Time, zone string) bool {
+	return f.backlog > 0 || f.idle(now, zone) < f.reserve(zone)
+}
+
+// Spare returns how many idle leased slots of a zone are above the reserve.
+func (f *Fleet) Spare(now time.Time, zone string) int { return f.idle(now, zone) - f.reserve(zone) }
+
+func (f *Fleet) idle(now time.Time, zone string) int {
+	if !f.shard(zone).live(now) {
+		return 0
+	}
+	idle := 0
+	for _, s := range f.order {
+		if s.spec.Zone == zone && !s.lease.cold {
+			idle += max(0, s.lease.slots-s.inFlight)
+		}
+	}
+	return idle
+}
+
+func (f *Fleet) byCost(now time.Time, zone string) []*server {
+	var list []*server
+	for _, s := range f.order {
+		if s.spec.Zone == zone {
+			list = append(list, s)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *server) int { return int(a.expected(now) - b.expected(now)) })
+	return list
+}
+
+// Backlog tells how many requests wait at this instance. Demand asks for as many slots.
+func (f *Fleet) Backlog(waiting int) { f.backlog = waiting }
+
+// SetInstances tells how many instances are live. The fallback share depends on it.
+func (f *Fleet) SetInstances(n int) { f.view.Instances = max(1, n) }
+
+// Notice takes in what another instance saw of a server.
+func (f *Fleet) Notice(now time.Time, n Notice) {
+	s, ok := f.servers[n.Server]
+	if !ok {
+		return
+	}
+	another := n.Incarnation != "" && n.Incarnation != s.incarnation
+	switch {
+	case n.State == Draining && !another:
+		s.fire(now, "drain")
+	case n.State == Ready && another && s.machine.In("draining"):
+		s.incarnation = n.Incarnation
+		s.fire(now, "restart")
+	case n.State == Cold && (another || n.Incarnation == ""), n.State == Down:
+		s.presumeCold(now, n.Incarnation)
+	}
+}
+
+// Notices returns what this instance saw of servers since the last call. The keeper of the server's shard and the
+// peers are to hear of it at once.
+func (f *Fleet) Notices() []Notice {
+	list := f.notices
+	f.notices = nil
+	return list
+}
+
+// ZoneOf returns the availability zone of a server, or "" when the server is not known.
+func (f *Fleet) ZoneOf(server string) string {
+	if s, ok := f.servers[server]; ok {
+		return s.spec.Zone
+	}
+	return ""
+}
+
+func (f *Fleet) shard(zone string) *shard {
+	sh, ok := f.shards[zone]
+	if !ok {
+		sh = &shard{}
+		f.shards[zone] = sh
+	}
+	return sh
+}
--- a/internal/decide/balance/status.go
+++ b/internal/decide/balance/status.go
@@ -18,12 +18,12 @@
 }
 
 // Status returns what operators see of the servers, in the order of their names.
-func (f *Fleet) Status() []ServerStatus {
+func (f *Fleet) Status(now time.Time) []ServerStatus {
 	list := make([]ServerStatus, 0, len(f.order))
 	for _, s := range f.order {
 		list = append(list, ServerStatus{
 			Name: s.spec.Name, Address: s.spec.Address, Zone: s.spec.Zone, State: s.machine.State(),
-			InFlight: s.inFlight, Allowance: s.allowance(), Latency: int64(s.latency / time.Microsecond), Reason: s.reason(),
+			InFlight: s.inFlight, Allowance: s.allowance(now), Latency: int64(s.latency / time.Microsecond), Reason: s.reason(now),
 		})
 	}
 	return list
@@ -40,9 +40,12 @@
 	"ejected":  "the server failed several times in a row and gets no new work for a time",
 }
 
-func (s *server) reason() string {
-	if s.out {
+func (s *server) reason(now time.Time) string {
+	if !s.zone.machine.In("serving") && !s.zone.machine.In("returning") {
 		return "operators have taken its availability zone out"
 	}
+	if s.needsToken() && s.allowance(now) == 0 && !s.fleet.view.NoKeepers {
+		return "the server may be cold and the keeper of its shard has granted no cold slot to this instance"
+	}
 	return reasons[s.machine.State()]
 }
--- /dev/null
+++ b/internal/decide/balance/zone.go
@@ -0,0 +1,61 @@
+package balance
+
+import (
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+)
+
+// zone is one availability zone as the fleet sees it. It is the context of charts/zone.toml.
+type zone struct {
+	name    string
+	machine *chart.Machine[*zone]
+}
+
+const (
+	// shiftTime is how long the share of a leaving zone takes to fall to nothing. It is below the 3 s after which the
+	// zone must get no new work.
+	shiftTime = 2500 * time.Millisecond
+	// returnTime is how long the share of a returning zone takes to rise. It equals the default of $zone_return.
+	returnTime = 10 * time.Second
+	// returnStart is the share with which a zone returns.
+	returnStart = 0.05
+)
+
+func bindZone(ch *chart.Chart) (*chart.Bound[*zone], error) {
+	return chart.Bind(ch, chart.Bindings[*zone]{})
+}
+
+// newZone returns a zone. One that is out when the instance starts gets no work at all: the shift is long over.
+func newZone(bound *chart.Bound[*zone], now time.Time, name string, out bool) *zone {
+	z := &zone{name: name}
+	longAgo := now.Add(-time.Hour)
+	z.machine = bound.New(longAgo, z)
+	z.set(longAgo, out)
+	z.machine.Tick(now)
+	return z
+}
+
+func (z *zone) set(now time.Time, out bool) {
+	event := "bring_in"
+	if out {
+		event = "take_out"
+	}
+	if err := z.machine.Fire(now, event); err != nil {
+		panic(err) // events are constants of this package; a missing one is a programming error
+	}
+}
+
+// share is the part of new work, from 0 to 1, for which the zone's servers are candidates.
+func (z *zone) share(now time.Time) float64 {
+	passed := now.Sub(z.machine.Since())
+	switch {
+	case z.machine.In("serving"):
+		return 1
+	case z.machine.In("leaving"):
+		return max(0, 1-float64(passed)/float64(shiftTime))
+	case z.machine.In("returning"):
+		return min(1, returnStart+float64(passed)/float64(returnTime))
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/decide/retry/retry_test.go
@@ -0,0 +1,51 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a retry storm: over any run of requests and resends, resends stay within the share plus the burst.
+func TestBudgetBoundsResends(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		b := NewBudget(share)
+		requests, resends := 0, 0
+		for range rapid.IntRange(0, 2000).Draw(t, "steps") {
+			b.Earn()
+			requests++
+			for b.Spend() {
+				resends++
+			}
+		}
+		if limit := share*float64(requests) + burst + 1e-6; float64(resends) > limit {
+			t.Fatalf("%d resends of %d requests, limit %.1f", resends, requests, limit)
+		}
+		if share == 0 && resends > 0 {
+			t.Fatal("a share of zero allowed a resend")
+		}
+	})
+}
+
+// Guards against hedges that are sent too early or never: the percentile is within one bucket of the true one.
+func TestPercentileFollowsRecentLatencies(t *testing.T) {
+	var w Waits
+	if _, ok := w.Percentile(0.95); ok {
+		t.Fatal("percentile without answers")
+	}
+	for i := range 1000 {
+		w.Add(time.Duration(i+1) * time.Millisecond)
+	}
+	got, ok := w.Percentile(0.95)
+	if !ok || got < 950*time.Millisecond || got > 1100*time.Millisecond {
+		t.Errorf("95th percentile of 1..1000 ms is %v, %v", got, ok)
+	}
+	for range 20 * window {
+		w.Add(time.Millisecond)
+	}
+	if got, _ := w.Percentile(0.95); got > 1100*time.Microsecond {
+		t.Errorf("old latencies do not fade: %v", got)
+	}
+}
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -44,6 +44,8 @@
 	dial  backend.Dialer
 	log   *slog.Logger
 	inbox *task.Mailbox[applyDocuments]
+	// noKeepers says that no keeper grants slots.
+	noKeepers bool
 
 	published atomic.Pointer[map[string]Entry]
 	running   map[string]*runningService
@@ -65,6 +67,12 @@
 	return d
 }
 
+// WithoutKeepers makes the services run without slot leases. It is called before Run.
+func (d *Directory) WithoutKeepers() *Directory {
+	d.noKeepers = true
+	return d
+}
+
 type applyDocuments struct {
 	docs  *Documents
 	reply chan<- struct{}
@@ -112,7 +120,7 @@
 func (d *Directory) apply(ctx context.Context, docs *Documents) int {
 	started := 0
 	for name, doc := range docs.Services {
-		view := balance.View{Service: doc, Servers: docs.servers(doc), Zones: docs.Fleet, Self: d.self}
+		view := balance.View{Service: doc, Servers: docs.servers(doc), Zones: docs.Fleet, Self: d.self, NoKeepers: d.noKeepers}
 		if known, ok := d.running[name]; ok {
 			known.entry.Doc = doc
 			known.entry.Task.inbox.SendUntil(known.entry.Task.ended, update{view: view})
--- /dev/null
+++ b/internal/node/hedge.go
@@ -0,0 +1,106 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/call"
+)
+
+// copyEnded is how one copy of a hedged request ended.
+type copyEnded struct {
+	hedge  bool
+	result backend.Result
+}
+
+// hedged is one request of which up to two copies run.
+type hedged struct {
+	e     *exchange
+	ended chan copyEnded
+	open  int
+	// cancel ends the copies: the first and the hedge.
+	cancel [2]context.CancelFunc
+}
+
+// runHedged sends a request and, when no answer comes within the wait, a second copy to another server. The first
+// answer wins and the other copy is cancelled.
+func (e *exchange) runHedged(req *call.Request) backend.Result {
+	h := &hedged{e: e, ended: make(chan copyEnded, 2)}
+	h.start(e.taken, req, false)
+	timer := time.NewTimer(e.taken.hedgeAfter)
+	defer timer.Stop()
+	var earlier *backend.Result
+	for {
+		select {
+		case <-timer.C:
+			h.second(req)
+		case c := <-h.ended:
+			h.open--
+			if c.result.Fate == call.Answered {
+				h.stopOther(c.hedge)
+				return c.result
+			}
+			if h.open == 0 {
+				return worse(earlier, c.result)
+			}
+			earlier = &c.result
+		}
+	}
+}
+
+// worse returns the result that counts when no copy was answered: one that may have run, if there is one.
+func worse(earlier *backend.Result, last backend.Result) backend.Result {
+	if earlier != nil && !earlier.Fate.SurelyNotRun() {
+		return *earlier
+	}
+	return last
+}
+
+// second sends the second copy when the budget and another server allow it.
+func (h *hedged) second(req *call.Request) {
+	taken := h.e.service.take(h.e.ctx, h.e.acquire(hedgeCopy))
+	if taken.err != nil {
+		return
+	}
+	h.e.avoid = append(h.e.avoid, taken.grant.Server)
+	h.start(taken, req, true)
+}
+
+func (h *hedged) start(taken acquired, req *call.Request, hedge bool) {
+	ctx, cancel := context.WithCancel(h.e.ctx)
+	h.cancel[index(hedge)] = cancel
+	h.open++
+	service := h.e.service
+	go func() {
+		result := taken.pool.Do(ctx, req)
+		service.giveBack(taken.grant, outcome(ctx, result))
+		h.ended <- copyEnded{hedge: hedge, result: result}
+	}()
+}
+
+func index(hedge bool) int {
+	if hedge {
+		return 1
+	}
+	return 0
+}
+
+// stopOther cancels the copy that lost. The winner's context stays open: its answer may still be streamed, and the
+// request's own context ends it.
+func (h *hedged) stopOther(winnerIsHedge bool) {
+	if cancel := h.cancel[index(!winnerIsHedge)]; cancel != nil {
+		cancel()
+	}
+	if h.open > 0 {
+		go h.discard()
+	}
+}
+
+// discard closes the answer of the copy that lost when it came all the same.
+func (h *hedged) discard() {
+	c := <-h.ended
+	if c.result.Answer != nil && c.result.Answer.Stream != nil {
+		_ = c.result.Answer.Stream.Close() // the answer is not wanted
+	}
+}
--- a/internal/node/path_test.go
+++ b/internal/node/path_test.go
@@ -37,7 +37,7 @@
 		Fleet:    &document.Fleet{Name: "pecos", Regions: []document.Region{{Name: "permian", Zones: []string{"permian-a"}}}},
 	}
 	self := balance.Place{Region: "permian", Zone: "permian-a"}
-	directory := node.NewDirectory(self, backend.NetDialer, slog.New(slog.DiscardHandler))
+	directory := node.NewDirectory(self, backend.NetDialer, slog.New(slog.DiscardHandler)).WithoutKeepers()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- directory.Run(ctx) }()
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -25,8 +25,11 @@
 	taken   acquired
 	avoid   []string
 	resends int
-	answer  *call.Answer
-	err     error
+	copy    copyKind
+	// lost is true when an earlier copy may have run. A refusal after it must not say that nothing ran.
+	lost   bool
+	answer *call.Answer
+	err    error
 }
 
 // requestChart is the bound chart of requests, shared by all instances of a process.
@@ -40,12 +43,13 @@
 	return chart.Bind(ch, chart.Bindings[*exchange]{
 		Guards: map[string]func(*exchange) bool{
 			"resend_allowed":            (*exchange).resendAllowed,
+			"may_have_run":              func(e *exchange) bool { return e.lost },
 			"idempotent_resend_allowed": func(e *exchange) bool { return e.policy.Route.Idempotent && e.resendAllowed() },
 		},
 		Actions: map[string]func(*exchange){
 			"take_server":  (*exchange).takeServer,
 			"send":         (*exchange).send,
-			"spend_resend": func(e *exchange) { e.resends++ },
+			"spend_resend": (*exchange).spendResend,
 			"tell_unknown": (*exchange).tellUnknown,
 		},
 	})
@@ -66,12 +70,19 @@
 	return e.resends < e.policy.Resends && e.ctx.Err() == nil
 }
 
+// spendResend is the action of a resend. What pays for it depends on whether the last copy may have run.
+func (e *exchange) spendResend() {
+	e.resends++
+	e.copy = resendUnsent
+	if e.next == "lost" {
+		e.copy = resendLost
+		e.lost = true
+	}
+}
+
 // takeServer is the entry action of "waiting".
 func (e *exchange) takeServer() {
-	e.taken = e.service.take(e.ctx, acquire{
-		policy: e.policy, tenant: e.req.Tenant, deadline: e.policy.Deadline,
-		want: balance.Want{Regions: e.policy.Regions, CrossRegion: e.policy.Route.CrossRegion, Avoid: e.avoid},
-	})
+	e.taken = e.service.take(e.ctx, e.acquire(e.copy))
 	if e.taken.err != nil {
 		e.err = e.taken.err
 		e.next = "refused"
@@ -80,14 +91,20 @@
 	e.next = "granted"
 }
 
+func (e *exchange) acquire(kind copyKind) acquire {
+	return acquire{
+		copy: kind, policy: e.policy, tenant: e.req.Tenant, deadline: e.policy.Deadline,
+		want: balance.Want{Regions: e.policy.Regions, CrossRegion: e.policy.Route.CrossRegion, Avoid: e.avoid},
+	}
+}
+
 // send is the entry action of "sent".
 func (e *exchange) send() {
 	req := *e.req
 	req.Deadline = e.policy.Deadline
 	req.RetriesLeft = max(0, e.policy.Resends-e.resends)
-	result := e.taken.pool.Do(e.ctx, &req)
-	e.service.giveBack(e.taken.grant, outcome(result))
 	e.avoid = append(e.avoid, e.taken.grant.Server)
+	result := e.run(&req)
 	e.answer, e.err = result.Answer, result.Err
 	e.next = eventOf(result)
 	if e.next == "not_run" {
@@ -95,6 +112,16 @@
 	}
 }
 
+// run sends one copy, or two when the first is late and the route allows it.
+func (e *exchange) run(req *call.Request) backend.Result {
+	if e.taken.hedgeAfter > 0 {
+		return e.runHedged(req)
+	}
+	result := e.taken.pool.Do(e.ctx, req)
+	e.service.giveBack(e.taken.grant, outcome(e.ctx, result))
+	return result
+}
+
 // eventOf names the event of charts/request.toml for the fate of an exchange.
 func eventOf(result backend.Result) string {
 	switch {
@@ -114,10 +141,11 @@
 }
 
 // outcome tells the service task how a granted request ended.
-func outcome(result backend.Result) balance.Result {
+func outcome(ctx context.Context, result backend.Result) balance.Result {
 	r := balance.Result{
 		Fate: result.Fate, Latency: result.Elapsed, Refused: result.Refused, Draining: result.Draining,
 		Incarnation: result.Incarnation, Shed: result.Fate == call.DeclaredNotRun, Failed: result.Err != nil,
+		Running: result.Running, Slots: result.Slots, Cancelled: result.Err != nil && ctx.Err() != nil,
 	}
 	if result.Answer != nil && result.Answer.Status >= 500 && !r.Shed {
 		r.Failed = true
