--- /dev/null
+++ b/internal/lab/clock.go
@@ -0,0 +1,62 @@
+package lab
+
+import (
+	"container/heap"
+	"time"
+)
+
+// clock runs events in the order of virtual time.
+type clock struct {
+	now    time.Time
+	events eventHeap
+	seq    uint64
+}
+
+type event struct {
+	at  time.Time
+	seq uint64
+	run func()
+}
+
+// begin is when virtual time starts.
+var begin = time.Unix(1_000_000, 0)
+
+func newClock() *clock { return &clock{now: begin} }
+
+// after runs f when the delay has passed.
+func (c *clock) after(delay time.Duration, f func()) { c.at(c.now.Add(delay), f) }
+
+func (c *clock) at(at time.Time, f func()) {
+	c.seq++
+	heap.Push(&c.events, event{at: at, seq: c.seq, run: f})
+}
+
+// run handles events until the end of the experiment.
+func (c *clock) run(end time.Duration) {
+	last := begin.Add(end)
+	for len(c.events) > 0 && !c.events[0].at.After(last) {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.run()
+	}
+}
+
+type eventHeap []event
+
+// Len, Less, Swap, Push and Pop are those of heap.Interface.
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/lab/deployment.go
@@ -0,0 +1,94 @@
+package lab
+
+import (
+	"fmt"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/document"
+)
+
+// Deployment is one of the deployments of section 1.3 of the design, reduced to one service.
+type Deployment struct {
+	Name      string
+	Regions   []document.Region
+	Servers   int
+	Slots     int
+	Instances int
+	// ZoneHop and RegionHop are one-way delays between zones of a region and between regions.
+	ZoneHop, RegionHop time.Duration
+	// Service is the mean time that a warm server takes for a request.
+	Service time.Duration
+}
+
+// localHop is the one-way delay inside an availability zone.
+const localHop = 100 * time.Microsecond
+
+// Deployments returns both deployments.
+func Deployments() []Deployment {
+	return []Deployment{
+		{
+			Name: "pecos", Servers: 15, Slots: 6, Instances: 15,
+			Regions: regions("permian", "permian-a", "permian-b", "gulf", "gulf-a", "gulf-b", "hill-country", "hill-a", "hill-b"),
+			ZoneHop: 500 * time.Microsecond, RegionHop: 8 * time.Millisecond, Service: 20 * time.Millisecond,
+		},
+		{
+			Name: "pretha", Servers: 13, Slots: 3, Instances: 15,
+			Regions: regions("malabar", "malabar-a", "malabar-b", "kochi", "kochi-a", "kochi-b", "travancore", "travancore-a", "travancore-b"),
+			ZoneHop: 1400 * time.Microsecond, RegionHop: 8 * time.Millisecond, Service: 20 * time.Millisecond,
+		},
+	}
+}
+
+// regions builds regions of two zones each.
+func regions(names ...string) []document.Region {
+	var list []document.Region
+	for i := 0; i+2 < len(names); i += 3 {
+		list = append(list, document.Region{Name: names[i], Zones: names[i+1 : i+3]})
+	}
+	return list
+}
+
+func (d Deployment) zones() []string {
+	var zones []string
+	for _, r := range d.Regions {
+		zones = append(zones, r.Zones...)
+	}
+	return zones
+}
+
+// fleet returns the fleet document with zones out.
+func (d Deployment) fleet(out ...string) *document.Fleet {
+	return &document.Fleet{Name: d.Name, Regions: d.Regions, Out: out}
+}
+
+func (d Deployment) service() *document.Service {
+	doc := &document.Service{
+		Name: "service", Owner: "lab", Servers: document.Servers{Slots: d.Slots},
+		Retry:  document.Retry{Attempts: document.DefaultAttempts, Budget: document.DefaultRetryBudget},
+		Hedge:  document.Hedge{Percentile: document.DefaultHedgeShare, Budget: document.DefaultHedgeBudget},
+		Routes: []document.Route{{Name: "all", Path: "/*", Idempotent: true}},
+	}
+	zones := d.zones()
+	for i := range d.Servers {
+		doc.Servers.List = append(doc.Servers.List, document.Server{
+			Name: fmt.Sprintf("server-%02d", i), Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: zones[i%len(zones)],
+		})
+	}
+	doc.Complete()
+	return doc
+}
+
+// hop is the one-way delay between two zones.
+func (d Deployment) hop(a, b string) time.Duration {
+	fleet := d.fleet()
+	switch {
+	case a == b:
+		return localHop
+	case fleet.RegionOf(a) == fleet.RegionOf(b):
+		return d.ZoneHop
+	}
+	return d.RegionHop
+}
+
+// capacity is how many requests a second the slots bear.
+func (d Deployment) capacity(slots int) float64 { return float64(slots) / d.Service.Seconds() }
--- /dev/null
+++ b/internal/lab/keeper.go
@@ -0,0 +1,285 @@
+package lab
+
+import (
+	"slices"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+)
+
+// keeper is a stand-in for the keeper of one zone: it never grants more slots of a server than there are, and of a
+// cold server never more than its allowance.
+type keeper struct {
+	w       *world
+	zone    string
+	epoch   uint64
+	up      bool
+	servers []*kept
+	parked  []*parked
+}
+
+// kept is what the keeper knows of one server.
+type kept struct {
+	name        string
+	slots       int
+	cold        bool
+	allowance   int
+	grownAt     time.Time
+	incarnation string
+	held        map[int]int
+	latency     time.Duration
+	usual       time.Duration
+	// frozen is until when earlier grants may still be in use.
+	frozen time.Time
+	// good counts the answers in time since the allowance changed.
+	good int
+}
+
+// parked is a demand that waits for a slot.
+type parked struct {
+	e        *entry
+	want     int
+	sent     time.Time
+	answered bool
+}
+
+// parkTime bounds how long a demand waits for a slot.
+const parkTime = 20 * time.Millisecond
+
+func newKeeper(w *world, zone string) *keeper {
+	k := &keeper{w: w, zone: zone, epoch: 1, up: true}
+	for _, s := range w.servers {
+		if s.zone == zone {
+			k.servers = append(k.servers, &kept{name: s.name, slots: s.slots, allowance: s.slots, incarnation: s.incarnation(), held: map[int]int{}})
+		}
+	}
+	w.after(time.Second, k.probe)
+	return k
+}
+
+// probe reads the state of each server of the shard once a second.
+func (k *keeper) probe() {
+	k.w.after(time.Second, k.probe)
+	if !k.up {
+		return
+	}
+	for _, s := range k.servers {
+		k.w.counted.probes++
+		b := k.w.byName[s.name]
+		if b.up && s.incarnation != b.incarnation() {
+			k.presumeCold(s, b.incarnation())
+		}
+	}
+}
+
+// fail stops the keeper. Another one takes over after the given time and waits for the longest lease to end.
+func (k *keeper) fail(takeover time.Duration) {
+	k.up = false
+	k.w.after(takeover, func() {
+		k.up = true
+		k.epoch++
+		for _, s := range k.servers {
+			s.held = map[int]int{}
+			s.incarnation = k.w.byName[s.name].incarnation()
+			if !k.w.policy.Evidence || s.usual == 0 {
+				k.presumeCold(s, s.incarnation)
+			}
+		}
+	})
+}
+
+func (k *keeper) presumeCold(s *kept, incarnation string) {
+	s.cold = true
+	s.allowance = k.w.doc.Servers.ColdAllowance
+	s.grownAt = k.w.now
+	s.good = 0
+	s.incarnation = incarnation
+	s.frozen = k.w.now.Add(leaseTerm)
+	if len(s.held) == 0 {
+		s.frozen = time.Time{}
+	}
+}
+
+// notice takes a sign that a server is cold or down and passes it on to the holders.
+func (k *keeper) notice(n balance.Notice) {
+	s := k.find(n.Server)
+	if !k.up || s == nil || n.State != balance.Cold && n.State != balance.Down {
+		return
+	}
+	if s.cold && s.allowance == k.w.doc.Servers.ColdAllowance {
+		return
+	}
+	k.presumeCold(s, n.Incarnation)
+	k.recall(s, n)
+}
+
+// recall tells the holders of a server. Cold slots are granted after all of them have answered.
+func (k *keeper) recall(s *kept, n balance.Notice) {
+	var slowest time.Duration
+	for id := range s.held {
+		e := k.w.entries[id]
+		hop := k.w.hop(k.zone, e.place.Zone)
+		slowest = max(slowest, 2*hop)
+		k.w.counted.bytes += 2 * messageBytes
+		k.w.after(hop, func() { e.heard(n) })
+	}
+	s.held = map[int]int{}
+	s.frozen = k.w.now.Add(slowest)
+}
+
+func (k *keeper) find(name string) *kept {
+	for _, s := range k.servers {
+		if s.name == name {
+			return s
+		}
+	}
+	return nil
+}
+
+// demand answers an instance: it keeps what the instance holds and adds what it wants, when there is room. A demand
+// that finds none waits for a short time.
+func (k *keeper) demand(e *entry, d balance.Demand, sent time.Time) {
+	if !k.up {
+		return
+	}
+	k.w.control(func() { k.learn(e, d) })
+	granted := 0
+	k.w.control(func() { granted = k.grant(e, d.Want) })
+	if granted == 0 && d.Want > 0 && k.w.now.Sub(sent) < askTimeout {
+		p := &parked{e: e, want: d.Want, sent: sent}
+		k.parked = append(k.parked, p)
+		k.w.after(parkTime, func() { k.reply(p) })
+	} else {
+		k.send(e, sent)
+	}
+	k.serveParked()
+}
+
+func (k *keeper) learn(e *entry, d balance.Demand) {
+	for _, s := range k.servers {
+		delete(s.held, e.id)
+	}
+	for _, h := range d.Held {
+		if s := k.find(h.Server); s != nil && h.Slots+h.Busy > 0 {
+			s.held[e.id] = max(h.Slots, h.Busy)
+		}
+	}
+	for _, r := range d.Reports {
+		if s := k.find(r.Server); s != nil {
+			k.report(s, r)
+		}
+	}
+}
+
+// report follows the latency of a server and grows the allowance of a cold one with each step of answers in time.
+func (k *keeper) report(s *kept, r balance.Report) {
+	if r.Incarnation != "" && r.Incarnation != s.incarnation {
+		if s.cold && s.incarnation == "" {
+			s.incarnation = r.Incarnation
+		} else {
+			k.presumeCold(s, r.Incarnation)
+		}
+	}
+	if r.Good == 0 {
+		return
+	}
+	late := s.usual > 0 && r.Latency > 2*s.usual
+	s.latency = smooth(s.latency, r.Latency, 4)
+	if !late {
+		s.good += r.Good
+	}
+	if !late || !s.cold {
+		s.usual = smooth(s.usual, r.Latency, 64)
+	}
+	if s.cold && s.good > 0 && k.w.now.Sub(s.grownAt) >= k.w.doc.Servers.WarmUpStep {
+		s.grownAt = k.w.now
+		s.good = 0
+		s.allowance = min(2*s.allowance, s.slots)
+		s.cold = s.allowance < s.slots
+	}
+}
+
+func smooth(old, sample time.Duration, weight int) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return old + (sample-old)/time.Duration(weight)
+}
+
+// grant adds up to the wanted slots, from the servers with the least expected delay first.
+func (k *keeper) grant(e *entry, want int) int {
+	granted := 0
+	for _, s := range k.servers {
+		if s.cold && s.free(k.w.now) > 0 && e.place.Zone == k.zone {
+			s.held[e.id]++ // the cold slot goes to the instance that asks first
+		}
+	}
+	for granted < want {
+		best := k.freest()
+		if best == nil {
+			break
+		}
+		best.held[e.id]++
+		granted++
+	}
+	return granted
+}
+
+func (k *keeper) freest() *kept {
+	var best *kept
+	for _, s := range k.servers {
+		if s.cold || s.free(k.w.now) <= 0 {
+			continue
+		}
+		if best == nil || s.score() < best.score() {
+			best = s
+		}
+	}
+	return best
+}
+
+func (s *kept) free(now time.Time) int {
+	if now.Before(s.frozen) {
+		return 0
+	}
+	return s.allowance - s.granted()
+}
+
+func (s *kept) granted() int {
+	total := 0
+	for _, n := range s.held {
+		total += n
+	}
+	return total
+}
+
+func (s *kept) score() float64 {
+	return float64(max(s.latency, time.Millisecond)) * (1 + float64(s.granted())/float64(s.slots))
+}
+
+func (k *keeper) serveParked() {
+	for _, p := range slices.Clone(k.parked) {
+		if k.grant(p.e, p.want) > 0 {
+			k.reply(p)
+		}
+	}
+}
+
+func (k *keeper) reply(p *parked) {
+	if p.answered || !k.up {
+		return
+	}
+	p.answered = true
+	k.parked = slices.DeleteFunc(k.parked, func(other *parked) bool { return other == p })
+	k.send(p.e, p.sent)
+}
+
+// send tells an instance all that it holds in the shard.
+func (k *keeper) send(e *entry, sent time.Time) {
+	l := balance.Leased{Zone: k.zone, Epoch: k.epoch, Until: sent.Add(leaseTerm)}
+	for _, s := range k.servers {
+		l.Grants = append(l.Grants, balance.SlotGrant{Server: s.name, Incarnation: s.incarnation, Slots: s.held[e.id], Cold: s.cold})
+	}
+	k.w.counted.bytes += messageBytes + entryBytes*len(l.Grants)
+	k.w.after(k.w.hop(k.zone, e.place.Zone), func() { e.leased(l) })
+}
--- /dev/null
+++ b/internal/lab/measure.go
@@ -0,0 +1,136 @@
+package lab
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// counts is what a run counts. Only what happens after the warm-up counts.
+type counts struct {
+	latency   *hdrhistogram.Histogram // in microseconds
+	offered   []int                   // by second
+	good      []int                   // by second of arrival
+	refused   int
+	failed    int
+	expired   int
+	hedges    int
+	queue     int
+	overGrant int
+	bytes     int
+	probes    int
+	lateWork  int
+	cpu       time.Duration
+}
+
+func newCounts() counts {
+	seconds := int(length/time.Second) + 1
+	return counts{
+		latency: hdrhistogram.New(1, (10 * requestDeadline).Microseconds(), 3), offered: make([]int, seconds), good: make([]int, seconds),
+	}
+}
+
+func second(at time.Time) int { return int(at.Sub(begin) / time.Second) }
+
+func measured(at time.Time) bool { return at.Sub(begin) >= warmUp }
+
+func (c *counts) offer(w *world) { c.offered[second(w.now)]++ }
+
+func (c *counts) succeed(w *world, r *request) {
+	c.good[second(r.at)]++
+	c.record(w, r)
+}
+
+// late counts a request that was not answered before its deadline with the time that its caller waited.
+func (c *counts) late(w *world, r *request) {
+	c.expired++
+	c.record(w, r)
+}
+
+func (c *counts) record(w *world, r *request) {
+	if measured(r.at) {
+		_ = c.latency.RecordValue(w.now.Sub(r.at).Microseconds()) // the deadline bounds the value
+	}
+}
+
+// toZone counts work that reaches a zone more than 3 s after it was taken out. A hop between regions is allowed for
+// what was sent before.
+func (c *counts) toZone(w *world, zone string) {
+	since := w.now.Sub(begin) - faultAt
+	if w.fleetDoc.IsOut(zone) && since > 3*time.Second+w.d.RegionHop {
+		c.lateWork++
+	}
+}
+
+// Result is what one run measured.
+type Result struct {
+	Deployment, Scenario, Policy string
+	Load                         float64
+	P50, P99, P999               time.Duration
+	// Goodput is the answers in time as a share of what was offered and the slots bear.
+	Goodput float64
+	// WorstSecond is the least goodput of any second.
+	WorstSecond float64
+	// Refused, Failed and Expired are shares of all requests.
+	Refused, Failed, Expired float64
+	// Hedged is the share of requests with a second copy.
+	Hedged float64
+	// WorstQueue is the longest queue at a server.
+	WorstQueue int
+	// OverGrant is the most requests at a cold server above its allowance.
+	OverGrant int
+	// LateWork is the requests that reached a zone more than 3 s after it was taken out.
+	LateWork int
+	// ControlBytes are sent and received per instance and second, for this one service.
+	ControlBytes float64
+	// ControlCPU is the share of a core per instance for leases, for this one service.
+	ControlCPU float64
+	// Probes is the number of probes a second by all keepers.
+	Probes float64
+}
+
+func (c *counts) result(w *world) Result {
+	r := Result{Deployment: w.d.Name, Scenario: w.scenario.Name, Policy: w.policy.Name, Load: w.load}
+	r.P50 = c.quantile(50)
+	r.P99 = c.quantile(99)
+	r.P999 = c.quantile(99.9)
+	r.Goodput, r.WorstSecond = c.goodput(w)
+	total := 0
+	for _, n := range c.offered {
+		total += n
+	}
+	r.Refused = share(c.refused, total)
+	r.Failed = share(c.failed, total)
+	r.Expired = share(c.expired, total)
+	r.Hedged = share(c.hedges, total)
+	r.WorstQueue, r.OverGrant, r.LateWork = c.queue, c.overGrant, c.lateWork
+	instanceSeconds := float64(w.d.Instances) * length.Seconds()
+	r.ControlBytes = 2 * float64(c.bytes) / instanceSeconds
+	r.ControlCPU = c.cpu.Seconds() / instanceSeconds
+	r.Probes = float64(c.probes) / length.Seconds()
+	return r
+}
+
+func (c *counts) quantile(q float64) time.Duration {
+	return time.Duration(c.latency.ValueAtQuantile(q)) * time.Microsecond
+}
+
+func share(n, total int) float64 { return float64(n) / float64(max(1, total)) }
+
+// goodput compares the good answers of each second with what was offered and what the slots in service bear. The last
+// seconds are left out: their requests may still run.
+func (c *counts) goodput(w *world) (mean, worst float64) {
+	worst = 1
+	var good, possible float64
+	for i := second(begin.Add(warmUp)); i < len(c.good)-3; i++ {
+		slots := w.d.Servers * w.d.Slots
+		if w.scenario.slotsOut != nil {
+			slots -= w.scenario.slotsOut(w, time.Duration(i)*time.Second)
+		}
+		bearable := min(float64(c.offered[i]), w.d.capacity(slots))
+		good += float64(c.good[i])
+		possible += bearable
+		worst = min(worst, float64(c.good[i])/max(1, bearable))
+	}
+	return min(1, good/max(1, possible)), worst
+}
--- /dev/null
+++ b/internal/lab/scenario.go
@@ -0,0 +1,104 @@
+package lab
+
+import "time"
+
+// Scenario is what goes wrong in a run.
+type Scenario struct {
+	Name   string
+	faults func(w *world)
+	// slotsOut returns how many slots are out of service at a time, for the goodput that the rest can bear.
+	slotsOut func(w *world, at time.Duration) int
+}
+
+const (
+	faultAt  = 8 * time.Second
+	faultEnd = 16 * time.Second
+	// slowFactor is how much slower the slow server is.
+	slowFactor = 5
+	// downTime is how long a server that starts again refuses connections.
+	downTime = 200 * time.Millisecond
+	// unready is how long callers still reach the instances of a zone that was taken out.
+	unready = time.Second
+	// takeover is the time until a new keeper grants: session term, fencing margin and the longest lease.
+	takeover = 13 * time.Second
+)
+
+// Scenarios returns all scenarios.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "steady"},
+		{Name: "slow-server", faults: slowServer, slotsOut: oneServerOut},
+		{Name: "fail-fast", faults: failFast, slotsOut: oneServerOut},
+		{Name: "cold-restart", faults: coldRestart, slotsOut: oneServerOut},
+		{Name: "zone-out-in", faults: zoneOutIn, slotsOut: zoneSlotsOut},
+		{Name: "object-api-down", faults: objectAPIDown, slotsOut: oneServerOut},
+		{Name: "keeper-lost", faults: keeperLost},
+	}
+}
+
+func oneServerOut(w *world, at time.Duration) int {
+	if at < faultAt {
+		return 0
+	}
+	return w.d.Slots
+}
+
+func slowServer(w *world) {
+	w.after(faultAt, func() { w.servers[0].factor = slowFactor })
+}
+
+func failFast(w *world) {
+	w.after(faultAt, func() { w.servers[0].failFast = true })
+	w.after(faultEnd, func() { w.servers[0].failFast = false })
+}
+
+func coldRestart(w *world) {
+	w.after(faultAt, func() { w.servers[0].restart(downTime) })
+}
+
+// zoneOutIn takes the first zone out and brings it back.
+func zoneOutIn(w *world) {
+	zone := w.d.zones()[0]
+	w.after(faultAt, func() { w.setOut(zone) })
+	w.after(faultAt+unready, func() { w.reachable(zone, false) })
+	w.after(faultEnd, func() { w.setOut() })
+	w.after(faultEnd+unready, func() { w.reachable(zone, true) })
+}
+
+func (w *world) reachable(zone string, yes bool) {
+	for _, e := range w.entries {
+		if e.place.Zone == zone {
+			w.away[e.id] = !yes
+		}
+	}
+}
+
+func zoneSlotsOut(w *world, at time.Duration) int {
+	if at < faultAt || at > faultEnd+returnRamp {
+		return 0
+	}
+	slots := 0
+	for _, s := range w.servers {
+		if s.zone == w.d.zones()[0] {
+			slots += s.slots
+		}
+	}
+	return slots
+}
+
+// returnRamp is how long a zone that returns is not yet counted as capacity. It equals the default of $zone_return.
+const returnRamp = 10 * time.Second
+
+// objectAPIDown loses the keeper of the first zone while no other can take over, and restarts a server of the third.
+func objectAPIDown(w *world) {
+	if k := w.keepers[w.d.zones()[0]]; k != nil {
+		w.after(faultAt, func() { k.fail(length) })
+	}
+	w.after(faultAt+time.Second, func() { w.servers[2].restart(downTime) })
+}
+
+func keeperLost(w *world) {
+	if k := w.keepers[w.d.zones()[0]]; k != nil {
+		w.after(faultAt, func() { k.fail(takeover) })
+	}
+}
