--- a/internal/decide/balance/pick.go
+++ b/internal/decide/balance/pick.go
@@ -109,7 +109,7 @@
 	switch {
 	case s.fleet.tuning.Order == ByReportedDelay:
 		return s.load(now)
-	case !s.fleet.view.NoKeepers && s.shard.live(now):
+	case !s.fleet.view.NoKeepers && s.shard.live(now) && s.inFlight < s.lease.slots:
 		return float64(s.inFlight) / float64(4*s.slots)
 	}
 	return float64(s.inFlight)
--- a/internal/decide/balance/server.go
+++ b/internal/decide/balance/server.go
@@ -122,11 +122,19 @@
 	case s.needsToken():
 		return s.lease.slots
 	case live:
-		return min(s.lease.slots, s.bearable())
+		return min(max(s.lease.slots, s.overflow()), s.bearable())
 	}
 	return min(s.fleet.fallback(s.slots), s.bearable())
 }
 
+// overflow is how many requests may run at a warm server without a lease.
+func (s *server) overflow() int {
+	if s.fleet.tuning.Overflow == 0 {
+		return 0
+	}
+	return s.fleet.fallback(s.slots) + s.fleet.tuning.Overflow - 1
+}
+
 // bearable is what the server bears by what this instance knows itself.
 func (s *server) bearable() int {
 	switch {
--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -43,6 +43,7 @@
 		{Name: "weighted-reported", Tuning: balance.Tuning{Order: balance.ByReportedDelay}},
 		{Name: "leases", Tuning: balance.Tuning{Order: balance.ByDelay, Reserve: 1}, Keepers: true},
 		{Name: "default", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true},
+		{Name: "leases-strict", Tuning: with(func(t *balance.Tuning) { t.Overflow = 0 }), Keepers: true, Evidence: true},
 		{Name: "default+hedge", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, Hedge: true},
 	}
 }
@@ -148,3 +149,10 @@
 }
 
 func (c fleetChooser) done(g balance.Grant, r balance.Result) { c.e.fleet.Done(c.e.w.now, g, r) }
+
+// with returns the default tuning with a change.
+func with(change func(*balance.Tuning)) balance.Tuning {
+	t := balance.DefaultTuning()
+	change(&t)
+	return t
+}
