--- a/internal/decide/balance/fleet.go
+++ b/internal/decide/balance/fleet.go
@@ -24,8 +24,9 @@
 	// NoKeepers says that no keeper grants slots: the cold allowance then applies per instance. It is for a fleet of
 	// one instance and for experiments.
 	NoKeepers bool
-	// Instances is the number of live instances, for the fallback share. Zero means one.
-	Instances int
+	// Instances is the number of live instances and Neighbours the number of those in the own region, this one
+	// included. Zero means one.
+	Instances, Neighbours int
 }
 
 // Want describes the request that needs a server.
@@ -115,7 +116,7 @@
 // Update brings new documents into force. Servers that stay keep their state.
 func (f *Fleet) Update(now time.Time, view View) {
 	f.view = view
-	f.view.Instances = max(1, view.Instances)
+	f.SetInstances(view.Instances, view.Neighbours)
 	f.updateZones(now)
 	named := map[string]bool{}
 	for _, s := range view.Servers {
@@ -163,8 +164,12 @@
 }
 
 // fallback is this instance's share of the slots of a warm server when its keeper does not respond.
-func (f *Fleet) fallback(slots int) int {
-	return (slots + f.view.Instances - 1) / f.view.Instances
+func (f *Fleet) fallback(s *server) int {
+	sharers := f.view.Instances
+	if f.tuning.RegionShare && f.distance(s) != farRegion {
+		sharers = f.view.Neighbours
+	}
+	return (s.slots + sharers - 1) / sharers
 }
 
 func (f *Fleet) sample(latency time.Duration) {
--- a/internal/decide/balance/server.go
+++ b/internal/decide/balance/server.go
@@ -124,7 +124,7 @@
 	case live:
 		return min(max(s.lease.slots, s.overflow()), s.bearable())
 	}
-	return min(s.fleet.fallback(s.slots), s.bearable())
+	return min(s.fleet.fallback(s), s.bearable())
 }
 
 // overflow is how many requests may run at a warm server without a lease.
@@ -132,7 +132,7 @@
 	if s.fleet.tuning.Overflow == 0 {
 		return 0
 	}
-	return s.fleet.fallback(s.slots) + s.fleet.tuning.Overflow - 1
+	return s.fleet.fallback(s) + s.fleet.tuning.Overflow - 1
 }
 
 // bearable is what the server bears by what this instance knows itself.
--- a/internal/decide/balance/shard.go
+++ b/internal/decide/balance/shard.go
@@ -141,8 +141,11 @@
 // Backlog tells how many requests wait at this instance. Demand asks for as many slots.
 func (f *Fleet) Backlog(waiting int) { f.backlog = waiting }
 
-// SetInstances tells how many instances are live. The fallback share depends on it.
-func (f *Fleet) SetInstances(n int) { f.view.Instances = max(1, n) }
+// SetInstances tells how many instances are live, in all and in the own region. The shares depend on it.
+func (f *Fleet) SetInstances(live, neighbours int) {
+	f.view.Instances = max(1, live)
+	f.view.Neighbours = max(1, neighbours)
+}
 
 // Notice takes in what another instance saw of a server.
 func (f *Fleet) Notice(now time.Time, n Notice) {
--- a/internal/decide/balance/tuning.go
+++ b/internal/decide/balance/tuning.go
@@ -23,6 +23,9 @@
 	// Overflow lets a request use a warm server beyond its lease, up to the fallback share and Overflow slots more.
 	// Zero keeps strictly to the leases; the share alone is Overflow 1.
 	Overflow int
+	// RegionShare divides the slots by the live instances of the region instead of all, because requests seldom leave
+	// their region.
+	RegionShare bool
 	// Patient makes a request wait for a server near the best one instead of taking a much slower one.
 	Patient bool
 	// Late presumes a server cold after several late answers in a row.
@@ -33,7 +36,7 @@
 
 // DefaultTuning returns the tuning that docs/measurements.md arrives at.
 func DefaultTuning() Tuning {
-	return Tuning{Order: ByDelay, Reserve: 1, Overflow: 1, Patient: true, Late: true, Adapt: true}
+	return Tuning{Order: ByDelay, Reserve: 1, Overflow: 1, RegionShare: true, Patient: true, Late: true, Adapt: true}
 }
 
 const (
--- a/internal/lab/entry.go
+++ b/internal/lab/entry.go
@@ -54,7 +54,7 @@
 func (e *entry) view() balance.View {
 	return balance.View{
 		Service: e.w.doc, Servers: e.w.doc.Servers.List, Zones: e.w.fleetDoc, Self: e.place,
-		NoKeepers: !e.w.policy.Keepers, Instances: e.w.d.Instances,
+		NoKeepers: !e.w.policy.Keepers, Instances: e.w.d.Instances, Neighbours: e.w.neighbours(e.place.Region),
 	}
 }
 
--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -44,6 +44,7 @@
 		{Name: "leases", Tuning: balance.Tuning{Order: balance.ByDelay, Reserve: 1}, Keepers: true},
 		{Name: "default", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true},
 		{Name: "leases-strict", Tuning: with(func(t *balance.Tuning) { t.Overflow = 0 }), Keepers: true, Evidence: true},
+		{Name: "share-of-all", Tuning: with(func(t *balance.Tuning) { t.RegionShare = false }), Keepers: true, Evidence: true},
 		{Name: "default+hedge", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, Hedge: true},
 	}
 }
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -84,6 +84,18 @@
 	return w, nil
 }
 
+// neighbours counts the instances of a region.
+func (w *world) neighbours(region string) int {
+	n := 0
+	zones := w.d.zones()
+	for i := range w.d.Instances {
+		if w.fleetDoc.RegionOf(zones[i%len(zones)]) == region {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *world) hop(a, b string) time.Duration { return w.d.hop(a, b) }
 
 // reply carries the end of a copy back to its instance.
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -81,7 +81,7 @@
 	update    struct{ view balance.View }
 	lease     struct{ leased balance.Leased }
 	notice    struct{ notice balance.Notice }
-	instances struct{ live int }
+	instances struct{ live, neighbours int }
 	demand    struct {
 		zone  string
 		reply chan<- balance.Demand
@@ -182,9 +182,9 @@
 	return s.inbox.Send(ctx, notice{notice: n})
 }
 
-// SetInstances tells how many instances are live.
-func (s *Service) SetInstances(ctx context.Context, live int) error {
-	return s.inbox.Send(ctx, instances{live: live})
+// SetInstances tells how many instances are live, in all and in the own region.
+func (s *Service) SetInstances(ctx context.Context, live, neighbours int) error {
+	return s.inbox.Send(ctx, instances{live: live, neighbours: neighbours})
 }
 
 // Demand returns what the service needs of the keeper of a zone. Idle slots above the reserve are given up by it, so
@@ -255,8 +255,8 @@
 	case notice:
 		s.fleet.Notice(now, m.notice)
 	case instances:
-		s.fleet.SetInstances(m.live)
-		s.view.Instances = m.live
+		s.fleet.SetInstances(m.live, m.neighbours)
+		s.view.Instances, s.view.Neighbours = m.live, m.neighbours
 		s.resizePools(ctx)
 	case demand:
 		s.fleet.Backlog(s.queue.Len())
@@ -274,7 +274,7 @@
 
 // update keeps the number of live instances, which does not come with documents.
 func (s *Service) update(ctx context.Context, now time.Time, view balance.View) {
-	view.Instances = max(view.Instances, s.view.Instances)
+	view.Instances, view.Neighbours = s.view.Instances, s.view.Neighbours
 	s.view = view
 	s.fleet.Update(now, view)
 	s.queue.SetLimits(view.Service.Queue)
