--- /dev/null
+++ b/internal/decide/admit/deadline_test.go
@@ -0,0 +1,25 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/document"
+)
+
+// Guards against an owner that wakes at the time of Deadline, finds nothing to remove and wakes again at once.
+func TestNothingIsLeftAtDeadline(t *testing.T) {
+	start := time.Unix(1000, 0)
+	pace := Pace{Slot: time.Millisecond, Service: 5 * time.Millisecond}
+	q := NewQueue[int](document.Queue{Length: 4, PerTenant: 4})
+	if _, err := q.Add(start, Waiter[int]{Ticket: 1, Deadline: start.Add(time.Second), Since: start}, pace); err != nil {
+		t.Fatal(err)
+	}
+	due, ok := q.Deadline(pace)
+	if !ok {
+		t.Fatal("no deadline while a request waits")
+	}
+	if late := q.Expire(due, pace); len(late) != 1 {
+		t.Fatalf("%d requests removed at the deadline, want 1", len(late))
+	}
+}
--- a/internal/node/claimstore.go
+++ b/internal/node/claimstore.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/claimobject"
 	"fuchsiahub.example/fuchsiahub/internal/decide/once"
@@ -10,9 +9,6 @@
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 )
 
-// storeTimeout bounds one call of the object API. A write that takes longer counts as unclear and is read back.
-const storeTimeout = 2 * time.Second
-
 // claimStore turns effects of a partition into calls of the object API.
 type claimStore struct {
 	api   objectapi.API
--- a/internal/node/once_test.go
+++ b/internal/node/once_test.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	directory := NewDirectory(place, c.servers.dialer(i.gate), log)
+	directory := NewDirectory(place, c.servers.dialer(i.gate), log).WithoutKeepers()
 	i.server, err = NewServer(directory, place, WithClaims(i.claims), WithQuarantine(q))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -29,7 +29,8 @@
 	taken   acquired
 	avoid   []string
 	resends int
-	// lost is true once a copy of the request may have run without an answer.
+	copy    copyKind
+	// lost is true when an earlier copy may have run. A refusal after it must not say that nothing ran.
 	lost   bool
 	answer *call.Answer
 	err    error
@@ -37,10 +38,10 @@
 	// claim is set while this request holds, or may hold, a once-only claim.
 	claim *claim
 	// print is the fingerprint once it was needed.
-	print *quarantine.Fingerprint
-	// incarnation is what the chosen server reported before the request was sent.
-	incarnation string
-	endOfTrial  func()
+	print      *quarantine.Fingerprint
+	endOfTrial func()
+	// losses holds the copies of the last send whose connection broke.
+	losses []sentCopy
 }
 
 // requestChart is the bound chart of requests, shared by all instances of a process.
@@ -71,8 +72,8 @@
 			"end_trial":          (*exchange).endTrial,
 			"send":               (*exchange).send,
 			"report_loss":        (*exchange).reportLoss,
-			"spend_resend":       func(e *exchange) { e.resends++ },
-			"remember_loss":      func(e *exchange) { e.lost = true },
+			"spend_resend":       (*exchange).spendResend,
+			"remember_loss":      (*exchange).rememberLoss,
 			"refuse_quarantined": (*exchange).refuseQuarantined,
 			"refuse_crowded":     (*exchange).refuseCrowded,
 			"settle_answered":    func(e *exchange) { e.settle(once.Answered) },
@@ -118,12 +119,21 @@
 	}
 }
 
+// spendResend is the action of a resend. Nothing is known to have run when the last copy was not sent.
+func (e *exchange) spendResend() {
+	e.resends++
+	e.copy = resendUnsent
+}
+
+// rememberLoss follows spendResend when the last copy may have run.
+func (e *exchange) rememberLoss() {
+	e.copy = resendLost
+	e.lost = true
+}
+
 // takeServer is the entry action of "waiting".
 func (e *exchange) takeServer() {
-	e.taken = e.service.take(e.ctx, acquire{
-		policy: e.policy, tenant: e.req.Tenant, deadline: e.policy.Deadline,
-		want: balance.Want{Regions: e.policy.Regions, CrossRegion: e.policy.Route.CrossRegion, Avoid: e.avoid},
-	})
+	e.taken = e.service.take(e.ctx, e.acquire(e.copy))
 	if e.taken.err != nil {
 		e.err = e.taken.err
 		e.next = "refused"
@@ -138,29 +148,37 @@
 	e.avoid = append(e.avoid, e.taken.grant.Server)
 }
 
+func (e *exchange) acquire(kind copyKind) acquire {
+	return acquire{
+		copy: kind, policy: e.policy, tenant: e.req.Tenant, deadline: e.policy.Deadline,
+		want: balance.Want{Regions: e.policy.Regions, CrossRegion: e.policy.Route.CrossRegion, Avoid: e.avoid},
+	}
+}
+
 // send is the entry action of "sent".
 func (e *exchange) send() {
 	req := *e.req
 	req.Deadline = e.policy.Deadline
 	req.RetriesLeft = max(0, e.policy.Resends-e.resends)
-	e.incarnation = e.quarantine.incarnation(e.server())
-	e.received(e.exchange(&req))
+	e.losses = nil
+	e.avoid = append(e.avoid, e.taken.grant.Server)
+	e.received(e.run(&req))
 }
 
-// exchange sends one copy. The deadline is checked by the clock, because after a pause of the process the timer of the
-// context may be late, and a once-only request must not be sent after its claim has expired.
-func (e *exchange) exchange(req *call.Request) backend.Result {
-	if !time.Now().Before(e.policy.Deadline) {
-		return backend.Result{Fate: call.NotSent, Err: context.DeadlineExceeded}
+// run sends one copy, or two when the first is late and the route allows it. A request that must run alone is not
+// hedged.
+func (e *exchange) run(req *call.Request) backend.Result {
+	if e.taken.hedgeAfter > 0 && e.endOfTrial == nil {
+		return e.runHedged(req)
 	}
-	return e.taken.pool.Do(e.ctx, req)
+	c := e.newCopy(e.taken)
+	result := c.exchange(e.ctx, req)
+	e.ended(c, result)
+	return result
 }
 
-// received takes the result of the exchange that decides the request.
+// received takes the result that decides the request.
 func (e *exchange) received(result backend.Result) {
-	e.service.giveBack(e.taken.grant, outcome(result))
-	e.quarantine.note(e.server(), result)
-	e.avoid = append(e.avoid, e.taken.grant.Server)
 	e.answer, e.err = result.Answer, result.Err
 	e.next = eventOf(result)
 	switch e.next {
@@ -190,10 +208,11 @@
 }
 
 // outcome tells the service task how a granted request ended.
-func outcome(result backend.Result) balance.Result {
+func outcome(ctx context.Context, result backend.Result) balance.Result {
 	r := balance.Result{
 		Fate: result.Fate, Latency: result.Elapsed, Refused: result.Refused, Draining: result.Draining,
 		Incarnation: result.Incarnation, Shed: result.Fate == call.DeclaredNotRun, Failed: result.Err != nil,
+		Running: result.Running, Slots: result.Slots, Cancelled: result.Err != nil && ctx.Err() != nil,
 	}
 	if result.Answer != nil && result.Answer.Status >= 500 && !r.Shed {
 		r.Failed = true
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -19,8 +19,6 @@
 const (
 	// sessionCapacity bounds the messages that wait at the session task. Questions of peers are refused when it is full.
 	sessionCapacity = 256
-	// storeTimeout bounds one call to the object API, which answers in milliseconds when it is up.
-	storeTimeout = 2 * time.Second
 	// witnessTimeout bounds one question to a peer; a later answer would be of no use.
 	witnessTimeout = time.Second
 	// lookEvery is how often sessions of owners that are not live are read.
--- a/internal/node/suspect.go
+++ b/internal/node/suspect.go
@@ -55,9 +55,11 @@
 	if e.quarantine == nil {
 		return
 	}
-	e.quarantine.lostConnection(e.ctx, quarantine.Loss{
-		Server: e.server(), Incarnation: e.incarnation, Fingerprint: e.fingerprint(), Regions: e.policy.Regions,
-	}, e.taken.grant.Address)
+	for _, c := range e.losses {
+		e.quarantine.lostConnection(e.ctx, quarantine.Loss{
+			Server: c.server, Incarnation: c.incarnation, Fingerprint: e.fingerprint(), Regions: e.policy.Regions,
+		}, c.taken.grant.Address)
+	}
 }
 
 // clearMark tells that the request was answered, if its fingerprint is marked.
