Start, announce, drain and stop an instance by its chart

Cause: readiness and the order of a graceful stop depend on the configuration, the own zone and time limits.

--- a/charts/params.go
+++ b/charts/params.go
@@ -13,9 +13,11 @@
 		"lease_term":    2 * time.Second,
 		"eject_time":    5 * time.Second,
 		"warm_up_step":  1 * time.Second,
-		"drain_limit":   30 * time.Second,
+		"announce_time": 5 * time.Second,
+		"drain_time":    25 * time.Second, // drain.limit less drain.announce
 		"idle_limit":    60 * time.Second,
 		"zone_quiet":    3 * time.Second,
+		"zone_ramp":     10 * time.Second,
 		"strike_expiry": 10 * time.Minute,
 	}
 }
--- a/internal/docfile/instance.go
+++ b/internal/docfile/instance.go
@@ -8,10 +8,11 @@
 
 // instance is the TOML form of document.Instance.
 type instance struct {
-	Instance    string `toml:"instance"`
+	Name        string `toml:"instance"`
 	Region      string `toml:"region"`
 	Zone        string `toml:"zone"`
 	PeerAddress string `toml:"peer_address"`
+	Incarnation uint64 `toml:"incarnation,omitempty"`
 	Leaving     bool   `toml:"leaving,omitempty"`
 }
 
@@ -21,14 +22,14 @@
 	if err := decode(source, text, &f); err != nil {
 		return nil, err
 	}
-	doc := &document.Instance{Name: f.Instance, Region: f.Region, Zone: f.Zone, PeerAddress: f.PeerAddress, Leaving: f.Leaving}
+	doc := document.Instance(f)
 	if err := document.Error(source, doc.Check()); err != nil {
 		return nil, err
 	}
-	return doc, nil
+	return &doc, nil
 }
 
 // WriteInstance encodes an entry of the platform's list of instances.
 func WriteInstance(doc *document.Instance) ([]byte, error) {
-	return toml.Marshal(instance{Instance: doc.Name, Region: doc.Region, Zone: doc.Zone, PeerAddress: doc.PeerAddress, Leaving: doc.Leaving})
+	return toml.Marshal(instance(*doc))
 }
--- a/internal/document/instance.go
+++ b/internal/document/instance.go
@@ -10,6 +10,9 @@
 	Region, Zone string
 	// PeerAddress is the IP address and port where it answers peers. Required.
 	PeerAddress string
+	// Incarnation differs for each start of the process, so that a process does not take the entry of an earlier one
+	// for its own. Zero when the platform wrote the entry.
+	Incarnation uint64
 	// Leaving is true when the platform is about to stop the instance. Default false.
 	Leaving bool
 }
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -107,7 +107,7 @@
 	in.config, err = node.NewConfig(node.ConfigOptions{
 		API: in.api, Caller: caller{cluster: c, from: name}, Sender: in.gossip.Sender, Metrics: metrics.NewRegistry(), Log: log,
 		Apply:   func(_ context.Context, docs *node.Documents) error { c.applied(name, docs); return nil },
-		InForce: in.gossip.SetConfig, Fleet: func(*document.Fleet) {},
+		InForce: in.gossip.SetConfig, Fleet: func(*document.Fleet) {}, Ready: func() {},
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -51,8 +51,10 @@
 	Apply func(context.Context, *Documents) error
 	// InForce gets the version of what is in force after each change: SetConfig of Gossip.
 	InForce func(member.Version)
-	// Fleet gets the fleet document after each change of it. It must not block.
+	// Fleet gets the fleet document after each change of it: Fleet of Lifecycle.
 	Fleet func(*document.Fleet)
+	// Ready is called once, when a complete configuration is in force: Configured of Lifecycle.
+	Ready func()
 }
 
 // Config is the task that decides which configuration is in force. It owns the documents.
@@ -242,13 +244,16 @@
 	if c.dirty {
 		docs, version := c.documents()
 		c.apply(ctx, docs, version)
-		status = &ConfigStatus{Digest: version.Digest, Documents: c.set.Status()}
+		status = &ConfigStatus{Ready: status.Ready, Digest: version.Digest, Documents: c.set.Status()}
 		c.dirty = false
 	}
 	next := *status
-	next.Ready = c.version.Fleet > 0 && c.source.complete()
+	next.Ready = status.Ready || c.version.Fleet > 0 && c.source.complete()
 	next.Unreadable = c.source.unreadable()
 	c.status.Store(&next)
+	if next.Ready && !status.Ready {
+		c.o.Ready()
+	}
 }
 
 // apply hands documents to the directory once the fleet document is in force: without it no zone has a region.
--- /dev/null
+++ b/internal/node/lifecycle_test.go
@@ -0,0 +1,197 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/node"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+// life is a running lifecycle task with what it told the fleet.
+type life struct {
+	*node.Lifecycle
+	told  []member.State
+	ended chan error
+	began time.Time
+}
+
+func startLife(t *testing.T, stages ...node.Stage) *life {
+	l := &life{ended: make(chan error, 1), began: time.Now()}
+	var err error
+	l.Lifecycle, err = node.NewLifecycle(node.LifecycleOptions{
+		Zone: "permian-a", Announce: 5 * time.Second, Limit: 30 * time.Second, Stages: stages,
+		Tell: func(s member.State) { l.told = append(l.told, s) }, Log: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { l.ended <- l.Run(t.Context()) }()
+	return l
+}
+
+// at waits until a time after the start and returns the state then.
+func (l *life) at(d time.Duration) *node.LifecycleStatus {
+	time.Sleep(time.Until(l.began.Add(d)))
+	synctest.Wait()
+	return l.Status()
+}
+
+func fleetOut(zones ...string) *document.Fleet { return &document.Fleet{Out: zones} }
+
+// Guards against an instance that is ready without a configuration, while its zone is out, or while it stops, and
+// against a stop that ends work before the platform's balancer knows.
+func TestReadinessFollowsLifecycle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := startLife(t, node.Stage{Name: "finish work", Run: func(context.Context) error { time.Sleep(3 * time.Second); return nil }})
+		expect := func(after time.Duration, state, zone string, ready bool) {
+			t.Helper()
+			if s := l.at(after); s.State != state || s.Zone != zone || s.Ready != ready || s.Reason == "" {
+				t.Errorf("after %v: %+v, want %s, %s, ready %t", after, *s, state, zone, ready)
+			}
+		}
+		expect(0, "starting", "in", false)
+		l.Configured()
+		expect(time.Second, "serving", "in", true)
+		l.Fleet(fleetOut("permian-a"))
+		expect(2*time.Second, "serving", "leaving", false)
+		expect(5*time.Second, "serving", "out", false)
+		l.Fleet(fleetOut("permian-b"))
+		expect(6*time.Second, "serving", "returning", true)
+		expect(16*time.Second, "serving", "in", true)
+		l.Stop()
+		expect(20*time.Second, "announcing", "in", false)
+		l.Stop()
+		expect(22*time.Second, "draining", "in", false)
+		expect(25*time.Second, "stopped", "in", false)
+		if err := <-l.ended; err != nil {
+			t.Errorf("graceful stop gives %v", err)
+		}
+		if !slices.Equal(slices.Compact(l.told), []member.State{member.Serving, member.Draining}) {
+			t.Errorf("the fleet was told %v", l.told)
+		}
+	})
+}
+
+// Guards against a stop without end, and one that does not say what was open.
+func TestStopIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hang := func(ctx context.Context) error { <-ctx.Done(); return errors.New("2 requests") }
+		l := startLife(t, node.Stage{Name: "hand over leases", Run: func(context.Context) error { return nil }},
+			node.Stage{Name: "finish work", Run: hang}, node.Stage{Name: "leave", Run: func(context.Context) error { return nil }})
+		l.Configured()
+		l.Stop()
+		err := <-l.ended
+		if d := time.Since(l.began); d != 30*time.Second {
+			t.Errorf("the stop took %v, want its limit of 30s", d)
+		}
+		if !fault.Is(err, fault.DeadlineExceeded) || fault.As(err).Message != "the stop reached its limit of 30s; still open: finish work, leave" {
+			t.Errorf("the stop gives %v", err)
+		}
+	})
+}
+
+// Guards against a stop before the first configuration that waits for an announcement nobody needs, or never ends.
+func TestStopWhileStarting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := startLife(t)
+		l.Stop()
+		if err := <-l.ended; err != nil || time.Since(l.began) > 0 {
+			t.Errorf("the stop took %v and gave %v", time.Since(l.began), err)
+		}
+	})
+}
+
+// Guards against limits that leave no time to drain.
+func TestLimitsAreChecked(t *testing.T) {
+	if _, err := node.NewLifecycle(node.LifecycleOptions{Announce: 5 * time.Second, Limit: 5 * time.Second}); !fault.Is(err, fault.Invalid) {
+		t.Errorf("error is %v", err)
+	}
+}
+
+// flaky loses the answer of the first write after it took effect.
+type flaky struct {
+	*client
+	lost bool
+}
+
+func (f *flaky) Create(ctx context.Context, kind objectapi.Kind, name string, value []byte) (objectapi.Object, error) {
+	o, err := f.client.Create(ctx, kind, name, value)
+	if err == nil && !f.lost {
+		f.lost = true
+		return objectapi.Object{}, fault.New(fault.AmbiguousWrite, "read it back", "the answer was lost")
+	}
+	return o, err
+}
+
+// Guards against an instance that is missing from the platform's list because the object API was down or an answer
+// was lost, that takes over the entry of an earlier process, or that removes the entry of a later one.
+func TestRegistration(t *testing.T) {
+	entry := document.Instance{Name: "entry-1", Region: "permian", Zone: "permian-a", PeerAddress: "10.0.0.1:7000"}
+	synctest.Test(t, func(t *testing.T) {
+		api := &flaky{client: &client{store: newStore(), down: true}}
+		start := func(e document.Instance) *node.Registrar {
+			r, err := node.NewRegistrar(api, e, slog.New(slog.DiscardHandler))
+			if err != nil {
+				t.Fatal(err)
+			}
+			go func() { _ = r.Run(t.Context()) }()
+			return r
+		}
+		version := func() uint64 {
+			o, _ := api.Get(t.Context(), objectapi.Instances, "entry-1")
+			return o.Version
+		}
+		first := start(entry)
+		time.Sleep(time.Minute)
+		api.fail(false, 0, false)
+		time.Sleep(10 * time.Second)
+		if v := version(); v != 1 {
+			t.Fatalf("entry has version %d, want one write", v)
+		}
+		if err := api.Delete(t.Context(), objectapi.Instances, "entry-1", 1); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		if v := version(); v != 3 {
+			t.Fatalf("a missing entry was not written again: version %d", v)
+		}
+		entry.Incarnation++
+		second := start(entry)
+		time.Sleep(time.Second)
+		if err := first.Remove(t.Context()); err != nil || version() != 4 {
+			t.Errorf("after the earlier process left: version %d, error %v", version(), err)
+		}
+		if err := second.Remove(t.Context()); err != nil || version() != 0 {
+			t.Errorf("after the later process left: version %d, error %v", version(), err)
+		}
+	})
+}
+
+// Guards against a stop that waits for ever for the object API.
+func TestRemovalIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		api := &client{store: newStore()}
+		r, err := node.NewRegistrar(api, document.Instance{Name: "entry-1", Region: "permian", Zone: "permian-a", PeerAddress: "10.0.0.1:7000"}, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = r.Run(t.Context()) }()
+		time.Sleep(time.Second)
+		api.fail(true, 0, true)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		before := time.Now()
+		if err := r.Remove(ctx); err == nil || time.Since(before) != 3*time.Second {
+			t.Errorf("removal took %v and gave %v", time.Since(before), err)
+		}
+	})
+}
