--- a/internal/node/keepertables.go
+++ b/internal/node/keepertables.go
@@ -97,15 +97,6 @@
 	}()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // follow lists the objects and passes on their changes until the watch ends.
 func (k *Keeper) follow(ctx context.Context) error {
 	listCtx, cancel := context.WithTimeout(ctx, storeTimeout)
