--- /dev/null
+++ b/internal/objecthttp/history_test.go
@@ -0,0 +1,154 @@
+package objecthttp_test
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	standin "fuchsiahub.example/fuchsiahub/internal/standin/objectapi"
+)
+
+// cell is the state of one object.
+type cell struct {
+	version uint64
+	value   string
+}
+
+// op is one call: a read, or an update from a version.
+type op struct {
+	write bool
+	from  uint64
+	value string
+}
+
+// result is what the call gave. An unknown write may have taken effect.
+type result struct {
+	cell
+	conflict, unknown bool
+}
+
+// conditional is the model of one object with conditional updates.
+var conditional = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{cell{version: 1}} },
+	Step: func(state, input, output any) []any {
+		s, in, out := state.(cell), input.(op), output.(result)
+		switch {
+		case !in.write && (out.unknown || s == out.cell):
+			return []any{s}
+		case !in.write:
+			return nil
+		case out.unknown && in.from == s.version:
+			return []any{s, cell{version: s.version + 1, value: in.value}}
+		case out.unknown, out.conflict && in.from != s.version:
+			return []any{s}
+		case !out.conflict && in.from == s.version && out.version == s.version+1:
+			return []any{cell{version: out.version, value: in.value}}
+		}
+		return nil
+	},
+}
+
+// record runs clients against one object and returns what each call gave.
+func record(t *testing.T, store *standin.Store, api objectapi.API, seed uint64) []porcupine.Operation {
+	t.Helper()
+	const clients, calls = 6, 40
+	ctx := t.Context()
+	first, err := store.Create(ctx, objectapi.Claims, "c", nil)
+	if err != nil || first.Version != 1 {
+		t.Fatal(first, err)
+	}
+	histories := make(chan []porcupine.Operation, clients)
+	for client := range clients {
+		rnd := rand.New(rand.NewPCG(seed, uint64(client)))
+		go func() { histories <- work(ctx, store, api, client, calls, rnd) }()
+	}
+	var all []porcupine.Operation
+	for range clients {
+		all = append(all, <-histories...)
+	}
+	return all
+}
+
+func work(ctx context.Context, store *standin.Store, api objectapi.API, client, calls int, rnd *rand.Rand) []porcupine.Operation {
+	var history []porcupine.Operation
+	seen := cell{version: 1}
+	for i := range calls {
+		if rnd.IntN(8) == 0 {
+			s, _ := store.Switches(ctx)
+			s.LoseAnswers = 1
+			_ = store.Set(ctx, s)
+		}
+		in := op{write: rnd.IntN(2) == 0, from: seen.version, value: strconv.Itoa(client) + "-" + strconv.Itoa(i)}
+		call := time.Now().UnixNano()
+		out := perform(ctx, api, in)
+		end := time.Now().UnixNano()
+		if out.unknown {
+			end = math.MaxInt64
+		}
+		if out.version > 0 {
+			seen = out.cell
+		}
+		history = append(history, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: end})
+		if out.unknown {
+			client += 100 // a client with a pending call makes no other call
+		}
+	}
+	return history
+}
+
+func perform(ctx context.Context, api objectapi.API, in op) result {
+	if !in.write {
+		o, err := api.Get(ctx, objectapi.Claims, "c")
+		return result{cell: cell{version: o.Version, value: string(o.Value)}, unknown: err != nil}
+	}
+	o, err := api.Update(ctx, objectapi.Claims, "c", in.from, []byte(in.value))
+	return result{
+		cell: cell{version: o.Version, value: in.value}, conflict: fault.Is(err, fault.Conflict),
+		unknown: err != nil && !fault.Is(err, fault.Conflict),
+	}
+}
+
+// Guards against an adapter or a stand-in that loses, doubles or reorders conditional updates, also when answers are lost:
+// once-only claims rest on it.
+func TestConditionalUpdatesAreLinearizable(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3, 4, 5} {
+		for _, name := range []string{"HTTP", "in process"} {
+			store, apis := start(t)
+			history := record(t, store, apis[name], seed)
+			if got := porcupine.CheckOperationsTimeout(conditional.ToModel(), history, time.Minute); got != porcupine.Ok {
+				t.Errorf("%s, seed %d: %v", name, seed, got)
+			}
+		}
+	}
+}
+
+// Guards against a checker that accepts everything: reads of an older state must be found.
+func TestCheckerFindsOlderReads(t *testing.T) {
+	store, apis := start(t)
+	history := record(t, store, apis["HTTP"], 1)
+	if err := store.Set(t.Context(), standin.Switches{OlderReads: true}); err != nil {
+		t.Fatal(err)
+	}
+	before := perform(t.Context(), apis["HTTP"], op{})
+	after := perform(t.Context(), apis["HTTP"], op{write: true, from: before.version, value: "new"})
+	for _, out := range []struct {
+		in  op
+		out result
+	}{{op{}, before}, {op{write: true, from: before.version, value: "new"}, after}, {op{}, perform(t.Context(), apis["HTTP"], op{})}} {
+		now := time.Now().UnixNano()
+		history = append(history, porcupine.Operation{ClientId: 99, Input: out.in, Call: now, Output: out.out, Return: now + 1})
+	}
+	if after.version == 0 {
+		t.Fatalf("the update gave %+v", after)
+	}
+	if got := porcupine.CheckOperationsTimeout(conditional.ToModel(), history, time.Minute); got != porcupine.Illegal {
+		t.Errorf("got %v", got)
+	}
+}
--- /dev/null
+++ b/internal/objecthttp/time_test.go
@@ -0,0 +1,95 @@
+package objecthttp_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/objecthttp"
+	"fuchsiahub.example/fuchsiahub/internal/standin/memnet"
+	standin "fuchsiahub.example/fuchsiahub/internal/standin/objectapi"
+)
+
+// inBubble runs a test in virtual time with a client of the handler.
+func inBubble(t *testing.T, handler http.Handler, test func(t *testing.T, client *objecthttp.Client)) {
+	t.Helper()
+	listener := memnet.Listen()
+	server := &http.Server{Handler: handler}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	client := objecthttp.New("127.0.0.1:1", listener.Dial)
+	test(t, client)
+	client.Close()
+	_ = server.Close()
+	<-ended
+}
+
+// Guards against a call that waits for ever on a platform that took it and does not answer.
+func TestCallsEndInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body) // net/http sees that the client has gone only after the body
+			<-r.Context().Done()
+		})
+		inBubble(t, silent, func(t *testing.T, client *objecthttp.Client) {
+			start := time.Now()
+			_, err := client.Get(t.Context(), objectapi.Fleet, "a")
+			kind(t, err, fault.StoreUnavailable)
+			_, err = client.Create(t.Context(), objectapi.Fleet, "a", nil)
+			kind(t, err, fault.AmbiguousWrite)
+			_, err = client.Watch(t.Context(), objectapi.Fleet, 0)
+			kind(t, err, fault.StoreUnavailable)
+			if took := time.Since(start); took != 6*time.Second {
+				t.Errorf("three calls took %v", took)
+			}
+		})
+	})
+}
+
+// Guards against a watch that is given up although it lives, and against one that waits for ever on a dead stream.
+func TestQuietWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := standin.New()
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- store.Run(ctx) }()
+		inBubble(t, standin.Handler(store), func(t *testing.T, client *objecthttp.Client) {
+			w, err := client.Watch(t.Context(), objectapi.Fleet, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * time.Minute) // virtual time
+			if _, err := store.Create(t.Context(), objectapi.Fleet, "a", nil); err != nil {
+				t.Fatal(err)
+			}
+			if e, err := w.Next(t.Context()); err != nil || e.Object.Name != "a" {
+				t.Errorf("got %+v, %v", e, err)
+			}
+			_ = w.Close()
+			synctest.Wait()
+		})
+		cancel()
+		<-ended
+		mute := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		})
+		inBubble(t, mute, func(t *testing.T, client *objecthttp.Client) {
+			w, err := client.Watch(t.Context(), objectapi.Fleet, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			start := time.Now()
+			_, err = w.Next(t.Context())
+			kind(t, err, fault.StoreUnavailable)
+			if took := time.Since(start); took != 30*time.Second {
+				t.Errorf("the watch ended after %v", took)
+			}
+		})
+	})
+}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -29,8 +29,11 @@
 	ended chan struct{}
 	state *state
 	http  *http.Server
-	// closed tells that the sockets of the last life are closed.
-	closed chan error
+	// served tells that the server of the current life accepts no more.
+	served chan error
+	// closed tells that one goroutine that closes sockets has ended; closers counts those that have not.
+	closed  chan error
+	closers int
 }
 
 // Messages to the server's task.
@@ -77,7 +80,7 @@
 	st := &state{options: options, rnd: rand.New(rand.NewPCG(options.Seed, 0)), runs: map[string]int{}}
 	st.machine = bound.New(time.Now(), st)
 	return &Server{
-		inbox: task.NewMailbox[any]("stand-in backend server", serverCapacity), ended: make(chan struct{}), state: st,
+		inbox: task.NewMailbox[any]("stand-in backend server", serverCapacity), ended: make(chan struct{}), state: st, closed: make(chan error),
 	}, nil
 }
 
@@ -103,64 +106,53 @@
 	s.state.begin()
 	server := &http.Server{Handler: &handler{server: s, life: s.state.life}, ConnState: s.connState, IdleTimeout: idleLimit}
 	s.http = server
-	s.closed = make(chan error, 1)
-	go func() { s.closed <- server.Serve(listener) }()
+	s.served = make(chan error, 1)
+	go func() { s.served <- server.Serve(listener) }()
 	s.state.fire("listening")
 }
 
 // live handles messages until the server crashes or is stopped and its sockets are closed.
 func (s *Server) live(ctx context.Context) error {
 	done := ctx.Done()
-	for {
+	var failed error
+	for serving := true; serving || s.closers > 0; {
 		select {
 		case m := <-s.inbox.C():
 			s.handle(m)
 		case <-done:
 			done = nil
-			s.stop()
-		case err := <-s.closed:
+			s.close(shutDown)
+		case err := <-s.served:
+			serving = false
 			if !errors.Is(err, http.ErrServerClosed) {
-				return err
+				failed = err
 			}
-			return s.drainMessages()
+		case err := <-s.closed:
+			s.closers--
+			failed = errors.Join(failed, err)
 		}
 	}
+	return failed
 }
 
-// drainMessages handles messages until the server's own goroutines have ended, so that none of them blocks.
-func (s *Server) drainMessages() error {
-	closing := make(chan error, 1)
+// close closes sockets on a goroutine of its own, because the goroutines of requests send the task messages meanwhile.
+func (s *Server) close(how func(*http.Server) error) {
 	server := s.http
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
-		defer cancel()
-		closing <- server.Shutdown(ctx)
-	}()
-	for {
-		select {
-		case m := <-s.inbox.C():
-			s.handle(m)
-		case err := <-closing:
-			return err
-		}
-	}
+	s.closers++
+	go func() { s.closed <- how(server) }()
 }
 
-// stop lets requests that run finish. It does not block the task, because their goroutines send it messages.
-func (s *Server) stop() {
-	server := s.http
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
-		defer cancel()
-		_ = server.Shutdown(ctx) // Serve reports the end
-	}()
+// shutDown lets requests that run finish.
+func shutDown(server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	return server.Shutdown(ctx)
 }
 
 // crash closes all sockets at once.
 func (s *Server) crash() {
 	s.state.crash()
-	server := s.http
-	go func() { _ = server.Close() }() // Serve reports the end
+	s.close((*http.Server).Close)
 }
 
 // stayDown handles messages while the server refuses connections.
--- a/internal/standin/backend/server_test.go
+++ b/internal/standin/backend/server_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -13,31 +12,14 @@
 
 	"fuchsiahub.example/fuchsiahub/internal/backend"
 	standin "fuchsiahub.example/fuchsiahub/internal/standin/backend"
+	"fuchsiahub.example/fuchsiahub/internal/standin/memnet"
 )
 
-// pipes is a listener over in-memory connections. It refuses connections while no server accepts.
-type pipes struct {
-	accept chan net.Conn
-	closed chan struct{}
-}
-
-func (p *pipes) Accept() (net.Conn, error) {
-	select {
-	case c := <-p.accept:
-		return c, nil
-	case <-p.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (p *pipes) Close() error   { close(p.closed); return nil }
-func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
-
 // rig is a server in a synctest bubble with a client.
 type rig struct {
 	*standin.Server
 	t       *testing.T
-	current chan *pipes
+	current chan *memnet.Listener
 	client  http.Client
 }
 
@@ -47,7 +29,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r := &rig{Server: server, t: t, current: make(chan *pipes, 1)}
+		r := &rig{Server: server, t: t, current: make(chan *memnet.Listener, 1)}
 		r.client.Transport = &http.Transport{DialContext: r.dial}
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
@@ -67,21 +49,16 @@
 	case <-r.current:
 	default:
 	}
-	p := &pipes{accept: make(chan net.Conn), closed: make(chan struct{})}
-	r.current <- p
-	return p, nil
+	l := memnet.Listen()
+	r.current <- l
+	return l, nil
 }
 
-func (r *rig) dial(context.Context, string, string) (net.Conn, error) {
-	p := <-r.current
-	r.current <- p
-	ours, theirs := net.Pipe()
-	select {
-	case p.accept <- theirs:
-		return ours, nil
-	case <-p.closed:
-		return nil, errors.New("connection refused")
-	}
+// dial connects to the listener of the current life.
+func (r *rig) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	l := <-r.current
+	r.current <- l
+	return l.Dial(ctx, network, address)
 }
 
 type answer struct {
