--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -21,7 +21,7 @@
 			"get the document, make the change again and apply it.",
 		Flags: []cli.Flag{
 			platformFlag(), byFlag(), t.jsonFlag(),
-			&cli.Uint64Flag{Name: "version", Usage: "version that you got and changed; 0: the document must be new (default: the current version)"},
+			&cli.Uint64Flag{Name: "version", Usage: "version that you got and changed; 0: the document must be new", DefaultText: "the current version"},
 			&cli.StringFlag{Name: "service", Usage: "service that a list of backend servers belongs to"},
 		},
 		Action: t.runApply,
