--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"errors"
 
-	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"fuchsiahub.example/fuchsiahub/internal/document"
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 
-	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"fuchsiahub.example/fuchsiahub/internal/fault"
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"fuchsiahub.example/fuchsiahub/internal/docfile"
