--- a/internal/standin/backend/server_test.go
+++ b/internal/standin/backend/server_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -13,31 +12,14 @@
 
 	"fuchsiahub.example/fuchsiahub/internal/backend"
 	standin "fuchsiahub.example/fuchsiahub/internal/standin/backend"
+	"fuchsiahub.example/fuchsiahub/internal/standin/memnet"
 )
 
-// pipes is a listener over in-memory connections. It refuses connections while no server accepts.
-type pipes struct {
-	accept chan net.Conn
-	closed chan struct{}
-}
-
-func (p *pipes) Accept() (net.Conn, error) {
-	select {
-	case c := <-p.accept:
-		return c, nil
-	case <-p.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (p *pipes) Close() error   { close(p.closed); return nil }
-func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
-
 // rig is a server in a synctest bubble with a client.
 type rig struct {
 	*standin.Server
 	t       *testing.T
-	current chan *pipes
+	current chan *memnet.Listener
 	client  http.Client
 }
 
@@ -47,7 +29,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r := &rig{Server: server, t: t, current: make(chan *pipes, 1)}
+		r := &rig{Server: server, t: t, current: make(chan *memnet.Listener, 1)}
 		r.client.Transport = &http.Transport{DialContext: r.dial}
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
@@ -67,21 +49,16 @@
 	case <-r.current:
 	default:
 	}
-	p := &pipes{accept: make(chan net.Conn), closed: make(chan struct{})}
-	r.current <- p
-	return p, nil
+	l := memnet.Listen()
+	r.current <- l
+	return l, nil
 }
 
-func (r *rig) dial(context.Context, string, string) (net.Conn, error) {
-	p := <-r.current
-	r.current <- p
-	ours, theirs := net.Pipe()
-	select {
-	case p.accept <- theirs:
-		return ours, nil
-	case <-p.closed:
-		return nil, errors.New("connection refused")
-	}
+// dial connects to the listener of the current life.
+func (r *rig) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	l := <-r.current
+	r.current <- l
+	return l.Dial(ctx, network, address)
 }
 
 type answer struct {
@@ -231,20 +208,56 @@
 	})
 }
 
-// Guards against work that goes on, and a slot that stays taken, after the caller's deadline.
+// Guards against work that goes on, a slot that stays taken or a place in the queue that is kept after the caller's
+// deadline.
 func TestDeadline(t *testing.T) {
 	inBubble(t, standin.Options{Name: "s", Slots: 1, Queue: 4, Median: time.Hour}, func(t *testing.T, r *rig) {
-		for range 2 {
-			req, _ := http.NewRequest("GET", "http://standin/x", nil)
-			req.Header.Set(backend.HeaderTimeout, "100")
-			resp, err := r.client.Do(req)
-			if err != nil || resp.StatusCode != 504 {
-				t.Fatalf("got %+v, %v", resp, err)
-			}
-			_ = resp.Body.Close()
+		running := make(chan int, 1)
+		go func() { running <- r.bounded("200") }()
+		synctest.Wait()
+		if status := r.bounded("100"); status != 504 {
+			t.Errorf("the request that waits got status %d", status)
+		}
+		synctest.Wait()
+		if n := r.report(); n.Running != 1 || n.Waiting != 0 {
+			t.Errorf("report %+v", n)
+		}
+		if status := <-running; status != 504 {
+			t.Errorf("the request that runs got status %d", status)
 		}
-		if n := r.report(); n.Running != 0 || n.Waiting != 0 {
+		if n := r.report(); n.Running != 0 {
 			t.Errorf("report %+v", n)
 		}
 	})
 }
+
+// bounded sends a request with a deadline in milliseconds and returns the status of its answer.
+func (r *rig) bounded(ms string) int {
+	req, _ := http.NewRequest("GET", "http://standin/x", nil)
+	req.Header.Set(backend.HeaderTimeout, ms)
+	resp, err := r.client.Do(req)
+	if err != nil {
+		r.t.Error(err)
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against a slot that stays taken when a waiting request gets it in the moment of its deadline.
+func TestSlotGrantedAtDeadline(t *testing.T) {
+	inBubble(t, standin.Options{Name: "s", Slots: 1, Queue: 4, Median: 100 * time.Millisecond}, func(t *testing.T, r *rig) {
+		for range 100 {
+			ended := make(chan int, 2)
+			go func() { ended <- r.bounded("1000") }()
+			synctest.Wait()
+			go func() { ended <- r.bounded("100") }()
+			<-ended
+			<-ended
+			synctest.Wait()
+			if n := r.report(); n.Running != 0 || n.Waiting != 0 {
+				t.Fatalf("report %+v", n)
+			}
+		}
+	})
+}
