Prove one keeper per shard over histories under faults

Five instances run their session, keeper and holder tasks over an object API and a network in memory, in virtual time: pauses, kills, graceful leaves, lost and late writes, outages for one or all, partitions and old views. Grants of a shard must form a lock with fencing (porcupine) and cold slots in use must stay within the allowance.

The histories found that a session was never fenced while its owner was read: one list stood for reads and fences. Observers also went on fencing versions that were no longer current; they now act only on what they read lately.

--- a/internal/decide/session/observer.go
+++ b/internal/decide/session/observer.go
@@ -19,6 +19,8 @@
 	record  Record
 	// since is when this version was first seen, on the own clock.
 	since time.Time
+	// read is when it was seen last.
+	read time.Time
 	// released is true when a witness consented to a fence of this version.
 	released bool
 	next     time.Time
@@ -43,10 +45,14 @@
 // See takes a session as it was read. The time is that after the answer arrived.
 func (o *Observer) See(now time.Time, version uint64, record Record) {
 	known, ok := o.seen[record.Instance]
-	if ok && version <= known.version {
+	if ok && version < known.version {
 		return
 	}
-	o.seen[record.Instance] = &seen{version: version, record: record, since: now}
+	if ok && version == known.version {
+		known.read = now
+		return
+	}
+	o.seen[record.Instance] = &seen{version: version, record: record, since: now, read: now}
 }
 
 // Sessions returns what was seen, by instance.
@@ -70,7 +76,7 @@
 func (o *Observer) Due(now time.Time, role *Witness, view *member.View) []Move {
 	var moves []Move
 	for holder, s := range o.seen {
-		if s.record.State != Active || s.record.Identity == o.self || now.Before(o.due(holder, s, view)) {
+		if s.record.State != Active || s.record.Identity == o.self || now.Sub(s.read) > sightTerm || now.Before(o.due(holder, s, view)) {
 			continue
 		}
 		s.next = now.Add(RetryEvery)
--- a/internal/decide/session/record.go
+++ b/internal/decide/session/record.go
@@ -26,6 +26,8 @@
 	AskEvery = 500 * time.Millisecond
 	// askAfter is the age of the last renewal at which the holder starts to ask its witnesses: one renewal has failed.
 	askAfter = Term / 2
+	// sightTerm is how long a read counts. Sessions that are no longer read are not fenced: the owner is live again.
+	sightTerm = 3 * time.Second
 	// fenceStagger is how much later than the preferred instance the others fence, so that they seldom compete.
 	fenceStagger = 3 * time.Second
 )
--- a/internal/decide/session/session_test.go
+++ b/internal/decide/session/session_test.go
@@ -176,8 +176,10 @@
 func TestFenceWaitsForTermAndWitness(t *testing.T) {
 	record := session.Record{Identity: session.Identity{Instance: "x", Incarnation: 7}, Generation: 1,
 		Witnesses: []session.Identity{{Instance: "a", Incarnation: 1}, {Instance: "b", Incarnation: 1}}}
+	version := uint64(3)
 	view := &member.View{Self: peers[0], Live: peers[:1], Listed: map[string]bool{"a": true, "x": true}}
 	fences := func(o *session.Observer, w *session.Witness, v *member.View, s float64) bool {
+		o.See(at(s), version, record)
 		moves := o.Due(at(s), w, v)
 		return len(moves) == 1 && moves[0].Fence
 	}
@@ -223,11 +225,15 @@
 		if !fences(o, w, &member.View{Self: strange.Self, Listed: map[string]bool{"z": true}}, 66) {
 			t.Error("not fenced although the platform names nobody")
 		}
-		o.See(at(70), 4, record)
-		o.Released("x", 4)
+		version = 4
+		o.See(at(70), version, record)
+		o.Released("x", version)
 		if fences(o, w, strange, 80) || !fences(o, w, strange, 85) {
 			t.Error("the term does not count from the sight of the new version")
 		}
+		if len(o.Due(at(89), w, strange)) > 0 {
+			t.Error("fenced a session that is no longer read")
+		}
 	})
 }
 
--- /dev/null
+++ b/internal/node/keeperfakes_test.go
@@ -0,0 +1,243 @@
+package node_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/peer"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
+)
+
+// memoryStore is an object API in memory.
+type memoryStore struct {
+	mu      sync.Mutex
+	version uint64
+	objects map[objectapi.Kind]map[string]objectapi.Object
+	// changed is closed and replaced at each write.
+	changed chan struct{}
+	// down refuses calls, lossy loses answers of writes, and late lets such writes take effect seconds later.
+	down, lossy, late bool
+}
+
+func (m *memoryStore) fail(down, lossy, late bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down, m.lossy, m.late = down, lossy, late
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{objects: map[objectapi.Kind]map[string]objectapi.Object{}, changed: make(chan struct{})}
+}
+
+// write applies a write; version 0 creates.
+func (m *memoryStore) write(kind objectapi.Kind, name string, version uint64, value []byte) (objectapi.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.objects[kind] == nil {
+		m.objects[kind] = map[string]objectapi.Object{}
+	}
+	if m.objects[kind][name].Version != version {
+		return objectapi.Object{}, fault.New(fault.Conflict, "read again", "%s has another version", name)
+	}
+	m.version++
+	o := objectapi.Object{Kind: kind, Name: name, Version: m.version, Value: value}
+	m.objects[kind][name] = o
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return o, nil
+}
+
+// after returns the objects of a kind that changed after a version, and what is closed at the next change.
+func (m *memoryStore) after(kind objectapi.Kind, version uint64) ([]objectapi.Object, uint64, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []objectapi.Object
+	for _, o := range m.objects[kind] {
+		if o.Version > version {
+			list = append(list, o)
+		}
+	}
+	return list, m.version, m.changed
+}
+
+// storeLine is the way of one instance to the store. The store's mutex guards it.
+type storeLine struct {
+	store *memoryStore
+	rnd   *rand.Rand
+	// cut counts the faults that keep this instance alone from the store.
+	cut int
+}
+
+func (l *storeLine) fail(faults int) {
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	l.cut += faults
+}
+
+// pass waits for the way to the store and says whether the answer is lost and how late the write takes effect.
+func (l *storeLine) pass(ctx context.Context) (lost bool, late time.Duration, err error) {
+	l.store.mu.Lock()
+	down := l.store.down || l.cut > 0
+	lost = l.store.lossy && l.rnd.IntN(2) == 0
+	if lost && l.store.late {
+		late = time.Duration(l.rnd.IntN(8000)) * time.Millisecond
+	}
+	delay := time.Duration(1+l.rnd.IntN(20)) * time.Millisecond
+	l.store.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return false, 0, ctx.Err()
+	}
+	if down {
+		return false, 0, fault.New(fault.StoreUnavailable, "wait", "the object API is down")
+	}
+	return lost, late, nil
+}
+
+func (l *storeLine) write(ctx context.Context, kind objectapi.Kind, name string, version uint64, value []byte) (objectapi.Object, error) {
+	lost, late, err := l.pass(ctx)
+	if err != nil {
+		return objectapi.Object{}, err
+	}
+	if late > 0 {
+		time.AfterFunc(late, func() { _, _ = l.store.write(kind, name, version, value) })
+	}
+	if !lost {
+		return l.store.write(kind, name, version, value)
+	}
+	if late == 0 {
+		_, _ = l.store.write(kind, name, version, value)
+	}
+	return objectapi.Object{}, fault.New(fault.AmbiguousWrite, "read back", "the answer was lost")
+}
+
+func (l *storeLine) Create(ctx context.Context, kind objectapi.Kind, name string, value []byte) (objectapi.Object, error) {
+	return l.write(ctx, kind, name, 0, value)
+}
+
+func (l *storeLine) Update(ctx context.Context, kind objectapi.Kind, name string, version uint64, value []byte) (objectapi.Object, error) {
+	return l.write(ctx, kind, name, version, value)
+}
+
+func (l *storeLine) Delete(context.Context, objectapi.Kind, string, uint64) error { return nil }
+
+func (l *storeLine) Get(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error) {
+	if _, _, err := l.pass(ctx); err != nil {
+		return objectapi.Object{}, err
+	}
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	o, ok := l.store.objects[kind][name]
+	if !ok {
+		return o, fault.New(fault.NotFound, "create it", "%s does not exist", name)
+	}
+	return o, nil
+}
+
+func (l *storeLine) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, uint64, error) {
+	if _, _, err := l.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	list, version, _ := l.store.after(kind, 0)
+	return list, version, nil
+}
+
+func (l *storeLine) Watch(_ context.Context, kind objectapi.Kind, after uint64) (objectapi.Watch, error) {
+	return &storeWatch{line: l, kind: kind, after: after}, nil
+}
+
+type storeWatch struct {
+	line  *storeLine
+	kind  objectapi.Kind
+	after uint64
+	ready []objectapi.Object
+}
+
+func (w *storeWatch) Next(ctx context.Context) (objectapi.Event, error) {
+	for {
+		if _, _, err := w.line.pass(ctx); err != nil {
+			return objectapi.Event{}, err
+		}
+		if len(w.ready) > 0 {
+			o := w.ready[0]
+			w.ready = w.ready[1:]
+			return objectapi.Event{Object: o}, nil
+		}
+		list, version, changed := w.line.store.after(w.kind, w.after)
+		if w.ready, w.after = list, version; len(list) > 0 {
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return objectapi.Event{}, ctx.Err()
+		}
+	}
+}
+
+func (w *storeWatch) Close() error { return nil }
+
+// memoryNet carries messages between instances. Cut counts the faults of directed links; such a link loses
+// everything.
+type memoryNet struct {
+	mu       sync.Mutex
+	rnd      *rand.Rand
+	handlers map[string]peer.Handlers
+	cut      map[[2]string]int
+}
+
+// carry delays a message, and loses it or its reply on a cut link.
+func carry[In, Out any](ctx context.Context, n *memoryNet, from, to string, in In, pick func(peer.Handlers) func(context.Context, In) (Out, error)) (Out, error) {
+	var zero Out
+	if err := n.hop(ctx, from, to); err != nil {
+		return zero, err
+	}
+	n.mu.Lock()
+	handle := pick(n.handlers[to])
+	n.mu.Unlock()
+	if handle == nil {
+		return zero, fault.New(fault.PeerUnavailable, "ask another", "%s is not there", to)
+	}
+	out, err := handle(context.WithoutCancel(ctx), in)
+	if lost := n.hop(ctx, to, from); lost != nil {
+		return zero, lost
+	}
+	return out, err
+}
+
+func (n *memoryNet) hop(ctx context.Context, from, to string) error {
+	n.mu.Lock()
+	lost := n.cut[[2]string{from, to}] > 0 || n.rnd.IntN(50) == 0
+	delay := time.Duration(1+n.rnd.IntN(10)) * time.Millisecond
+	n.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(delay)
+	return ctx.Err()
+}
+
+// netLine is what one instance sends through.
+type netLine struct {
+	peer.Caller
+	net  *memoryNet
+	self string
+}
+
+func (l netLine) Lease(ctx context.Context, to string, in *peerpb.LeaseRequest) (*peerpb.LeaseReply, error) {
+	return carry(ctx, l.net, l.self, to, in, func(h peer.Handlers) func(context.Context, *peerpb.LeaseRequest) (*peerpb.LeaseReply, error) {
+		return h.Lease
+	})
+}
+
+func (l netLine) Witness(ctx context.Context, to string, in *peerpb.WitnessRequest) (*peerpb.WitnessReply, error) {
+	return carry(ctx, l.net, l.self, to, in, func(h peer.Handlers) func(context.Context, *peerpb.WitnessRequest) (*peerpb.WitnessReply, error) {
+		return h.Witness
+	})
+}
--- /dev/null
+++ b/internal/node/keeperhistory_test.go
@@ -0,0 +1,518 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/decide/keeper"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/decide/session"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/node"
+	"fuchsiahub.example/fuchsiahub/internal/peer"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
+)
+
+const (
+	fleetSize = 5
+	fleetCold = 2
+	faultsFor = 100 * time.Second
+	// faultEnds is more than the longest fault lasts.
+	faultEnds     = 45 * time.Second
+	calmFor       = 40 * time.Second
+	fleetServices = 4
+)
+
+// flaw is an error in one place that the checker must catch.
+type flaw int
+
+const (
+	none flaw = iota
+	// timelessAuthority lets a keeper act after the end of its session.
+	timelessAuthority
+	// hastyWitness releases a session at once, also while it acknowledges it.
+	hastyWitness
+)
+
+// fleet is some instances with their tasks over fakes.
+type fleet struct {
+	t     *testing.T
+	rnd   *rand.Rand
+	flaw  flaw
+	store *memoryStore
+	net   *memoryNet
+	docs  *node.Documents
+	nodes []*instanceUnderTest
+	// plan is what happens later, in the goroutine of the history.
+	plan []planned
+
+	mu sync.Mutex
+	// live are the instances that gossip would name; it lags behind what happens.
+	live   []member.Instance
+	grants map[string][]porcupine.Operation
+	err    error
+}
+
+type planned struct {
+	at time.Time
+	do func()
+}
+
+func (f *fleet) later(d time.Duration, do func()) {
+	f.plan = append(f.plan, planned{time.Now().Add(d), do})
+}
+
+// run lets time pass and does what is planned.
+func (f *fleet) run(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		due := f.plan
+		f.plan = nil
+		for _, p := range due {
+			if p.at.After(time.Now()) {
+				f.plan = append(f.plan, p)
+				continue
+			}
+			p.do()
+		}
+	}
+}
+
+// instanceUnderTest is one instance. It is also the service task of each of its services.
+type instanceUnderTest struct {
+	fleet   *fleet
+	self    member.Instance
+	line    *storeLine
+	stop    context.CancelFunc
+	session *node.Session
+	keeper  *node.Keeper
+	holder  *node.Holder
+	group   sync.WaitGroup
+
+	// The fleet's mutex guards the rest.
+	rnd    *rand.Rand
+	paused time.Time
+	leases map[string]balance.Leased
+	alive  bool
+}
+
+func (f *fleet) start(name string, incarnation uint64) *instanceUnderTest {
+	i := &instanceUnderTest{
+		fleet: f, self: member.Instance{Name: name, Incarnation: incarnation, Region: "permian", Zone: "permian-a"},
+		line: &storeLine{store: f.store, rnd: rand.New(rand.NewPCG(f.rnd.Uint64(), 0))},
+		rnd:  rand.New(rand.NewPCG(f.rnd.Uint64(), 0)), leases: map[string]balance.Leased{}, alive: true,
+	}
+	log := slog.New(slog.DiscardHandler)
+	docs := func() *node.Documents { i.wait(); return f.docs }
+	var err error
+	i.session, err = node.NewSession(node.SessionConfig{Self: i.self, API: i.line, Peers: netLine{net: f.net, self: name}, View: i.view, Log: log})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	refuse := func(context.Context, string) (net.Conn, error) { return nil, io.EOF }
+	i.keeper = node.NewKeeper(node.KeeperConfig{
+		Self: i.self, API: i.line, View: i.view, Docs: docs, Standing: standing{i.session, f.flaw}, Dial: refuse, ProbesPerSecond: 2, Log: log,
+	})
+	i.holder = node.NewHolder(node.HolderConfig{
+		Self: i.self, Peers: netLine{net: f.net, self: name}, Own: i.lease, Owners: i.keeper.Owners, View: i.view, Docs: docs, Log: log,
+		Service: func(service string) (node.LeaseTaker, bool) { return serviceOf{i, service}, true },
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	i.stop = stop
+	for _, run := range []func(context.Context) error{i.session.Run, i.keeper.Run, i.holder.Run} {
+		i.group.Go(func() { _ = run(ctx) })
+	}
+	f.net.mu.Lock()
+	f.net.handlers[name] = peer.Handlers{Lease: i.lease, Witness: i.witness}
+	f.net.mu.Unlock()
+	return i
+}
+
+// wait blocks a task of a paused instance.
+func (i *instanceUnderTest) wait() {
+	for {
+		i.fleet.mu.Lock()
+		until := i.paused
+		i.fleet.mu.Unlock()
+		if !time.Now().Before(until) {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (i *instanceUnderTest) view() *member.View {
+	i.wait()
+	i.fleet.mu.Lock()
+	defer i.fleet.mu.Unlock()
+	return &member.View{Self: i.self, Live: i.fleet.live, Listed: map[string]bool{"i0": true, "i1": true, "i2": true, "i3": true, "i4": true}}
+}
+
+// lease records each grant as an operation of a lock with fencing.
+func (i *instanceUnderTest) lease(ctx context.Context, in *peerpb.LeaseRequest) (*peerpb.LeaseReply, error) {
+	called := time.Now()
+	out, err := i.keeper.Lease(ctx, in)
+	i.wait()
+	if err != nil || out.GetNotKeeper() {
+		return out, err
+	}
+	f := i.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.grants[in.GetService()] = append(f.grants[in.GetService()], porcupine.Operation{
+		Input: i.self.Name, Call: called.UnixNano(), Output: out.GetEpoch(), Return: time.Now().UnixNano(),
+	})
+	return out, nil
+}
+
+func (i *instanceUnderTest) witness(ctx context.Context, in *peerpb.WitnessRequest) (*peerpb.WitnessReply, error) {
+	out, err := i.session.Witness(ctx, in)
+	if i.fleet.flaw == hastyWitness && in.GetRelease() != "" {
+		return &peerpb.WitnessReply{Released: true}, nil
+	}
+	return out, err
+}
+
+// standing is the session as the keeper sees it.
+type standing struct {
+	*node.Session
+	flaw flaw
+}
+
+func (s standing) Authority() session.Authority {
+	a := s.Session.Authority()
+	if s.flaw == timelessAuthority {
+		a.Until = time.Now().Add(time.Hour)
+	}
+	return a
+}
+
+// serviceOf is the service task of one service at one instance. It always wants slots and counts what is in use.
+type serviceOf struct {
+	*instanceUnderTest
+	service string
+}
+
+func (s serviceOf) Demand(context.Context, string) (balance.Demand, error) {
+	f := s.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := balance.Demand{Want: s.rnd.IntN(3)}
+	lease := s.leases[s.service]
+	if time.Now().Before(lease.Until) {
+		lease.Grants = slices.DeleteFunc(slices.Clone(lease.Grants), func(balance.SlotGrant) bool { return s.rnd.IntN(3) == 0 })
+		s.leases[s.service] = lease
+		for _, g := range lease.Grants {
+			d.Held = append(d.Held, balance.HeldSlots{Server: g.Server, Slots: g.Slots})
+		}
+	}
+	return d, nil
+}
+
+func (s serviceOf) Lease(_ context.Context, l balance.Leased) error {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.leases[s.service] = l
+	s.fleet.count(s.service)
+	return nil
+}
+
+func (s serviceOf) Notice(context.Context, balance.Notice) error { return nil }
+func (s serviceOf) Short() <-chan struct{}                       { return nil }
+
+// count checks the total of the cold slots in use. The servers never answer, so all stay cold.
+func (f *fleet) count(service string) {
+	used := map[string]int{}
+	for _, i := range f.nodes {
+		if l := i.leases[service]; i.alive && time.Now().Before(l.Until) {
+			for _, g := range l.Grants {
+				used[g.Server] += g.Slots
+			}
+		}
+	}
+	for server, n := range used {
+		if n > fleetCold && f.err == nil {
+			f.err = fmt.Errorf("%d cold slots of server %s of %s in use, allowance %d", n, server, service, fleetCold)
+		}
+	}
+}
+
+// gossipLag is when gossip takes a silent instance as dead.
+const gossipLag = 6 * time.Second
+
+// silence takes an instance out of the view after the lag, and puts it back after it has returned.
+func (f *fleet) silence(n int, lasting time.Duration) {
+	if lasting < gossipLag {
+		return
+	}
+	f.later(gossipLag, func() { f.show(n, false) })
+	f.later(lasting+time.Second, func() { f.show(n, f.nodes[n].alive) })
+}
+
+func (f *fleet) show(n int, live bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	self := f.nodes[n].self
+	f.live = slices.DeleteFunc(slices.Clone(f.live), func(i member.Instance) bool { return i.Name == self.Name })
+	if live {
+		f.live = append(f.live, self)
+	}
+}
+
+// kill ends an instance without a word; it comes back as a new incarnation.
+func (f *fleet) kill(n int, lasting time.Duration) {
+	old := f.nodes[n]
+	if !old.alive {
+		return
+	}
+	f.mu.Lock()
+	old.alive, old.paused = false, time.Time{}
+	f.mu.Unlock()
+	f.net.mu.Lock()
+	delete(f.net.handlers, old.self.Name)
+	f.net.mu.Unlock()
+	old.stop()
+	old.group.Wait()
+	f.later(lasting, func() {
+		started := f.start(old.self.Name, old.self.Incarnation+1)
+		f.mu.Lock()
+		f.nodes[n] = started
+		f.mu.Unlock()
+	})
+	f.silence(n, lasting)
+}
+
+// leave stops an instance gracefully. A fault may forbid the handover.
+func (f *fleet) leave(n int, lasting time.Duration) {
+	if !f.nodes[n].alive {
+		return
+	}
+	f.show(n, false)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_ = f.nodes[n].keeper.Leave(ctx)
+	_ = f.nodes[n].session.Leave(ctx)
+	f.kill(n, lasting)
+	f.later(lasting+time.Second, func() { f.show(n, f.nodes[n].alive) })
+}
+
+// disturb makes one fault.
+func (f *fleet) disturb() {
+	n := f.rnd.IntN(fleetSize)
+	name := f.nodes[n].self.Name
+	lasting := time.Duration(1+f.rnd.IntN(40)) * time.Second
+	switch f.rnd.IntN(10) {
+	case 0, 1:
+		f.mu.Lock()
+		f.nodes[n].paused = time.Now().Add(lasting)
+		f.mu.Unlock()
+		f.silence(n, lasting)
+	case 2:
+		f.kill(n, lasting)
+	case 3:
+		f.leave(n, lasting)
+	case 4, 8:
+		f.isolate(n, lasting, f.rnd.IntN(2) == 0)
+	case 5:
+		f.store.fail(true, false, false)
+		f.later(lasting, func() { f.store.fail(false, false, false) })
+	case 6:
+		f.store.fail(false, true, f.rnd.IntN(2) == 0)
+		f.later(lasting, func() { f.store.fail(false, false, false) })
+	case 7:
+		f.show(n, false) // a view that takes a living instance as dead
+		f.later(lasting, func() { f.show(n, f.nodes[n].alive) })
+	default:
+		other := f.nodes[f.rnd.IntN(fleetSize)].self.Name
+		f.cut(name, other, 1)
+		f.later(lasting, func() { f.cut(name, other, -1) })
+	}
+}
+
+// isolate cuts one instance off from the object API and from gossip, and in some cases from its peers.
+func (f *fleet) isolate(n int, lasting time.Duration, fromPeers bool) {
+	line, name := f.nodes[n].line, f.nodes[n].self.Name
+	line.fail(1)
+	f.later(lasting, func() { line.fail(-1) })
+	f.silence(n, lasting)
+	for _, other := range f.nodes {
+		if fromPeers {
+			f.cut(name, other.self.Name, 1)
+			f.later(lasting, func() { f.cut(name, other.self.Name, -1) })
+		}
+	}
+}
+
+// cut changes the number of faults on the links between two instances.
+func (f *fleet) cut(a, b string, faults int) {
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	f.net.cut[[2]string{a, b}] += faults
+	f.net.cut[[2]string{b, a}] += faults
+}
+
+func newFleet(t *testing.T, seed uint64, flaw flaw) *fleet {
+	f := &fleet{
+		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), flaw: flaw, store: newMemoryStore(), grants: map[string][]porcupine.Operation{},
+		net:  &memoryNet{rnd: rand.New(rand.NewPCG(seed, 2)), handlers: map[string]peer.Handlers{}, cut: map[[2]string]int{}},
+		docs: &node.Documents{Services: map[string]*document.Service{}},
+	}
+	f.docs.Fleet = &document.Fleet{Regions: []document.Region{{Name: "permian", Zones: []string{"permian-a"}}}}
+	for n := range fleetServices {
+		doc := &document.Service{Name: fmt.Sprintf("s%d", n)}
+		doc.Servers.Slots, doc.Servers.ColdAllowance = 6, fleetCold
+		doc.Servers.List = []document.Server{{Name: "w1", Address: "10.0.0.1:80", Zone: "permian-a"}, {Name: "w2", Address: "10.0.0.2:80", Zone: "permian-a"}}
+		doc.Complete()
+		f.docs.Services[doc.Name] = doc
+	}
+	for n := range fleetSize {
+		f.live = append(f.live, member.Instance{Name: fmt.Sprintf("i%d", n), Incarnation: 1, Region: "permian", Zone: "permian-a"})
+	}
+	for n := range fleetSize {
+		f.nodes = append(f.nodes, f.start(f.live[n].Name, 1))
+	}
+	return f
+}
+
+// lock is a lock with fencing: an owner may act in its epoch until a later epoch has acted.
+var lock = porcupine.Model{
+	Init: func() any { return held{} },
+	Step: func(state, input, output any) (bool, any) {
+		before, now := state.(held), held{output.(uint64), input.(string)}
+		return now.epoch > before.epoch || now == before, now
+	},
+}
+
+type held struct {
+	epoch uint64
+	owner string
+}
+
+// play runs one history and returns the first violation.
+func play(t *testing.T, seed uint64, flaw flaw, story func(*fleet)) (err error) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, seed, flaw)
+		story(f)
+		f.run(faultEnds)
+		f.run(calmFor)
+		quiet := time.Now().Add(-5 * time.Second).UnixNano()
+		for _, i := range f.nodes {
+			i.stop()
+			i.group.Wait()
+		}
+		time.Sleep(time.Minute) // late effects of the fakes end
+		err = f.judge(quiet)
+	})
+	return err
+}
+
+// manyFaults makes faults of all kinds, from many at a time to few that last long alone.
+func manyFaults(seed uint64) func(*fleet) {
+	gap := 4000 << (seed % 4)
+	return func(f *fleet) {
+		for begin := time.Now(); time.Since(begin) < faultsFor; f.disturb() {
+			f.run(time.Duration(f.rnd.IntN(gap)) * time.Millisecond)
+		}
+	}
+}
+
+// ownerLosesStore keeps the owner of a shard from the object API and, if asked, from its peers.
+func ownerLosesStore(fromPeers bool) func(*fleet) {
+	return func(f *fleet) {
+		f.run(10 * time.Second)
+		f.isolate(f.owner("s0"), 40*time.Second, fromPeers)
+		f.run(40 * time.Second)
+	}
+}
+
+// Guards against a dead owner whose session is never fenced: the shard must have moved after the waits of the design.
+func TestShardMovesAfterKill(t *testing.T) {
+	waits := gossipLag + session.Term + session.TermMargin + session.WitnessTerm + session.WitnessMargin + keeper.Quiet
+	const turns = 6 * time.Second // the stagger of fences, and a turn of each task on the way
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, none)
+		f.run(10 * time.Second)
+		owner := f.owner("s0")
+		f.kill(owner, time.Hour)
+		f.run(waits + turns)
+		next := f.owner("s0")
+		if f.err != nil || next == owner || f.nodes[next].leases["s0"].Epoch < 2 {
+			t.Errorf("owner %d after %d, lease %+v, %v", next, owner, f.nodes[next].leases["s0"], f.err)
+		}
+		for _, i := range f.nodes {
+			i.stop()
+			i.group.Wait()
+		}
+	})
+}
+
+// owner returns the number of the instance that keeps the shard of a service, as a living instance knows it.
+func (f *fleet) owner(service string) int {
+	for _, i := range f.nodes {
+		if i.alive {
+			owner := i.keeper.Owners()[keeper.Key{Service: service, Zone: "permian-a"}]
+			return slices.IndexFunc(f.nodes, func(i *instanceUnderTest) bool { return i.self.Name == owner })
+		}
+	}
+	return -1
+}
+
+// judge returns the violations: of the allowance, of the lock, and shards without a keeper after the calm.
+func (f *fleet) judge(quiet int64) error {
+	found := f.err
+	for service := range f.docs.Services {
+		ops := f.grants[service]
+		if result := porcupine.CheckOperationsTimeout(lock, ops, time.Minute); result != porcupine.Ok {
+			found = errors.Join(found, fmt.Errorf("shard of %s: ownership is not a lock (%v) over %d grants", service, result, len(ops)))
+		}
+		if !slices.ContainsFunc(ops, func(op porcupine.Operation) bool { return op.Call > quiet }) {
+			found = errors.Join(found, fmt.Errorf("shard of %s has no keeper %v after the last fault", service, calmFor))
+		}
+	}
+	return found
+}
+
+// Guards against two keepers of one shard, cold slots above the allowance, and shards that stay without a keeper, when
+// holders are paused or killed, answers are lost or late, the object API is down, peers are cut off and views are old.
+func TestOneKeeperUnderFaults(t *testing.T) {
+	for seed := range uint64(16) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			if err := play(t, seed, none, manyFaults(seed)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// Guards against a checker that sees nothing: each flaw must be caught, and the same history must pass without it.
+func TestCheckerCatchesFlaws(t *testing.T) {
+	for name, c := range map[string]struct {
+		flaw  flaw
+		story func(*fleet)
+	}{
+		"authority without end":          {timelessAuthority, ownerLosesStore(true)},
+		"witness that releases too soon": {hastyWitness, ownerLosesStore(false)},
+	} {
+		if err := play(t, 1, none, c.story); err != nil {
+			t.Errorf("%s, left out: %v", name, err)
+		}
+		err := play(t, 1, c.flaw, c.story)
+		if err == nil {
+			t.Errorf("%s: not caught", name)
+		}
+		t.Logf("%s: %q", name, err)
+	}
+}
--- a/internal/node/keepertables.go
+++ b/internal/node/keepertables.go
@@ -108,7 +108,7 @@
 
 // follow lists the objects and passes on their changes until the watch ends.
 func (k *Keeper) follow(ctx context.Context) error {
-	listCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	listCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	objects, after, err := k.API.List(listCtx, objectapi.Keepers)
 	cancel()
 	if err != nil {
@@ -261,7 +261,7 @@
 func (k *Keeper) write(ctx context.Context, m tableWritten) {
 	zone := m.next.Zone
 	k.tables.writing[zone] = true
-	k.start(ctx, storeTimeout, func(ctx context.Context) any {
+	k.start(ctx, storeCallTimeout, func(ctx context.Context) any {
 		value, err := encodeTable(m.next)
 		if err != nil {
 			m.err = err
@@ -311,7 +311,7 @@
 // readTable reads a table after a write that failed or whose outcome is not known. The zone stays blocked until the
 // read has ended.
 func (k *Keeper) readTable(ctx context.Context, zone string) {
-	k.start(ctx, storeTimeout, func(ctx context.Context) any {
+	k.start(ctx, storeCallTimeout, func(ctx context.Context) any {
 		object, err := k.API.Get(ctx, objectapi.Keepers, zone)
 		return tableReadBack{zone: zone, object: object, err: err}
 	})
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -19,8 +19,8 @@
 const (
 	// sessionCapacity bounds the messages that wait at the session task. Questions of peers are refused when it is full.
 	sessionCapacity = 256
-	// storeTimeout bounds one call to the object API, which answers in milliseconds when it is up.
-	storeTimeout = 2 * time.Second
+	// storeCallTimeout bounds one call to the object API, which answers in milliseconds when it is up.
+	storeCallTimeout = 2 * time.Second
 	// witnessTimeout bounds one question to a peer; a later answer would be of no use.
 	witnessTimeout = time.Second
 	// lookEvery is how often sessions of owners that are not live are read.
@@ -54,9 +54,9 @@
 	owners   []session.Identity
 	nextLook time.Time
 	looks    int
-	// underWay names sessions that are being read or fenced.
-	underWay map[string]bool
-	leavers  []chan<- struct{}
+	// reading and fencing name sessions with such a call under way.
+	reading, fencing map[string]bool
+	leavers          []chan<- struct{}
 
 	authority atomic.Pointer[session.Authority]
 	seen      atomic.Pointer[map[string]session.Record]
@@ -80,7 +80,9 @@
 	sessionRead struct {
 		name   string
 		object objectapi.Object
-		err    error
+		// fence is true when the object is what a fence has written.
+		fence bool
+		err   error
 	}
 	witnessAsked struct {
 		in    *peerpb.WitnessRequest
@@ -105,7 +107,7 @@
 	s := &Session{
 		SessionConfig: config, id: id, inbox: task.NewMailbox[any]("session", sessionCapacity), ended: make(chan struct{}),
 		holder: session.NewHolder(bound, now, id), witness: session.NewWitness(now, id), observer: session.NewObserver(id),
-		underWay: map[string]bool{}, nextLook: now,
+		reading: map[string]bool{}, fencing: map[string]bool{}, nextLook: now,
 	}
 	s.errands.inbox = s.inbox
 	s.authority.Store(&session.Authority{})
@@ -187,7 +189,7 @@
 	view := s.View()
 	s.holder.Tick(now)
 	if op, ok := s.holder.Next(now, view.In(s.Self.Region)); ok {
-		s.start(ctx, storeTimeout, func(ctx context.Context) any { return s.call(ctx, op) })
+		s.start(ctx, storeCallTimeout, func(ctx context.Context) any { return s.call(ctx, op) })
 	}
 	for _, ask := range s.holder.Asks(now) {
 		s.start(ctx, witnessTimeout, func(ctx context.Context) any { return s.ask(ctx, ask) })
@@ -311,11 +313,11 @@
 }
 
 func (s *Session) readSession(ctx context.Context, name string) {
-	if s.underWay[name] {
+	if s.reading[name] {
 		return
 	}
-	s.underWay[name] = true
-	s.start(ctx, storeTimeout, func(ctx context.Context) any {
+	s.reading[name] = true
+	s.start(ctx, storeCallTimeout, func(ctx context.Context) any {
 		object, err := s.API.Get(ctx, objectapi.Sessions, name)
 		return sessionRead{name: name, object: object, err: err}
 	})
@@ -323,7 +325,11 @@
 
 // read takes a session of another instance, as it was read or as a fence left it.
 func (s *Session) read(now time.Time, m sessionRead) {
-	delete(s.underWay, m.name)
+	if m.fence {
+		delete(s.fencing, m.name)
+	} else {
+		delete(s.reading, m.name)
+	}
 	if m.err != nil {
 		return // the next look reads it again
 	}
@@ -342,23 +348,23 @@
 			s.askRelease(ctx, move)
 			continue
 		}
-		if s.underWay[move.Holder] {
+		if s.fencing[move.Holder] {
 			continue
 		}
-		s.underWay[move.Holder] = true
+		s.fencing[move.Holder] = true
 		s.Log.Info("fencing a dead session", "instance", move.Holder, "version", move.Version)
-		s.start(ctx, storeTimeout, func(ctx context.Context) any { return s.sendFence(ctx, move) })
+		s.start(ctx, storeCallTimeout, func(ctx context.Context) any { return s.sendFence(ctx, move) })
 	}
 }
 
 func (s *Session) sendFence(ctx context.Context, move session.Move) any {
 	value, err := encodeSession(move.Record)
 	if err != nil {
-		return sessionRead{name: move.Holder, err: err}
+		return sessionRead{name: move.Holder, fence: true, err: err}
 	}
 	written, err := s.API.Update(ctx, objectapi.Sessions, move.Holder, move.Version, value)
 	object := objectapi.Object{Kind: objectapi.Sessions, Name: move.Holder, Version: written.Version, Value: value}
-	return sessionRead{name: move.Holder, object: object, err: err}
+	return sessionRead{name: move.Holder, object: object, fence: true, err: err}
 }
 
 func (s *Session) askRelease(ctx context.Context, move session.Move) {
