--- /dev/null
+++ b/internal/backend/probe_test.go
@@ -0,0 +1,75 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+)
+
+const probeAnswer = "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\nBackend-State: cold\r\nBackend-Load: 2/6\r\n"
+
+// Guards against a probe that takes a slow server for a dead one, a dead one for a slow one, or a broken connection
+// for a restart although the server shows that it is the same.
+func TestProbeShowsWhatIsKnown(t *testing.T) {
+	seen := backend.ProbeResult{Answered: true, State: "cold", Running: 2, Slots: 6}
+	seenAs, seenBroken := seen, seen
+	seenAs.Incarnation = "i1"
+	seenBroken.Refused = true
+	cases := map[string]struct {
+		// answers holds what each connection answers: "" closes it, "-" says nothing, and none refuses it.
+		answers []string
+		want    backend.ProbeResult
+	}{
+		"answered":            {[]string{probeAnswer + "\r\n"}, seen},
+		"refused":             {nil, backend.ProbeResult{Refused: true}},
+		"silent":              {[]string{"-"}, backend.ProbeResult{}},
+		"broken twice":        {[]string{"", ""}, backend.ProbeResult{Refused: true}},
+		"broken, then refuse": {[]string{""}, backend.ProbeResult{Refused: true}},
+		"broken, then silent": {[]string{"", "-"}, backend.ProbeResult{}},
+		"broken, not told":    {[]string{"", probeAnswer + "\r\n"}, seenBroken},
+		"broken, same server": {[]string{"", probeAnswer + "Backend-Incarnation: i1\r\n\r\n"}, seenAs},
+	}
+	for name, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			answers := c.answers
+			dial := func(context.Context, string) (net.Conn, error) {
+				if len(answers) == 0 {
+					return nil, errors.New("connection refused")
+				}
+				client, server := net.Pipe()
+				go answerProbe(server, answers[0])
+				answers = answers[1:]
+				return client, nil
+			}
+			pool, err := backend.NewPool("10.0.0.1:80", dial, backend.Resize{Limit: 1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() { _ = pool.Run(ctx) }()
+			if got := backend.Probe(ctx, pool, "atlas", "/health"); got != c.want {
+				t.Errorf("%s: %+v, want %+v", name, got, c.want)
+			}
+			cancel()
+		})
+	}
+}
+
+func answerProbe(c net.Conn, answer string) {
+	r := bufio.NewReader(c)
+	if _, err := http.ReadRequest(r); err != nil || answer == "" {
+		_ = c.Close()
+		return
+	}
+	if answer != "-" {
+		_, _ = c.Write([]byte(answer))
+	}
+	_, _ = r.ReadByte() // until the pool closes the connection
+	_ = c.Close()
+}
--- a/internal/node/keeperhistory_test.go
+++ b/internal/node/keeperhistory_test.go
@@ -207,6 +207,7 @@
 
 func (s serviceOf) Demand(context.Context, string) (balance.Demand, error) {
 	f := s.fleet
+	s.queue()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	d := balance.Demand{Want: s.rnd.IntN(3)}
@@ -221,7 +222,16 @@
 	return d, nil
 }
 
+// queue is the wait in the mailbox of the service.
+func (s serviceOf) queue() {
+	s.fleet.mu.Lock()
+	wait := time.Duration(s.rnd.IntN(100)) * time.Millisecond
+	s.fleet.mu.Unlock()
+	time.Sleep(wait)
+}
+
 func (s serviceOf) Lease(_ context.Context, l balance.Leased) error {
+	s.queue()
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	s.leases[s.service] = l
@@ -380,8 +390,11 @@
 	for n := range fleetSize {
 		f.live = append(f.live, member.Instance{Name: fmt.Sprintf("i%d", n), Incarnation: 1, Region: "permian", Zone: "permian-a"})
 	}
-	for n := range fleetSize {
-		f.nodes = append(f.nodes, f.start(f.live[n].Name, 1))
+	for _, self := range f.live {
+		started := f.start(self.Name, self.Incarnation)
+		f.mu.Lock()
+		f.nodes = append(f.nodes, started)
+		f.mu.Unlock()
 	}
 	return f
 }
@@ -448,9 +461,11 @@
 		f.kill(owner, time.Hour)
 		f.run(waits + turns)
 		next := f.owner("s0")
+		f.mu.Lock()
 		if f.err != nil || next == owner || f.nodes[next].leases["s0"].Epoch < 2 {
 			t.Errorf("owner %d after %d, lease %+v, %v", next, owner, f.nodes[next].leases["s0"], f.err)
 		}
+		f.mu.Unlock()
 		for _, i := range f.nodes {
 			i.stop()
 			i.group.Wait()
