--- a/internal/decide/keeper/keeper_test.go
+++ b/internal/decide/keeper/keeper_test.go
@@ -225,6 +225,20 @@
 	}
 }
 
+// Guards against a reply that gives all slots to the first that asks, and against slots that a leaving instance keeps.
+func TestGrantsComeInBatchesAndEndOnLeave(t *testing.T) {
+	b := newBench(t, []keeper.Warm{{Server: "w1"}}, worker("w1"))
+	if n := total(b.ask(at(3), "x", 6, nil)); n != keeper.Batch {
+		t.Errorf("%d slots at once, want %d", n, keeper.Batch)
+	}
+	r, err := b.shard.Lease(at(4), b.authority, keeper.Request{
+		Holder: session.Identity{Instance: "x", Incarnation: 1}, Sequence: 9, Held: []keeper.Held{{Server: "w1", Slots: 4, Busy: 1}}, Leaving: true,
+	})
+	if err != nil || total(r) != 0 {
+		t.Errorf("a leaving instance got %+v, %v", r, err)
+	}
+}
+
 // Guards against new work for a leaving server, and against a stale health endpoint that ends a drain.
 func TestDrainingServerGetsNothing(t *testing.T) {
 	b := newBench(t, []keeper.Warm{{Server: "w1", Incarnation: "i1"}}, worker("w1"))
--- a/internal/decide/session/session_test.go
+++ b/internal/decide/session/session_test.go
@@ -172,6 +172,57 @@
 	}
 }
 
+// Guards against an extension while a renewal of unknown outcome may have left the session without witnesses: anybody
+// may fence it after its term then.
+func TestRenewalWithoutWitnessesForbidsExtension(t *testing.T) {
+	h, _ := held(t)
+	all := peers
+	peers = peers[:1]
+	defer func() { peers = all }()
+	h.Answered(at(4), next(t, h, at(3), session.Update), session.Result{Outcome: session.Unknown})
+	for s := 5.0; s <= 11; s++ {
+		for _, a := range h.Asks(at(s)) {
+			h.Acknowledged(at(s), a, session.Reply{Acknowledged: true})
+		}
+	}
+	if valid(h, at(10)) {
+		t.Errorf("state %s", h.State())
+	}
+}
+
+// Guards against a session that ends because a renewal names a new witness while the object API is down.
+func TestFailingRenewalNamesNoNewWitness(t *testing.T) {
+	h, _ := held(t)
+	peers = append(peers, member.Instance{Name: "d", Incarnation: 1})
+	defer func() { peers = peers[:3] }()
+	for s := 6.0; s <= 12; s++ {
+		if op, ok := h.Next(at(s), peers); ok {
+			h.Answered(at(s), op, session.Result{Outcome: session.Unknown})
+		}
+		for _, a := range h.Asks(at(s)) {
+			h.Acknowledged(at(s), a, session.Reply{Acknowledged: a.Witness.Instance != "d"})
+		}
+	}
+	if !valid(h, at(13)) {
+		t.Errorf("state %s", h.State())
+	}
+}
+
+// Guards against a restarted witness that releases what its earlier incarnation may have acknowledged just now, and
+// against one that speaks for a later incarnation.
+func TestRestartedWitness(t *testing.T) {
+	w := session.NewWitness(start, session.Identity{Instance: "b", Incarnation: 5})
+	if w.Acknowledge(at(9), "x", 1, 4).Acknowledged {
+		t.Error("acknowledged for an earlier incarnation")
+	}
+	if w.Release(at(2.4), "x", 1, 4) || !w.Release(at(2.5), "x", 1, 4) {
+		t.Error("an acknowledgement of the earlier incarnation holds for 2 s and a margin")
+	}
+	if w.Release(at(9), "x", 1, 6) {
+		t.Error("released for a later incarnation")
+	}
+}
+
 // Guards against a fence before the holder's authority has surely ended, for each rule that allows a fence.
 func TestFenceWaitsForTermAndWitness(t *testing.T) {
 	record := session.Record{Identity: session.Identity{Instance: "x", Incarnation: 7}, Generation: 1,
--- a/internal/node/keeperhistory_test.go
+++ b/internal/node/keeperhistory_test.go
@@ -1,13 +1,14 @@
 package node_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -16,6 +17,7 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"fuchsiahub.example/fuchsiahub/internal/backend"
 	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
 	"fuchsiahub.example/fuchsiahub/internal/decide/keeper"
 	"fuchsiahub.example/fuchsiahub/internal/decide/member"
@@ -49,9 +51,12 @@
 
 // fleet is some instances with their tasks over fakes.
 type fleet struct {
-	t     *testing.T
-	rnd   *rand.Rand
-	flaw  flaw
+	t    *testing.T
+	rnd  *rand.Rand
+	flaw flaw
+	// dial reaches the backend servers, and good answers come from them while it is not the refusing one.
+	dial  backend.Dialer
+	good  bool
 	store *memoryStore
 	net   *memoryNet
 	docs  *node.Documents
@@ -105,6 +110,7 @@
 	rnd    *rand.Rand
 	paused time.Time
 	leases map[string]balance.Leased
+	short  map[string]chan struct{}
 	alive  bool
 }
 
@@ -112,7 +118,10 @@
 	i := &instanceUnderTest{
 		fleet: f, self: member.Instance{Name: name, Incarnation: incarnation, Region: "permian", Zone: "permian-a"},
 		line: &storeLine{store: f.store, rnd: rand.New(rand.NewPCG(f.rnd.Uint64(), 0))},
-		rnd:  rand.New(rand.NewPCG(f.rnd.Uint64(), 0)), leases: map[string]balance.Leased{}, alive: true,
+		rnd:  rand.New(rand.NewPCG(f.rnd.Uint64(), 0)), leases: map[string]balance.Leased{}, short: map[string]chan struct{}{}, alive: true,
+	}
+	for service := range f.docs.Services {
+		i.short[service] = make(chan struct{}, 1)
 	}
 	log := slog.New(slog.DiscardHandler)
 	docs := func() *node.Documents { i.wait(); return f.docs }
@@ -121,9 +130,8 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	refuse := func(context.Context, string) (net.Conn, error) { return nil, io.EOF }
 	i.keeper = node.NewKeeper(node.KeeperConfig{
-		Self: i.self, API: i.line, View: i.view, Docs: docs, Standing: standing{i.session, f.flaw}, Dial: refuse, ProbesPerSecond: 2, Log: log,
+		Self: i.self, API: i.line, View: i.view, Docs: docs, Standing: standing{i.session, f.flaw}, Dial: f.dial, ProbesPerSecond: 2, Log: log,
 	})
 	i.holder = node.NewHolder(node.HolderConfig{
 		Self: i.self, Peers: netLine{net: f.net, self: name}, Own: i.lease, Owners: i.keeper.Owners, View: i.view, Docs: docs, Log: log,
@@ -217,6 +225,15 @@
 		s.leases[s.service] = lease
 		for _, g := range lease.Grants {
 			d.Held = append(d.Held, balance.HeldSlots{Server: g.Server, Slots: g.Slots})
+			if f.good {
+				d.Reports = append(d.Reports, balance.Report{Server: g.Server, Good: 1, Latency: 20 * time.Millisecond})
+			}
+		}
+	}
+	if s.rnd.IntN(3) == 0 {
+		select {
+		case s.short[s.service] <- struct{}{}:
+		default:
 		}
 	}
 	return d, nil
@@ -240,15 +257,17 @@
 }
 
 func (s serviceOf) Notice(context.Context, balance.Notice) error { return nil }
-func (s serviceOf) Short() <-chan struct{}                       { return nil }
+func (s serviceOf) Short() <-chan struct{}                       { return s.short[s.service] }
 
-// count checks the total of the cold slots in use. The servers never answer, so all stay cold.
+// count checks the total of the cold slots in use. While servers never answer, all stay cold.
 func (f *fleet) count(service string) {
 	used := map[string]int{}
 	for _, i := range f.nodes {
 		if l := i.leases[service]; i.alive && time.Now().Before(l.Until) {
 			for _, g := range l.Grants {
-				used[g.Server] += g.Slots
+				if g.Cold && !f.good {
+					used[g.Server] += g.Slots
+				}
 			}
 		}
 	}
@@ -375,7 +394,8 @@
 
 func newFleet(t *testing.T, seed uint64, flaw flaw) *fleet {
 	f := &fleet{
-		t: t, rnd: rand.New(rand.NewPCG(seed, 1)), flaw: flaw, store: newMemoryStore(), grants: map[string][]porcupine.Operation{},
+		dial: func(context.Context, string) (net.Conn, error) { return nil, errors.New("connection refused") },
+		t:    t, rnd: rand.New(rand.NewPCG(seed, 1)), flaw: flaw, store: newMemoryStore(), grants: map[string][]porcupine.Operation{},
 		net:  &memoryNet{rnd: rand.New(rand.NewPCG(seed, 2)), handlers: map[string]peer.Handlers{}, cut: map[[2]string]int{}},
 		docs: &node.Documents{Services: map[string]*document.Service{}},
 	}
@@ -390,13 +410,23 @@
 	for n := range fleetSize {
 		f.live = append(f.live, member.Instance{Name: fmt.Sprintf("i%d", n), Incarnation: 1, Region: "permian", Zone: "permian-a"})
 	}
+	return f
+}
+
+func (f *fleet) startAll() {
 	for _, self := range f.live {
 		started := f.start(self.Name, self.Incarnation)
 		f.mu.Lock()
 		f.nodes = append(f.nodes, started)
 		f.mu.Unlock()
 	}
-	return f
+}
+
+func (f *fleet) stopAll() {
+	for _, i := range f.nodes {
+		i.stop()
+		i.group.Wait()
+	}
 }
 
 // lock is a lock with fencing: an owner may act in its epoch until a later epoch has acted.
@@ -417,14 +447,12 @@
 func play(t *testing.T, seed uint64, flaw flaw, story func(*fleet)) (err error) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, seed, flaw)
+		f.startAll()
 		story(f)
 		f.run(faultEnds)
 		f.run(calmFor)
 		quiet := time.Now().Add(-5 * time.Second).UnixNano()
-		for _, i := range f.nodes {
-			i.stop()
-			i.group.Wait()
-		}
+		f.stopAll()
 		time.Sleep(time.Minute) // late effects of the fakes end
 		err = f.judge(quiet)
 	})
@@ -456,6 +484,7 @@
 	const turns = 6 * time.Second // the stagger of fences, and a turn of each task on the way
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, none)
+		f.startAll()
 		f.run(10 * time.Second)
 		owner := f.owner("s0")
 		f.kill(owner, time.Hour)
@@ -466,13 +495,63 @@
 			t.Errorf("owner %d after %d, lease %+v, %v", next, owner, f.nodes[next].leases["s0"], f.err)
 		}
 		f.mu.Unlock()
-		for _, i := range f.nodes {
-			i.stop()
-			i.group.Wait()
-		}
+		f.stopAll()
 	})
 }
 
+// Guards against a graceful leave that makes warm servers cold, and against knowledge that is trusted although it is
+// old: here the other instances cannot read the object API for longer than knowledge holds.
+func TestGracefulLeaveHandsOverWarmServers(t *testing.T) {
+	for name, blind := range map[string]time.Duration{"fresh": 0, "old": 12 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 1, none)
+			f.good, f.dial = true, readyServer
+			f.startAll()
+			f.run(20 * time.Second)
+			owner := f.owner("s0")
+			for n, i := range f.nodes {
+				if n != owner && blind > 0 {
+					i.line.fail(1)
+					f.later(blind, func() { i.line.fail(-1) })
+				}
+			}
+			f.leave(owner, time.Hour)
+			f.run(blind + keeper.Quiet + 2500*time.Millisecond) // before the ramp of a cold server is complete
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			cold := map[bool]int{}
+			for _, i := range f.nodes {
+				for _, g := range i.leases["s0"].Grants {
+					if i.alive && i.leases["s0"].Epoch > 1 {
+						cold[g.Cold]++
+					}
+				}
+			}
+			if blind == 0 && (cold[true] > 0 || cold[false] == 0) || blind > 0 && cold[true] == 0 {
+				t.Errorf("%s knowledge: grants by cold %v", name, cold)
+			}
+			f.mu.Unlock()
+			f.stopAll()
+			f.mu.Lock()
+		})
+	}
+}
+
+// readyServer is a backend server that answers every probe.
+func readyServer(context.Context, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go func() {
+		for r := bufio.NewReader(server); ; {
+			if _, err := http.ReadRequest(r); err != nil {
+				_ = server.Close()
+				return
+			}
+			_, _ = server.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nBackend-State: ready\r\nBackend-Incarnation: i1\r\n\r\n"))
+		}
+	}()
+	return client, nil
+}
+
 // owner returns the number of the instance that keeps the shard of a service, as a living instance knows it.
 func (f *fleet) owner(service string) int {
 	for _, i := range f.nodes {
