--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -52,9 +52,9 @@
 	owners   []session.Identity
 	nextLook time.Time
 	looks    int
-	// underWay names sessions that are being read or fenced.
-	underWay map[string]bool
-	leavers  []chan<- struct{}
+	// reading and fencing name sessions with such a call under way.
+	reading, fencing map[string]bool
+	leavers          []chan<- struct{}
 
 	authority atomic.Pointer[session.Authority]
 	seen      atomic.Pointer[map[string]session.Record]
@@ -78,7 +78,9 @@
 	sessionRead struct {
 		name   string
 		object objectapi.Object
-		err    error
+		// fence is true when the object is what a fence has written.
+		fence bool
+		err   error
 	}
 	witnessAsked struct {
 		in    *peerpb.WitnessRequest
@@ -103,7 +105,7 @@
 	s := &Session{
 		SessionConfig: config, id: id, inbox: task.NewMailbox[any]("session", sessionCapacity), ended: make(chan struct{}),
 		holder: session.NewHolder(bound, now, id), witness: session.NewWitness(now, id), observer: session.NewObserver(id),
-		underWay: map[string]bool{}, nextLook: now,
+		reading: map[string]bool{}, fencing: map[string]bool{}, nextLook: now,
 	}
 	s.errands.inbox = s.inbox
 	s.authority.Store(&session.Authority{})
@@ -309,10 +311,10 @@
 }
 
 func (s *Session) readSession(ctx context.Context, name string) {
-	if s.underWay[name] {
+	if s.reading[name] {
 		return
 	}
-	s.underWay[name] = true
+	s.reading[name] = true
 	s.start(ctx, storeTimeout, func(ctx context.Context) any {
 		object, err := s.API.Get(ctx, objectapi.Sessions, name)
 		return sessionRead{name: name, object: object, err: err}
@@ -321,7 +323,11 @@
 
 // read takes a session of another instance, as it was read or as a fence left it.
 func (s *Session) read(now time.Time, m sessionRead) {
-	delete(s.underWay, m.name)
+	if m.fence {
+		delete(s.fencing, m.name)
+	} else {
+		delete(s.reading, m.name)
+	}
 	if m.err != nil {
 		return // the next look reads it again
 	}
@@ -340,10 +346,10 @@
 			s.askRelease(ctx, move)
 			continue
 		}
-		if s.underWay[move.Holder] {
+		if s.fencing[move.Holder] {
 			continue
 		}
-		s.underWay[move.Holder] = true
+		s.fencing[move.Holder] = true
 		s.Log.Info("fencing a dead session", "instance", move.Holder, "version", move.Version)
 		s.start(ctx, storeTimeout, func(ctx context.Context) any { return s.sendFence(ctx, move) })
 	}
@@ -352,11 +358,11 @@
 func (s *Session) sendFence(ctx context.Context, move session.Move) any {
 	value, err := encodeSession(move.Record)
 	if err != nil {
-		return sessionRead{name: move.Holder, err: err}
+		return sessionRead{name: move.Holder, fence: true, err: err}
 	}
 	written, err := s.API.Update(ctx, objectapi.Sessions, move.Holder, move.Version, value)
 	object := objectapi.Object{Kind: objectapi.Sessions, Name: move.Holder, Version: written.Version, Value: value}
-	return sessionRead{name: move.Holder, object: object, err: err}
+	return sessionRead{name: move.Holder, object: object, fence: true, err: err}
 }
 
 func (s *Session) askRelease(ctx context.Context, move session.Move) {
