Refuse claims that were not recorded without a release

Cause: an owner that could not take a claim said the same as one whose write was unclear, so each claim that was refused during an outage left a release that was repeated until the outage was over and then took an entry. The new state REFUSED says that nothing was recorded.

--- a/internal/decide/once/message.go
+++ b/internal/decide/once/message.go
@@ -60,6 +60,8 @@
 	OutcomeUnknown
 	// StoreUnavailable means that the claim was not granted and never will be; it may be recorded and must be released.
 	StoreUnavailable
+	// Refused means that the object API or the partition cannot take the claim now; nothing was recorded.
+	Refused
 	// NotOwner means that another instance owns the partition; nothing was recorded.
 	NotOwner
 	// KeyReused means that the key belongs to another request.
--- a/internal/decide/once/partition.go
+++ b/internal/decide/once/partition.go
@@ -223,7 +223,7 @@
 // wait keeps a message until the partition is owned.
 func (p *Partition) wait(m any, claimTicket uint64) {
 	if len(p.waiting) >= p.limits.Pending {
-		p.refuse(m, StoreUnavailable)
+		p.refuse(m, Refused)
 		return
 	}
 	p.waiting = append(p.waiting, m)
@@ -245,7 +245,7 @@
 }
 
 func (p *Partition) refuseWaiting() {
-	verdict := StoreUnavailable
+	verdict := Refused
 	if p.machine.State() == "lost" {
 		verdict = NotOwner
 	}
@@ -270,7 +270,7 @@
 
 func (p *Partition) claim(c Claim) {
 	if len(p.next) >= p.limits.Pending {
-		p.reply(c.Ticket, StoreUnavailable, nil)
+		p.reply(c.Ticket, Refused, nil)
 		return
 	}
 	p.expire(c.Digest)
--- a/internal/decide/once/partition_test.go
+++ b/internal/decide/once/partition_test.go
@@ -249,7 +249,7 @@
 	if !o.settle(digest(1), entry1, 5, once.Released, nil) {
 		t.Error("the release was not confirmed")
 	}
-	if v := o.claim(digest(1), 1, entry1, 5).Verdict; v != once.StoreUnavailable {
+	if v := o.claim(digest(1), 1, entry1, 5).Verdict; v != once.Refused {
 		t.Errorf("verdict %d for a released attempt", v)
 	}
 	if v := o.claim(digest(1), 1, entry1, 6).Verdict; v != once.Granted {
--- a/internal/decide/once/record.go
+++ b/internal/decide/once/record.go
@@ -57,6 +57,7 @@
 			"reply_answered":    func(s *step) { s.reply(WasAnswered) },
 			"reply_unknown":     func(s *step) { s.reply(OutcomeUnknown) },
 			"reply_unavailable": func(s *step) { s.reply(StoreUnavailable) },
+			"reply_refused":     func(s *step) { s.reply(Refused) },
 			"reply_key_reused":  func(s *step) { s.reply(KeyReused) },
 		},
 	})
--- a/internal/node/claimmessage.go
+++ b/internal/node/claimmessage.go
@@ -18,6 +18,7 @@
 	once.OutcomeUnknown:   peerpb.ClaimState_CLAIM_STATE_OUTCOME_UNKNOWN,
 	once.StoreUnavailable: peerpb.ClaimState_CLAIM_STATE_STORE_UNAVAILABLE,
 	once.NotOwner:         peerpb.ClaimState_CLAIM_STATE_NOT_OWNER,
+	once.Refused:          peerpb.ClaimState_CLAIM_STATE_REFUSED,
 	once.KeyReused:        peerpb.ClaimState_CLAIM_STATE_KEY_REUSED,
 }
 
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -195,12 +195,18 @@
 	case once.KeyReused:
 		return claimed{event: "refused", err: fault.New(fault.KeyReused, "use a new key for each different request",
 			"the key belongs to a request with another method, path, query or body").Refused(0)}
+	case once.Refused:
+		return claimed{event: "refused", err: cannotRecord()}
 	case once.NotOwner:
 		return claimed{event: "refused", err: fault.New(fault.StoreUnavailable, "send the request again later",
 			"the owner of the once-only claim is changing").Refused(retryAfter)}
 	}
-	return claimed{event: "refused", claim: held, err: fault.New(fault.StoreUnavailable, "send the request again later",
-		"the once-only claim could not be recorded in the object API").Refused(retryAfter)}
+	return claimed{event: "refused", claim: held, err: cannotRecord()}
+}
+
+func cannotRecord() error {
+	return fault.New(fault.StoreUnavailable, "send the request again later",
+		"the once-only claim could not be recorded in the object API").Refused(retryAfter)
 }
 
 func replay(answer *call.Answer) claimed {
--- a/internal/node/once_test.go
+++ b/internal/node/once_test.go
@@ -302,6 +302,9 @@
 	x.instances[n].Store(x.cluster.start(x.t, self))
 }
 
+// viewLag is the longest time until an instance sees a change of the membership.
+const viewLag = 2 * time.Second
+
 // publish tells each instance who is alive, some of them late, so that two instances take themselves for the owner.
 func (x *chaos) publish(without int) {
 	var live []member.Instance
@@ -313,10 +316,17 @@
 	for n := range x.instances {
 		i := x.instances[n].Load()
 		view := &member.View{Self: i.self, Live: live}
-		time.AfterFunc(time.Duration(x.rnd.IntN(2000))*time.Millisecond, func() { i.view.Store(view) })
+		time.AfterFunc(time.Duration(x.rnd.Int64N(int64(viewLag))), func() { i.view.Store(view) })
 	}
 }
 
+// calm waits until all instances see each other and everything that was held back has arrived.
+func (x *chaos) calm() {
+	time.Sleep(viewLag)
+	x.publish(-1)
+	time.Sleep(viewLag + 2*releaseAgain)
+}
+
 func (x *chaos) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(1000+x.rnd.IntN(3000)) * time.Millisecond)
@@ -392,7 +402,7 @@
 	callers.Wait()
 	cancel()
 	faults.Wait()
-	time.Sleep(2 * releaseAgain)
+	x.calm()
 	h.resendUnfinished(x.instances[0].Load())
 	for n := range x.instances {
 		i := x.instances[n].Load()
--- a/internal/node/suspect.go
+++ b/internal/node/suspect.go
@@ -72,7 +72,7 @@
 
 func (e *exchange) refuseQuarantined() {
 	e.err = fault.New(fault.Quarantined, "correct the request, or wait 10 minutes and send it once",
-		"backend servers crashed while a request like this ran").Refused(retryAfter)
+		"backend servers crashed while a request like this ran").Refused(0)
 }
 
 func (e *exchange) refuseCrowded() {
