Refuse once-only requests when claims settings differ

Cause: an instance with another claims.key, or another number of partitions, looks for a claim where the others did not put it, so a rolling change of the settings could have run a request twice. The first instance writes a digest of the settings to claims/LAYOUT; the others compare. Also adds the status of claims and quarantine for operators.

--- /dev/null
+++ b/internal/node/claimlayout.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"log/slog"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+const (
+	// layoutName is the object that holds a digest of the settings by which claims are found. Names of partitions hold
+	// a "_", so none has this name.
+	layoutName = "LAYOUT"
+	// layoutRetry is the wait before the object is read again after a failure or a difference.
+	layoutRetry = 2 * time.Second
+)
+
+// claimLayout is the task that checks that this instance finds claims where the others put them. With another key or
+// another number of partitions, a resend would be looked up in another place and could run again.
+type claimLayout struct {
+	api   objectapi.API
+	want  []byte
+	log   *slog.Logger
+	state atomic.Pointer[layoutState]
+}
+
+// layoutState is nil until the object was read once. Err is nil when the settings agree.
+type layoutState struct{ err error }
+
+func newClaimLayout(settings ClaimSettings, api objectapi.API, log *slog.Logger) *claimLayout {
+	mac := hmac.New(sha256.New, settings.Key)
+	mac.Write([]byte("layout:" + strconv.Itoa(settings.Partitions)))
+	return &claimLayout{api: api, want: mac.Sum(nil)[:16], log: log}
+}
+
+// run is the body of the task. It ends when the settings agree.
+func (l *claimLayout) run(ctx context.Context) error {
+	retry := time.NewTicker(layoutRetry)
+	defer retry.Stop()
+	for !l.check(ctx) {
+		select {
+		case <-retry.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return nil
+}
+
+// check compares the object with the settings and reports whether they agree. The first instance writes the object.
+func (l *claimLayout) check(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	o, err := l.api.Get(ctx, objectapi.Claims, layoutName)
+	if fault.Is(err, fault.NotFound) {
+		o, err = l.api.Create(ctx, objectapi.Claims, layoutName, l.want)
+	}
+	if err != nil {
+		l.log.Warn("claims settings cannot be compared with the object API", "error", err)
+		return false
+	}
+	if bytes.Equal(o.Value, l.want) {
+		l.state.Store(&layoutState{})
+		return true
+	}
+	differ := fault.New(fault.NoClaimsKey,
+		"set claims.key and claims.partitions as on the other instances; to change them, refuse once-only requests for the longest once_window, delete the object claims/"+layoutName+" and restart",
+		"the claims settings of this instance differ from those that the stored claims were made with").Refused(0)
+	l.log.Error("once-only requests are refused", "error", differ)
+	l.state.Store(&layoutState{err: differ})
+	return false
+}
+
+// problem returns why this instance must not claim, or nil.
+func (l *claimLayout) problem() error {
+	s := l.state.Load()
+	if s == nil {
+		return cannotRecord()
+	}
+	return s.err
+}
--- a/internal/node/claimmessage.go
+++ b/internal/node/claimmessage.go
@@ -38,6 +38,9 @@
 	if err := c.checkMessage(in.Sender, place, in.Digest, in.Check, in.WindowMs); err != nil {
 		return nil, err
 	}
+	if c.layout.problem() != nil {
+		return &peerpb.ClaimReply{State: peerpb.ClaimState_CLAIM_STATE_REFUSED}, nil
+	}
 	copy(m.Digest[:], in.Digest)
 	copy(m.Check[:], in.Check)
 	reply, err := c.partitions.claim(ctx, place, m)
@@ -57,6 +60,9 @@
 	if err := c.checkMessage(in.Sender, place, in.Digest, in.Check, in.WindowMs); err != nil {
 		return nil, err
 	}
+	if c.layout.problem() != nil {
+		return &peerpb.SettleReply{}, nil
+	}
 	for how, value := range settlementsOf {
 		if value == in.Settlement {
 			m.Settlement = how
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -73,6 +73,7 @@
 	parts       ClaimParts
 	partitions  *partitions
 	settlements *settlements
+	layout      *claimLayout
 	attempt     atomic.Uint64
 }
 
@@ -94,12 +95,16 @@
 	parts.Settings.complete()
 	c := &Claims{parts: parts, partitions: newPartitions(parts)}
 	c.settlements = newSettlements(c.send, parts.Log)
+	c.layout = newClaimLayout(parts.Settings, parts.API, parts.Log)
 	return c
 }
 
 // Run runs the tasks until the context ends and what is in flight is finished.
 func (c *Claims) Run(ctx context.Context) error {
 	settle := task.NewGroup(ctx)
+	if len(c.parts.Settings.Key) > 0 {
+		settle.Go("claims layout", c.layout.run)
+	}
 	settle.Go("settlements", c.settlements.run)
 	// The partitions end after the settlements, which may be for claims of this instance.
 	own := task.NewGroup(context.WithoutCancel(ctx))
@@ -112,6 +117,25 @@
 	return first
 }
 
+// ClaimsStatus is what operators see of the claims at one instance.
+type ClaimsStatus struct {
+	Partitions []PartitionStatus `json:"partitions"`
+}
+
+// PartitionStatus is one partition that this instance has opened as its owner.
+type PartitionStatus struct {
+	Name string `json:"name"`
+	// State is a state of charts/partition.toml.
+	State string `json:"state"`
+	// Claims is the number of claims in memory.
+	Claims int `json:"claims"`
+}
+
+// Status returns what operators see of the claims at this instance.
+func (c *Claims) Status(ctx context.Context) (ClaimsStatus, error) {
+	return task.Ask(ctx, c.partitions.inbox, func(reply chan<- ClaimsStatus) any { return inspectClaims{reply: reply} })
+}
+
 // claimed is how an attempt to claim ended. Event is an event of charts/request.toml.
 type claimed struct {
 	event  string
@@ -126,6 +150,9 @@
 		return claimed{event: "refused", err: fault.New(fault.NoClaimsKey, "set claims.key to the same secret in the settings of all instances",
 			"route %q runs a request at most once and no claims key is set", policy.Route.Name).Refused(0)}
 	}
+	if err := c.layout.problem(); err != nil {
+		return claimed{event: "refused", err: err}
+	}
 	held := c.newClaim(req, policy)
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
--- a/internal/node/partitions.go
+++ b/internal/node/partitions.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/charts"
@@ -68,6 +70,7 @@
 		settle once.Settle
 		reply  chan<- bool
 	}
+	inspectClaims struct{ reply chan<- ClaimsStatus }
 	storeAnswered struct {
 		to     *openPartition
 		answer once.StoreAnswer
@@ -202,9 +205,20 @@
 		s.handleSettle(ctx, m)
 	case storeAnswered:
 		s.handleAnswer(ctx, m)
+	case inspectClaims:
+		m.reply <- s.status()
 	}
 }
 
+func (s *partitions) status() ClaimsStatus {
+	var status ClaimsStatus
+	for _, name := range slices.Sorted(maps.Keys(s.open)) {
+		state, claims := s.open[name].State()
+		status.Partitions = append(status.Partitions, PartitionStatus{Name: name, State: state, Claims: claims})
+	}
+	return status
+}
+
 func (s *partitions) handleClaim(ctx context.Context, m ownerClaim) {
 	view := s.view()
 	p, owner := s.partition(m.place, view)
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -293,6 +293,27 @@
 	}
 }
 
+// QuarantineStatus is what operators see of the quarantine at one instance.
+type QuarantineStatus struct {
+	// Alone and Refused count the fingerprints whose requests run alone or are refused.
+	Alone   int `json:"alone"`
+	Refused int `json:"refused"`
+}
+
+// Status returns what operators see of the quarantine at this instance.
+func (q *Quarantine) Status() QuarantineStatus {
+	var status QuarantineStatus
+	for _, t := range q.snapshot.Load().Marks {
+		switch t {
+		case quarantine.Alone:
+			status.Alone++
+		case quarantine.Refuse:
+			status.Refused++
+		}
+	}
+	return status
+}
+
 // The methods below are called by requests. A nil Quarantine marks nothing.
 
 // active reports whether any fingerprint is marked, so that requests compute theirs only when it matters.
