--- a/internal/decide/balance/server.go
+++ b/internal/decide/balance/server.go
@@ -67,7 +67,8 @@
 		Guards: map[string]func(*server) bool{
 			"ramp_complete": func(s *server) bool { return s.ramp >= s.slots && !s.lease.cold },
 			"outlier":       func(s *server) bool { return s.badInRow >= outlierFailures && s.fleet.mayEject() },
-			"late_in_row":   func(s *server) bool { return s.lateInRow >= lateAnswers && s.fleet.tuning.Late },
+			"late_in_row":   func(s *server) bool { return s.lateInRow >= lateAnswers },
+			"sudden_rise":   func(s *server) bool { return s.lateInRow >= lateAnswers && s.fleet.tuning.Late },
 		},
 		Actions: map[string]func(*server){
 			"clear_ramp":  func(s *server) { s.ramp = s.cold },
@@ -211,6 +212,7 @@
 	s.lease = holding{cold: s.doubted}
 	s.incarnation = incarnation
 	s.latency, s.lateInRow = 0, 0
+	s.report = Report{} // answers of the start that ended say nothing about the new one
 	if s.machine.In("draining") && incarnation != "" {
 		s.fire(now, "restart")
 		return
--- a/internal/decide/balance/tuning.go
+++ b/internal/decide/balance/tuning.go
@@ -36,7 +36,7 @@
 
 // DefaultTuning returns the tuning that docs/measurements.md arrives at.
 func DefaultTuning() Tuning {
-	return Tuning{Order: ByDelay, Reserve: 1, Overflow: 1, RegionShare: true, Patient: true, Late: true, Adapt: true}
+	return Tuning{Order: ByDelay, Reserve: 1, Overflow: 1, RegionShare: true, Patient: true, Adapt: true}
 }
 
 const (
