--- a/internal/lab/holder.go
+++ b/internal/lab/holder.go
@@ -90,14 +90,14 @@
 	e.settle()
 }
 
-// tell sends a notice to the keeper and to the instances of the region.
+// tell sends a notice to the keeper and to all instances: those of other regions may use their share of the server.
 func (e *entry) tell(n balance.Notice) {
 	zone := e.fleet.ZoneOf(n.Server)
 	e.w.counted.bytes += messageBytes
 	k := e.w.keepers[zone]
 	e.w.after(e.w.hop(e.place.Zone, zone), func() { k.notice(n) })
 	for _, other := range e.w.entries {
-		if other == e || other.place.Region != e.place.Region {
+		if other == e || e.w.policy.RegionNotices && other.place.Region != e.place.Region {
 			continue
 		}
 		e.w.counted.bytes += messageBytes
--- a/internal/lab/keeper.go
+++ b/internal/lab/keeper.go
@@ -26,13 +26,16 @@
 	allowance   int
 	grownAt     time.Time
 	incarnation string
-	held        map[int]int
-	latency     time.Duration
-	usual       time.Duration
+	// ended is the incarnation before the current one. Reports about it are late.
+	ended   string
+	held    map[int]int
+	latency time.Duration
+	usual   time.Duration
 	// frozen is until when earlier grants may still be in use.
 	frozen time.Time
-	// good counts the answers in time since the allowance changed.
-	good int
+	// answers and spent count the answers and their time since the allowance was last looked at.
+	answers int
+	spent   time.Duration
 }
 
 // parked is a demand that waits for a slot.
@@ -92,7 +95,10 @@
 	s.cold = true
 	s.allowance = k.w.doc.Servers.ColdAllowance
 	s.grownAt = k.w.now
-	s.good = 0
+	s.answers, s.spent = 0, 0
+	if s.incarnation != "" && s.incarnation != incarnation {
+		s.ended = s.incarnation
+	}
 	s.incarnation = incarnation
 	s.frozen = k.w.now.Add(leaseTerm)
 	if len(s.held) == 0 {
@@ -173,6 +179,9 @@
 
 // report follows the latency of a server and grows the allowance of a cold one with each step of answers in time.
 func (k *keeper) report(s *kept, r balance.Report) {
+	if !k.w.policy.StaleReports && s.ended != "" && r.Incarnation == s.ended {
+		return
+	}
 	if r.Incarnation != "" && r.Incarnation != s.incarnation {
 		if s.cold && s.incarnation == "" {
 			s.incarnation = r.Incarnation
@@ -183,17 +192,33 @@
 	if r.Good == 0 {
 		return
 	}
-	late := s.usual > 0 && r.Latency > 2*s.usual
 	s.latency = smooth(s.latency, r.Latency, 4)
-	if !late {
-		s.good += r.Good
-	}
-	if !late || !s.cold {
+	if !s.cold {
 		s.usual = smooth(s.usual, r.Latency, 64)
+		return
+	}
+	s.answers += r.Good
+	s.spent += time.Duration(r.Good) * r.Latency
+	k.grow(s)
+}
+
+// warmAnswers is how many answers a step of the ramp needs. The service times of a few requests say little: one short
+// request is in time at a cold server too.
+const warmAnswers = 4
+
+// grow doubles the allowance of a cold server when the answers of a step came in time on average.
+func (k *keeper) grow(s *kept) {
+	enough := warmAnswers
+	if k.w.policy.LooseRamp {
+		enough = 1
 	}
-	if s.cold && s.good > 0 && k.w.now.Sub(s.grownAt) >= k.w.doc.Servers.WarmUpStep {
-		s.grownAt = k.w.now
-		s.good = 0
+	if s.answers < enough || k.w.now.Sub(s.grownAt) < k.w.doc.Servers.WarmUpStep {
+		return
+	}
+	inTime := s.usual == 0 || s.spent/time.Duration(s.answers) <= 2*s.usual
+	s.answers, s.spent = 0, 0
+	s.grownAt = k.w.now
+	if inTime {
 		s.allowance = min(2*s.allowance, s.slots)
 		s.cold = s.allowance < s.slots
 	}
--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -16,6 +16,12 @@
 	Hedge bool
 	// Evidence lets a new keeper take servers for warm that answered well shortly before.
 	Evidence bool
+	// LooseRamp lets one answer in time grow the allowance of a cold server.
+	LooseRamp bool
+	// StaleReports lets a keeper count answers of the start of a server that has ended.
+	StaleReports bool
+	// RegionNotices sends notices only to the instances of the region and to the holders.
+	RegionNotices bool
 }
 
 // chooser picks servers at one instance.
@@ -45,6 +51,10 @@
 		{Name: "default", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true},
 		{Name: "leases-strict", Tuning: with(func(t *balance.Tuning) { t.Overflow = 0 }), Keepers: true, Evidence: true},
 		{Name: "share-of-all", Tuning: with(func(t *balance.Tuning) { t.RegionShare = false }), Keepers: true, Evidence: true},
+		{Name: "late-is-cold", Tuning: with(func(t *balance.Tuning) { t.Late = true }), Keepers: true, Evidence: true},
+		{Name: "loose-ramp", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, LooseRamp: true},
+		{Name: "stale-reports", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, StaleReports: true},
+		{Name: "region-notices", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, RegionNotices: true},
 		{Name: "default+hedge", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, Hedge: true},
 	}
 }
