--- a/internal/decide/balance/shard.go
+++ b/internal/decide/balance/shard.go
@@ -9,6 +9,8 @@
 type shard struct {
 	epoch uint64
 	until time.Time
+	// askedAt is when the keeper was last asked.
+	askedAt time.Time
 }
 
 func (sh *shard) live(now time.Time) bool { return sh.until.After(now) }
@@ -70,6 +72,7 @@
 // the reserve are given up before the keeper hears of it, so the keeper may grant them to others at once.
 func (f *Fleet) Demand(now time.Time, zone string) Demand {
 	var d Demand
+	f.shard(zone).askedAt = now
 	idle := f.reserve(zone)
 	for _, s := range f.byCost(now, zone) {
 		kept := 0
@@ -98,21 +101,49 @@
 	return f.tuning.Reserve
 }
 
-// Asks reports whether the keepers are to be asked or told something now rather than at the next interval.
-func (f *Fleet) Asks(now time.Time) bool {
+// Due reports whether the keeper of a zone is to be asked now.
+func (f *Fleet) Due(now time.Time, zone string) bool {
 	if f.view.NoKeepers {
 		return false
 	}
-	return f.backlog > 0 || len(f.notices) > 0 || f.Short(now, f.view.Self.Zone)
+	since := now.Sub(f.shard(zone).askedAt)
+	spare := f.idle(now, zone) - f.reserve(zone)
+	switch {
+	case spare > 0 && since >= f.tuning.ReturnInterval:
+		return true
+	case f.view.Zones.RegionOf(zone) != f.view.Self.Region:
+		wait := time.Duration(f.backlog) * f.Pace(now)
+		return wait > farWait && since >= f.tuning.ReturnInterval
+	case f.backlog > 0 || spare < 0:
+		return since >= f.tuning.AskInterval
+	}
+	return since >= renewInterval
 }
 
-// Short reports whether the keeper of a zone could help now: requests wait, or the reserve is used up.
-func (f *Fleet) Short(now time.Time, zone string) bool {
-	return f.backlog > 0 || f.idle(now, zone) < f.reserve(zone)
+// Asks reports whether a keeper is to be asked or notices are to be sent now.
+func (f *Fleet) Asks(now time.Time) bool {
+	if len(f.notices) > 0 {
+		return true
+	}
+	for zone := range f.zones {
+		if f.Due(now, zone) {
+			return true
+		}
+	}
+	return false
 }
 
-// Spare returns how many idle leased slots of a zone are above the reserve.
-func (f *Fleet) Spare(now time.Time, zone string) int { return f.idle(now, zone) - f.reserve(zone) }
+// DueZones returns the zones whose keepers are to be asked now, in the order of their names.
+func (f *Fleet) DueZones(now time.Time) []string {
+	var due []string
+	for zone := range f.zones {
+		if f.Due(now, zone) {
+			due = append(due, zone)
+		}
+	}
+	slices.Sort(due)
+	return due
+}
 
 func (f *Fleet) idle(now time.Time, zone string) int {
 	if !f.shard(zone).live(now) {
--- a/internal/decide/balance/tuning.go
+++ b/internal/decide/balance/tuning.go
@@ -26,6 +26,9 @@
 	// RegionShare divides the slots by the live instances of the region instead of all, because requests seldom leave
 	// their region.
 	RegionShare bool
+	// AskInterval is the least time between two demands of one shard while requests wait or the reserve is short,
+	// ReturnInterval the least time between two that only give slots back.
+	AskInterval, ReturnInterval time.Duration
 	// Patient makes a request wait for a server near the best one instead of taking a much slower one.
 	Patient bool
 	// Late presumes a server cold after several late answers in a row.
@@ -36,7 +39,8 @@
 
 // DefaultTuning returns the tuning that docs/measurements.md arrives at.
 func DefaultTuning() Tuning {
-	return Tuning{Order: ByDelay, Reserve: 1, Overflow: 1, RegionShare: true, Patient: true, Adapt: true}
+	return Tuning{Order: ByDelay, Reserve: 1, Overflow: 1, RegionShare: true, Patient: true, Adapt: true,
+		AskInterval: 100 * time.Millisecond, ReturnInterval: 100 * time.Millisecond}
 }
 
 const (
@@ -50,6 +54,10 @@
 	forgetLatency = 2 * time.Second
 	// reportLife is how long a reported load counts. Reports are stale on arrival.
 	reportLife = 100 * time.Millisecond
+	// renewInterval is how often a lease is renewed when nothing else is to be said. It is a quarter of the term.
+	renewInterval = 500 * time.Millisecond
+	// farWait is the wait from which the keepers of other regions are asked: a round trip between regions.
+	farWait = regionHop
 	// trickleInterval is how often a server that is not warm yet is preferred, so that it warms up under light load.
 	trickleInterval = 200 * time.Millisecond
 )
--- a/internal/lab/holder.go
+++ b/internal/lab/holder.go
@@ -15,14 +15,10 @@
 const (
 	// leaseTerm equals the default of $lease_term.
 	leaseTerm = 2 * time.Second
-	// renewInterval is how often a lease is renewed when nothing else is to be said.
-	renewInterval = 500 * time.Millisecond
-	// returnInterval is the least time between two messages that only give slots back.
-	returnInterval = 10 * time.Millisecond
+	// beatInterval is how often an instance looks whether keepers are to be asked.
+	beatInterval = 10 * time.Millisecond
 	// askTimeout is when a keeper that does not answer is asked again.
 	askTimeout = 100 * time.Millisecond
-	// farWait is the wait from which keepers of other regions are asked: two hops between regions.
-	farWait = 16 * time.Millisecond
 	// messageBytes stands for the head of a message with its framing, entryBytes for each server in it.
 	messageBytes, entryBytes = 80, 16
 )
@@ -32,14 +28,14 @@
 	for _, z := range e.w.d.zones() {
 		e.shards[z] = &holder{}
 	}
-	offset := time.Duration(e.id) * returnInterval / time.Duration(e.w.d.Instances)
+	offset := time.Duration(e.id) * beatInterval / time.Duration(e.w.d.Instances)
 	e.w.after(offset, e.beat)
 }
 
 // beat gives back idle slots and renews leases.
 func (e *entry) beat() {
 	e.settle()
-	e.w.after(returnInterval, e.beat)
+	e.w.after(beatInterval, e.beat)
 }
 
 // talk asks the keepers that can help and tells them what changed.
@@ -56,19 +52,10 @@
 
 func (e *entry) mustAsk(zone string) bool {
 	h := e.shards[zone]
-	since := e.w.now.Sub(h.askedAt)
-	if h.asking && since < askTimeout {
+	if h.asking && e.w.now.Sub(h.askedAt) < askTimeout {
 		return false
 	}
-	if e.w.fleetDoc.RegionOf(zone) != e.place.Region {
-		return e.asksFar(zone, since)
-	}
-	return e.fleet.Short(e.w.now, zone) || since >= renewInterval || since >= returnInterval && e.fleet.Spare(e.w.now, zone) > 0
-}
-
-func (e *entry) asksFar(zone string, since time.Duration) bool {
-	wait := e.queue.Len() > 0 && time.Duration(e.queue.Len())*e.fleet.Pace(e.w.now) > farWait
-	return wait && since >= returnInterval || e.fleet.Spare(e.w.now, zone) > 0 && since >= returnInterval
+	return e.fleet.Due(e.w.now, zone)
 }
 
 func (e *entry) ask(zone string) {
--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -1,6 +1,8 @@
 package lab
 
 import (
+	"time"
+
 	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
 )
 
@@ -47,7 +49,7 @@
 		{Name: "latency-weighted", Tuning: plain},
 		{Name: "two-reported", Tuning: balance.Tuning{Order: balance.ByReport}},
 		{Name: "weighted-reported", Tuning: balance.Tuning{Order: balance.ByReportedDelay}},
-		{Name: "leases", Tuning: balance.Tuning{Order: balance.ByDelay, Reserve: 1}, Keepers: true},
+		{Name: "leases", Tuning: balance.Tuning{Order: balance.ByDelay, Reserve: 1, ReturnInterval: 10 * time.Millisecond}, Keepers: true},
 		{Name: "default", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true},
 		{Name: "leases-strict", Tuning: with(func(t *balance.Tuning) { t.Overflow = 0 }), Keepers: true, Evidence: true},
 		{Name: "share-of-all", Tuning: with(func(t *balance.Tuning) { t.RegionShare = false }), Keepers: true, Evidence: true},
@@ -55,6 +57,9 @@
 		{Name: "loose-ramp", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, LooseRamp: true},
 		{Name: "stale-reports", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, StaleReports: true},
 		{Name: "region-notices", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, RegionNotices: true},
+			t.AskInterval, t.ReturnInterval, t.Reserve = 50*time.Millisecond, 50*time.Millisecond, 0
+		}), Keepers: true, Evidence: true},
+		{Name: "ask-at-once", Tuning: with(func(t *balance.Tuning) { t.AskInterval, t.ReturnInterval = 0, 10*time.Millisecond }), Keepers: true, Evidence: true},
 		{Name: "default+hedge", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, Hedge: true},
 	}
 }
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -86,6 +86,7 @@
 		zone  string
 		reply chan<- balance.Demand
 	}
+	dueZones    struct{ reply chan<- []string }
 	takeNotices struct{ reply chan<- []balance.Notice }
 	inspect     struct{ reply chan<- ServiceStatus }
 	poolEnded   struct{}
@@ -193,6 +194,11 @@
 	return task.Ask(ctx, s.inbox, func(reply chan<- balance.Demand) any { return demand{zone: zone, reply: reply} })
 }
 
+// DueZones returns the zones whose keepers are to be asked now.
+func (s *Service) DueZones(ctx context.Context) ([]string, error) {
+	return task.Ask(ctx, s.inbox, func(reply chan<- []string) any { return dueZones{reply: reply} })
+}
+
 // Notices returns what this instance saw of servers since the last call.
 func (s *Service) Notices(ctx context.Context) ([]balance.Notice, error) {
 	return task.Ask(ctx, s.inbox, func(reply chan<- []balance.Notice) any { return takeNotices{reply: reply} })
@@ -261,6 +267,8 @@
 	case demand:
 		s.fleet.Backlog(s.queue.Len())
 		m.reply <- s.fleet.Demand(now, m.zone)
+	case dueZones:
+		m.reply <- s.fleet.DueZones(now)
 	case takeNotices:
 		m.reply <- s.fleet.Notices()
 	case update:
