--- a/cmd/fuchsiahubd/main.go
+++ b/cmd/fuchsiahubd/main.go
@@ -1,4 +1,18 @@
 // Command fuchsiahubd is the load balancer daemon.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"fuchsiahub.example/fuchsiahub/internal/daemon"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := daemon.Main(ctx, os.Args, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,255 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fuchsiahub.example/fuchsiahub/internal/audit"
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/decide/once"
+	"fuchsiahub.example/fuchsiahub/internal/metric"
+	"fuchsiahub.example/fuchsiahub/internal/node"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/objecthttp"
+	"fuchsiahub.example/fuchsiahub/internal/peer"
+	"fuchsiahub.example/fuchsiahub/internal/settings"
+)
+
+// Daemon is one instance.
+type Daemon struct {
+	settings *settings.Daemon
+	log      *slog.Logger
+	metrics  *metric.Set
+	api      objectapi.API
+	self     member.Instance
+
+	callers, peers, operations net.Listener
+
+	inForce    atomic.Pointer[node.Documents]
+	client     *peer.Client
+	server     *peer.Server
+	gossip     *node.Gossip
+	config     *node.Config
+	lifecycle  *node.Lifecycle
+	registrar  *node.Registrar
+	directory  *node.Directory
+	session    *node.Session
+	keeper     *node.Keeper
+	holder     *node.Holder
+	claims     *node.Claims
+	quarantine *node.Quarantine
+	relay      *node.Relay
+	audit      *audit.Writer
+	requests   *node.Server
+	web        *web
+
+	// endClaims ends the claims tasks, and claimsEnded tells when the settlements of the last requests are delivered.
+	endClaims   context.CancelFunc
+	claimsEnded chan struct{}
+}
+
+// maxProbedServers bounds the probes of one instance. At the target size of 1,500 backend servers on 60 instances, one
+// instance keeps 25.
+const maxProbedServers = 50
+
+// Addresses are where an instance listens.
+type Addresses struct{ Callers, Peers, Operations string }
+
+// New opens the listeners of an instance and builds its tasks. Run starts them.
+func New(s *settings.Daemon, log *slog.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log.With("instance", s.Instance), metrics: metric.NewSet()}
+	d.api = objecthttp.New(s.Platform.Address.String(), nil)
+	if err := d.listen(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	d.self = member.Instance{
+		Name: s.Instance, Incarnation: member.NewIncarnation(time.Now()), Region: s.Region, Zone: s.Zone,
+		PeerAddress: d.peers.Addr().String(),
+	}
+	for _, build := range []func() error{
+		d.buildPeers, d.buildServices, d.buildKeepers, d.buildRequests, d.buildConfiguration, d.buildServer, d.buildWeb,
+	} {
+		if err := build(); err != nil {
+			d.closeListeners()
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// Addresses returns where the instance listens.
+func (d *Daemon) Addresses() Addresses {
+	return Addresses{Callers: d.callers.Addr().String(), Peers: d.peers.Addr().String(), Operations: d.operations.Addr().String()}
+}
+
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		name, address string
+		into          *net.Listener
+	}{
+		{"caller_address", d.settings.CallerAddress.String(), &d.callers},
+		{"peer_address", d.settings.PeerAddress.String(), &d.peers},
+		{"operations_address", d.settings.OperationsAddress.String(), &d.operations},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.WithHintf(errors.Wrapf(err, "setting %s", l.name), "end the process that uses %s, or change the setting", l.address)
+		}
+		*l.into = listener
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []net.Listener{d.callers, d.peers, d.operations} {
+		if l != nil {
+			_ = l.Close() // the daemon does not start; there is nothing to do about an error
+		}
+	}
+}
+
+func (d *Daemon) view() *member.View { return d.gossip.View() }
+
+func (d *Daemon) documents() *node.Documents { return d.inForce.Load() }
+
+func (d *Daemon) place() balance.Place {
+	return balance.Place{Region: d.settings.Region, Zone: d.settings.Zone}
+}
+
+func (d *Daemon) buildPeers() error {
+	config, err := d.settings.TLS.Peers.Config()
+	if err != nil {
+		return err
+	}
+	if d.client, err = peer.NewClient(d.view, peer.NetDialer, config, d.metrics.Registry()); err != nil {
+		return err
+	}
+	d.gossip, err = node.NewGossip(node.GossipOptions{
+		Self: d.self, Caller: d.client, API: d.api, Metrics: d.metrics.Registry(), Log: d.log,
+		Rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Notice:     func(n member.Notice) { d.relay.Notice(n) },
+		PeerConfig: func(name string, v member.Version) { d.config.PeerConfig(name, v) },
+	})
+	return err
+}
+
+func (d *Daemon) buildServices() error {
+	var err error
+	d.directory = node.NewDirectory(d.place(), backend.NetDialer, d.log)
+	d.relay = node.NewRelay(node.RelayOptions{View: d.view, Entries: d.directory.Entries, Report: d.gossip.Report, Log: d.log})
+	d.audit, err = audit.NewWriter(d.api, d.self.Name, d.self.Incarnation, d.log)
+	return err
+}
+
+func (d *Daemon) buildKeepers() error {
+	var err error
+	if d.session, err = node.NewSession(node.SessionConfig{Self: d.self, API: d.api, Peers: d.client, View: d.view, Log: d.log}); err != nil {
+		return err
+	}
+	d.keeper = node.NewKeeper(node.KeeperConfig{
+		Self: d.self, API: d.api, View: d.view, Docs: d.documents, Standing: d.session, Dial: backend.NetDialer,
+		ProbesPerSecond: d.probes(), Log: d.log,
+	})
+	d.holder = node.NewHolder(node.HolderConfig{
+		Self: d.self, Peers: d.client, Own: d.keeper.Lease, Owners: d.keeper.Owners, View: d.view, Docs: d.documents,
+		Service: d.leaseTaker, Log: d.log,
+	})
+	return nil
+}
+
+func (d *Daemon) leaseTaker(name string) (node.LeaseTaker, bool) {
+	entry, ok := d.directory.Lookup(name)
+	return entry.Task, ok
+}
+
+func (d *Daemon) buildRequests() error {
+	key := d.settings.Claims.Key
+	d.claims = node.NewClaims(d.claimParts(key))
+	var err error
+	d.quarantine, err = node.NewQuarantine(node.QuarantineParts{
+		Secret: key, Self: d.self, Peers: d.client, View: d.view, RegionOf: d.regionOf, Dial: backend.NetDialer, Log: d.log,
+	})
+	if err != nil {
+		return err
+	}
+	d.requests, err = node.NewServer(d.directory, d.place(), node.WithClaims(d.claims), node.WithQuarantine(d.quarantine))
+	return err
+}
+
+func (d *Daemon) claimParts(key []byte) node.ClaimParts {
+	return node.ClaimParts{
+		Settings: node.ClaimSettings{
+			Key: key, Partitions: d.settings.Claims.Partitions, WritesPerSecond: d.settings.Claims.WritesPerSecond,
+		},
+		Self:   once.Holder{Instance: d.self.Name, Incarnation: d.self.Incarnation},
+		Region: d.self.Region, API: d.api, Peers: d.client, View: d.view, Sets: d.regionSets, Log: d.log,
+	}
+}
+
+func (d *Daemon) regionSets() int {
+	docs := d.documents()
+	if docs == nil {
+		return 0
+	}
+	return once.RegionSets(slices.Collect(maps.Values(docs.Services)))
+}
+
+// probes is the budget of this instance. The setting is the rate of one backend server.
+func (d *Daemon) probes() int {
+	return int(math.Ceil(d.settings.Probe.PerSecond * maxProbedServers))
+}
+
+func (d *Daemon) regionOf(zone string) string {
+	if docs := d.documents(); docs != nil {
+		return docs.Fleet.RegionOf(zone)
+	}
+	return ""
+}
+
+func (d *Daemon) buildConfiguration() error {
+	var err error
+	if d.lifecycle, err = node.NewLifecycle(node.LifecycleOptions{
+		Zone: d.settings.Zone, Announce: d.settings.Drain.Announce, Limit: d.settings.Drain.Limit,
+		Stages: d.stages(), Tell: d.gossip.SetState, Log: d.log,
+	}); err != nil {
+		return err
+	}
+	d.config, err = node.NewConfig(node.ConfigOptions{
+		API: d.api, Caller: d.client, Sender: d.gossip.Sender, Metrics: d.metrics.Registry(), Log: d.log,
+		Apply: d.apply, InForce: d.gossip.SetConfig, Fleet: d.lifecycle.Fleet, Ready: d.lifecycle.Configured,
+	})
+	if err != nil || !d.settings.Platform.Register {
+		return err
+	}
+	return d.buildRegistrar()
+}
+
+// apply brings documents into force for all tasks.
+func (d *Daemon) apply(ctx context.Context, docs *node.Documents) error {
+	d.inForce.Store(docs)
+	return d.directory.Apply(ctx, docs)
+}
+
+func (d *Daemon) buildServer() error {
+	config, err := d.settings.TLS.Peers.Config()
+	if err != nil {
+		return err
+	}
+	d.server, err = peer.NewServer(peer.Handlers{
+		Gossip: d.gossip.Handle, Documents: d.config.Handle, Lease: d.keeper.Lease, Witness: d.session.Witness,
+		Claim: d.claims.HandleClaim, Settle: d.claims.HandleSettle, Strike: d.quarantine.HandleStrike,
+	}, config, d.metrics.Registry(), d.log)
+	return err
+}
--- /dev/null
+++ b/internal/daemon/main.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"fuchsiahub.example/fuchsiahub/internal/settings"
+)
+
+// Exit codes of the daemon.
+const (
+	exitFine = 0
+	// exitInvalid means that the settings are wrong or an address cannot be used.
+	exitInvalid = 1
+	// exitUnfinished means that a stop reached its bound with something still open.
+	exitUnfinished = 3
+)
+
+// Main runs the daemon with the arguments of the process and returns its exit code.
+func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
+	code := exitFine
+	command := &cli.Command{
+		Name: "fuchsiahubd", Usage: "load balancer for backend servers whose load changes within milliseconds",
+		Writer: out, ErrWriter: errOut,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "read the settings from `FILE`", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			var err error
+			code, err = run(ctx, c.String("config"), c.Bool("check"), errOut)
+			return err
+		},
+	}
+	if err := command.Run(ctx, args); err != nil {
+		report(errOut, err)
+		return max(code, exitInvalid)
+	}
+	return code
+}
+
+func run(ctx context.Context, path string, checkOnly bool, errOut io.Writer) (int, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return exitInvalid, errors.WithHint(errors.Wrap(err, "settings cannot be read"), "name the settings file with --config")
+	}
+	s, err := settings.Read(path, text)
+	if err != nil {
+		return exitInvalid, err
+	}
+	if checkOnly {
+		return exitFine, nil
+	}
+	d, err := New(s, logger(s.Log, errOut))
+	if err != nil {
+		return exitInvalid, err
+	}
+	if err := d.Run(ctx); err != nil {
+		return exitUnfinished, err
+	}
+	return exitFine, nil
+}
+
+func logger(s settings.Log, out io.Writer) *slog.Logger {
+	options := &slog.HandlerOptions{Level: s.Level}
+	if s.Format == settings.FormatText {
+		return slog.New(slog.NewTextHandler(out, options))
+	}
+	return slog.New(slog.NewJSONHandler(out, options))
+}
+
+func report(out io.Writer, err error) {
+	_, _ = fmt.Fprintln(out, "fuchsiahubd:", err) // standard error is the last resort
+	for _, hint := range errors.GetAllHints(err) {
+		_, _ = fmt.Fprintln(out, "remedy:", hint) // same
+	}
+}
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,116 @@
+package daemon
+
+import (
+	"context"
+
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/node"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+// Run runs the instance until the context ends, then stops it gracefully. The error names what was still open when the
+// bound of the stop was reached.
+func (d *Daemon) Run(ctx context.Context) error {
+	group := task.NewGroup(context.WithoutCancel(ctx))
+	d.start(group)
+	stopped := make(chan error, 1)
+	group.Go("lifecycle", func(ctx context.Context) error {
+		stopped <- d.lifecycle.Run(ctx)
+		return nil
+	})
+	d.log.Info("instance started", "region", d.self.Region, "zone", d.self.Zone, "callers", d.callers.Addr().String(),
+		"peers", d.peers.Addr().String(), "operations", d.operations.Addr().String())
+	err := d.await(ctx, group, stopped)
+	d.endClaims()
+	group.Stop()
+	d.web.close()
+	if failed := group.Wait(); err == nil {
+		err = failed
+	}
+	d.log.Info("instance stopped", "error", err)
+	return err
+}
+
+// await returns when the instance has stopped after the context ended, or when a task failed.
+func (d *Daemon) await(ctx context.Context, group *task.Group, stopped <-chan error) error {
+	select {
+	case <-ctx.Done():
+		d.lifecycle.Stop()
+	case <-group.Context().Done():
+		return nil
+	case err := <-stopped:
+		return err
+	}
+	select {
+	case err := <-stopped:
+		return err
+	case <-group.Context().Done():
+		return nil
+	}
+}
+
+func (d *Daemon) start(group *task.Group) {
+	claims, endClaims := context.WithCancel(context.WithoutCancel(group.Context()))
+	d.endClaims, d.claimsEnded = endClaims, make(chan struct{})
+	group.Go("claims", func(context.Context) error {
+		defer close(d.claimsEnded)
+		return d.claims.Run(claims)
+	})
+	group.Go("peer client", d.client.Run)
+	group.Go("peer server", func(ctx context.Context) error { return d.server.Run(ctx, d.peers) })
+	group.Go("gossip", d.gossip.Run)
+	group.Go("directory", d.directory.Run)
+	group.Go("configuration", d.config.Run)
+	group.Go("session", d.session.Run)
+	group.Go("keeper", d.keeper.Run)
+	group.Go("holder", d.holder.Run)
+	group.Go("quarantine", d.quarantine.Run)
+	group.Go("relay", d.relay.Run)
+	group.Go("audit", d.audit.Run)
+	group.Go("callers", d.web.serveCallers)
+	group.Go("operations", d.web.serveOperations)
+	if d.registrar != nil {
+		group.Go("registrar", d.registrar.Run)
+	}
+}
+
+// stages are the steps of a graceful stop after the platform's balancer had time to see that the instance is not ready.
+// Requests end first, because they need leases and claims; peers are served last, because others still ask for
+// settlements and documents.
+func (d *Daemon) stages() []node.Stage {
+	return []node.Stage{
+		{Name: "requests of callers", Run: func(ctx context.Context) error { return d.web.drain(ctx) }},
+		{Name: "once-only claims", Run: d.drainClaims},
+		{Name: "slot leases", Run: func(ctx context.Context) error { return d.holder.Leave(ctx) }},
+		{Name: "shards", Run: func(ctx context.Context) error { return d.keeper.Leave(ctx) }},
+		{Name: "session", Run: func(ctx context.Context) error { return d.session.Leave(ctx) }},
+		{Name: "membership", Run: func(ctx context.Context) error { return d.gossip.Leave(ctx) }},
+		{Name: "list of instances", Run: d.unregister},
+		{Name: "messages of peers", Run: func(ctx context.Context) error { return d.server.Drain(ctx) }},
+	}
+}
+
+func (d *Daemon) drainClaims(ctx context.Context) error {
+	d.endClaims()
+	select {
+	case <-d.claimsEnded:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (d *Daemon) unregister(ctx context.Context) error {
+	if d.registrar == nil {
+		return nil
+	}
+	return d.registrar.Remove(ctx)
+}
+
+func (d *Daemon) buildRegistrar() error {
+	var err error
+	d.registrar, err = node.NewRegistrar(d.api, document.Instance{
+		Name: d.self.Name, Region: d.self.Region, Zone: d.self.Zone, PeerAddress: d.self.PeerAddress, Incarnation: d.self.Incarnation,
+	}, d.log)
+	return err
+}
--- /dev/null
+++ b/internal/daemon/source.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/node"
+	"fuchsiahub.example/fuchsiahub/internal/ops"
+)
+
+// source gives what the operations side shows.
+type source struct{ d *Daemon }
+
+// Ready says whether the platform's balancer should send requests.
+func (s *source) Ready() ops.Readiness {
+	status := s.d.lifecycle.Status()
+	readiness := ops.Readiness{Ready: status.Ready}
+	if !status.Ready {
+		readiness.Reason = status.Reason
+	}
+	return readiness
+}
+
+// WriteMetrics writes one line per metric.
+func (s *source) WriteMetrics(w io.Writer) error { return s.d.metrics.WriteText(w) }
+
+// State returns the state of the decisions.
+func (s *source) State(r *http.Request) (any, error) {
+	d := s.d
+	status := d.lifecycle.Status()
+	state := ops.State{
+		Instance: d.self.Name, Region: d.self.Region, Zone: d.self.Zone, Incarnation: d.self.Incarnation,
+		State: status.State, Ready: status.Ready, Documents: []ops.Document{}, Rejected: []ops.Rejected{},
+		Services: services(r.Context(), d.directory), Members: []ops.Member{}, Keepers: []ops.Keeper{}, Counters: d.metrics.Counters(),
+	}
+	if !status.Ready {
+		state.Reason = status.Reason
+	}
+	s.addDocuments(&state)
+	s.addMembers(&state)
+	s.addKeepers(&state)
+	return state, nil
+}
+
+func (s *source) addDocuments(state *ops.State) {
+	for _, doc := range s.d.config.Status().Documents {
+		if doc.Version > 0 {
+			state.Documents = append(state.Documents, ops.Document{Kind: doc.Kind, Name: doc.Name, Version: doc.Version})
+		}
+		if doc.Rejected > 0 {
+			state.Rejected = append(state.Rejected, ops.Rejected{
+				Kind: doc.Kind, Name: doc.Name, Version: doc.Rejected, InForce: doc.Version, Message: doc.Reason,
+			})
+		}
+	}
+}
+
+func (s *source) addMembers(state *ops.State) {
+	for _, m := range s.d.view().Members {
+		member := ops.Member{Instance: m.Name, Incarnation: m.Incarnation, Region: m.Region, Zone: m.Zone, State: m.Condition}
+		if !m.Heard.IsZero() && m.Name != s.d.self.Name {
+			member.HeartbeatAgeMs = time.Since(m.Heard).Milliseconds()
+		}
+		state.Members = append(state.Members, member)
+	}
+}
+
+func (s *source) addKeepers(state *ops.State) {
+	for key, owner := range s.d.keeper.Owners() {
+		state.Keepers = append(state.Keepers, ops.Keeper{Service: key.Service, Zone: key.Zone, Instance: owner})
+	}
+	slices.SortFunc(state.Keepers, func(a, b ops.Keeper) int {
+		return strings.Compare(a.Service+" "+a.Zone, b.Service+" "+b.Zone)
+	})
+}
+
+// services asks each service task for its status, in the order of the names. A task that ends meanwhile is left out.
+func services(ctx context.Context, directory *node.Directory) []node.ServiceStatus {
+	list := []node.ServiceStatus{}
+	for _, entry := range directory.Entries() {
+		if status, err := entry.Task.Status(ctx); err == nil {
+			list = append(list, status)
+		}
+	}
+	slices.SortFunc(list, func(a, b node.ServiceStatus) int { return strings.Compare(a.Service, b.Service) })
+	return list
+}
--- a/internal/metric/set.go
+++ b/internal/metric/set.go
@@ -23,6 +23,9 @@
 // NewSet returns an empty set.
 func NewSet() *Set { return &Set{registry: gometrics.NewRegistry()} }
 
+// Registry returns the registry for packages that register their own metrics.
+func (s *Set) Registry() gometrics.Registry { return s.registry }
+
 // Service holds the measurements of one service. Its metrics are looked up once, not for each request.
 type Service struct {
 	set      *Set
