Name claim objects with letters that the object API takes

Cause: the first run of three daemon processes refused every once-only request: the names of partitions and of the layout held capital letters and underscores, which the object API refuses, and the in-memory fake took any name. The names now use lower-case letters, digits and dots, and the fake checks names. With the old names its tests fail.

--- a/internal/decide/once/place.go
+++ b/internal/decide/once/place.go
@@ -26,16 +26,12 @@
 // Name returns the name of the partition's head. Region names hold neither "_" nor capital letters, so two places
 // never share a name.
 func (p Place) Name() string {
-	set := strings.Join(p.Regions, "_")
-	if set == "" {
-		set = "ALL"
-	}
-	return set + "_" + strconv.FormatUint(uint64(p.Number), 10)
+	return setName(p.Regions) + ".p" + strconv.FormatUint(uint64(p.Number), 10)
 }
 
 // SegmentName returns the name of a sealed segment.
 func (p Place) SegmentName(number uint64) string {
-	return p.Name() + "-" + strconv.FormatUint(number, 10)
+	return p.Name() + ".s" + strconv.FormatUint(number, 10)
 }
 
 // Allows reports whether the region may hold the partition.
@@ -76,6 +72,14 @@
 	}
 }
 
+// setName names a set of regions. Each region stands behind its length, so that two sets never share a name: names of
+// regions may hold dots and dashes, and object names may hold nothing else that could separate them.
 func setName(regions []string) string {
-	return strings.Join(slices.Compact(slices.Sorted(slices.Values(regions))), "_")
+	var name strings.Builder
+	sorted := slices.Compact(slices.Sorted(slices.Values(regions)))
+	name.WriteString("r" + strconv.Itoa(len(sorted)))
+	for _, r := range sorted {
+		name.WriteString("." + strconv.Itoa(len(r)) + "." + r)
+	}
+	return name.String()
 }
--- a/internal/node/claimlayout.go
+++ b/internal/node/claimlayout.go
@@ -17,7 +17,7 @@
 const (
 	// layoutName is the object that holds a digest of the settings by which claims are found. Names of partitions hold
 	// a "_", so none has this name.
-	layoutName = "LAYOUT"
+	layoutName = "layout"
 	// layoutRetry is the wait before the object is read again after a failure or a difference.
 	layoutRetry = 2 * time.Second
 )
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -16,6 +16,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/backend"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/objecthttp"
 	"fuchsiahub.example/fuchsiahub/internal/peer"
 	"fuchsiahub.example/fuchsiahub/internal/peerpb"
 )
@@ -61,6 +62,9 @@
 }
 
 func (m *memoryAPI) Create(ctx context.Context, kind objectapi.Kind, name string, value []byte) (objectapi.Object, error) {
+	if !objecthttp.ValidName(name) {
+		return objectapi.Object{}, fault.New(fault.Invalid, "use lower-case letters, digits, dots and dashes", "object name %q is not valid", name)
+	}
 	return m.write(kind, name, 0, value)
 }
 
