--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,315 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"io/fs"
+	"log/slog"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/examples"
+	"fuchsiahub.example/fuchsiahub/internal/daemon"
+	"fuchsiahub.example/fuchsiahub/internal/docfile"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/settings"
+	"fuchsiahub.example/fuchsiahub/internal/standin/backend"
+	"fuchsiahub.example/fuchsiahub/internal/standin/site"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+const (
+	// limit bounds the whole demo.
+	limit = 30 * time.Second
+	// phase is how long the load runs between two events.
+	phase = 2 * time.Second
+	// median is the service time of half of the requests at a stand-in backend server.
+	median = 5 * time.Millisecond
+	// zoneTaken is the availability zone that the demo takes out and back.
+	zoneTaken = "permian-b"
+	// quietLimit is how long the demo waits for a zone that was taken out to get no new work.
+	quietLimit = 5 * time.Second
+)
+
+// places are where the instances run: three zones of two regions.
+var places = []struct{ region, zone string }{{"permian", "permian-a"}, {"permian", "permian-b"}, {"gulf", "gulf-a"}}
+
+// demo is one run.
+type demo struct {
+	out    io.Writer
+	log    *slog.Logger
+	site   *site.Site
+	group  *task.Group
+	fleet  []*instance
+	result Result
+}
+
+type instance struct {
+	*daemon.Daemon
+	stop  context.CancelFunc
+	ended chan error
+}
+
+// Run runs the demo, prints what happens and a table, and fails when a promise was broken.
+func Run(ctx context.Context, out io.Writer, log *slog.Logger) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	d := &demo{out: out, log: log, group: task.NewGroup(context.WithoutCancel(ctx))}
+	err := d.play(ctx)
+	d.stopAll()
+	d.group.Stop()
+	if failed := d.group.Wait(); err == nil {
+		err = failed
+	}
+	if err != nil {
+		return err
+	}
+	d.result.print(out)
+	return d.result.check()
+}
+
+func (d *demo) play(ctx context.Context) error {
+	if err := d.startSite(); err != nil {
+		return err
+	}
+	if err := d.startFleet(ctx); err != nil {
+		return err
+	}
+	load := startLoad(ctx, d.callerAddresses())
+	for _, step := range []func(context.Context) error{
+		pauseFor(phase), d.takeZoneOut, pauseFor(phase), d.bringZoneIn, pauseFor(phase), d.stopServer, pauseFor(phase),
+		func(ctx context.Context) error { return d.stopInstance(ctx) }, pauseFor(phase),
+	} {
+		if err := step(ctx); err != nil {
+			load.stop()
+			return err
+		}
+	}
+	d.result.load = load.stop()
+	return d.count(ctx)
+}
+
+func (d *demo) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.out, format+"\n", args...) // a broken output ends with the program
+}
+
+func (d *demo) startSite() error {
+	files, err := fs.Sub(examples.Files, "pecos")
+	if err != nil {
+		return err
+	}
+	d.site, err = site.Start(d.group, files, site.Options{
+		Services: []string{"intake", "atlas"}, Median: median, Spread: 0.5, Seed: 1, WarmUp: 5,
+	})
+	if err != nil {
+		return err
+	}
+	d.say("started the object API and %d backend servers", len(d.site.Servers))
+	return nil
+}
+
+func (d *demo) startFleet(ctx context.Context) error {
+	for i, place := range places {
+		if err := d.startInstance(fmt.Sprintf("entry-%d", i+1), place.region, place.zone); err != nil {
+			return err
+		}
+	}
+	for _, i := range d.fleet {
+		if err := waitReady(ctx, i.Addresses().Operations); err != nil {
+			return err
+		}
+	}
+	d.say("started %d instances in different availability zones", len(d.fleet))
+	return nil
+}
+
+func (d *demo) startInstance(name, region, zone string) error {
+	text := fmt.Sprintf(settingsText, name, region, zone, d.site.Address)
+	s, err := settings.Read(name, []byte(text))
+	if err != nil {
+		return err
+	}
+	built, err := daemon.New(s, d.log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	i := &instance{Daemon: built, stop: stop, ended: make(chan error, 1)}
+	d.fleet = append(d.fleet, i)
+	go func() { i.ended <- i.Run(ctx) }()
+	return nil
+}
+
+// settingsText needs the name, the region, the zone and the address of the object API.
+const settingsText = `instance = %q
+region = %q
+zone = %q
+caller_address = "127.0.0.1:0"
+peer_address = "127.0.0.1:0"
+operations_address = "127.0.0.1:0"
+[platform]
+address = %q
+[drain]
+announce = "1s"
+limit = "10s"
+[claims]
+key = "000102030405060708090a0b0c0d0e0f"
+`
+
+func (d *demo) callerAddresses() []string {
+	var list []string
+	for _, i := range d.fleet {
+		list = append(list, i.Addresses().Callers)
+	}
+	return list
+}
+
+// takeZoneOut edits the fleet document, as an operator does, and measures how long the zone still gets new work.
+func (d *demo) takeZoneOut(ctx context.Context) error {
+	start := time.Now()
+	if err := d.editFleet(ctx, []string{zoneTaken}); err != nil {
+		return err
+	}
+	quiet, err := d.lastWork(ctx, start)
+	d.result.quiet = quiet
+	d.say("took availability zone %s out: its last new request began %.1f s later", zoneTaken, quiet.Seconds())
+	return err
+}
+
+func (d *demo) bringZoneIn(ctx context.Context) error {
+	d.say("brought availability zone %s back", zoneTaken)
+	return d.editFleet(ctx, nil)
+}
+
+func (d *demo) editFleet(ctx context.Context, out []string) error {
+	object, err := d.site.Store.Get(ctx, objectapi.Fleet, document.FleetName)
+	if err != nil {
+		return err
+	}
+	doc, err := docfile.ReadFleet("fleet", object.Value)
+	if err != nil {
+		return err
+	}
+	doc.Out = out
+	text, err := docfile.WriteFleet(doc)
+	if err != nil {
+		return err
+	}
+	_, err = d.site.Store.Update(ctx, objectapi.Fleet, document.FleetName, object.Version, text)
+	return err
+}
+
+// lastWork watches the zone for quietLimit and returns when its last new request began, counted from start.
+func (d *demo) lastWork(ctx context.Context, start time.Time) (time.Duration, error) {
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	last, before := time.Duration(0), -1
+	for time.Since(start) < quietLimit {
+		started, err := d.startedIn(ctx, zoneTaken)
+		if err != nil {
+			return 0, err
+		}
+		if started != before {
+			last, before = time.Since(start), started
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
+	return last, nil
+}
+
+func (d *demo) startedIn(ctx context.Context, zone string) (int, error) {
+	sum := 0
+	for _, s := range d.site.Servers {
+		if s.Zone != zone {
+			continue
+		}
+		report, err := s.Report(ctx)
+		if err != nil {
+			return 0, err
+		}
+		sum += report.Started
+	}
+	return sum, nil
+}
+
+// stopServer makes one backend server leave: it says so on its answers, and stops once it gets no new work.
+func (d *demo) stopServer(ctx context.Context) error {
+	leaving := d.site.Servers[0]
+	if err := leaving.Set(ctx, backend.Switches{Draining: true}); err != nil {
+		return err
+	}
+	if err := pauseFor(phase)(ctx); err != nil {
+		return err
+	}
+	report, err := d.site.StopServer(ctx, leaving)
+	if err != nil {
+		return err
+	}
+	d.result.afterDrain = report.StartedDraining
+	d.say("backend server %s left: %d requests began after it first said so", leaving.Name, report.StartedDraining)
+	return nil
+}
+
+// stopInstance stops one instance gracefully while callers still use it.
+func (d *demo) stopInstance(ctx context.Context) error {
+	last := d.fleet[len(d.fleet)-1]
+	start := time.Now()
+	last.stop()
+	select {
+	case err := <-last.ended:
+		d.fleet = d.fleet[:len(d.fleet)-1]
+		if err != nil {
+			return err
+		}
+	case <-ctx.Done():
+		return fault.New(fault.DeadlineExceeded, "run the demo on a machine with less load", "an instance did not stop in time")
+	}
+	d.say("instance stopped gracefully in %.1f s", time.Since(start).Seconds())
+	return nil
+}
+
+func (d *demo) count(ctx context.Context) error {
+	twice, err := d.site.RunTwice(ctx)
+	if err != nil {
+		return err
+	}
+	reports, err := d.site.Reports(ctx)
+	if err != nil {
+		return err
+	}
+	d.result.twice = twice
+	for _, r := range reports {
+		d.result.coldOverloads += r.ColdOverloads
+	}
+	return nil
+}
+
+func (d *demo) stopAll() {
+	for _, i := range d.fleet {
+		i.stop()
+	}
+	for _, i := range d.fleet {
+		if err := <-i.ended; err != nil {
+			d.log.Warn("instance did not stop cleanly", "error", err)
+		}
+	}
+}
+
+func pauseFor(length time.Duration) func(context.Context) error {
+	return func(ctx context.Context) error {
+		timer := time.NewTimer(length)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/internal/demo/load.go
@@ -0,0 +1,183 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/frontend"
+	"fuchsiahub.example/fuchsiahub/internal/standin/backend"
+)
+
+const (
+	// callers is how many callers send at a time, and interval how often each sends.
+	callers  = 12
+	interval = 20 * time.Millisecond
+	// highestMicros is the longest time that the histograms tell apart, in microseconds.
+	highestMicros = 60_000_000
+)
+
+// tally is what callers saw.
+type tally struct {
+	answered, notRun, unknown, other int
+	// elapsed and added hold microseconds: of the whole request, and of it less the time at the backend server.
+	elapsed, added *hdrhistogram.Histogram
+}
+
+func newTally() *tally {
+	return &tally{elapsed: hdrhistogram.New(1, highestMicros, 3), added: hdrhistogram.New(1, highestMicros, 3)}
+}
+
+func (t *tally) merge(other *tally) {
+	t.answered += other.answered
+	t.notRun += other.notRun
+	t.unknown += other.unknown
+	t.other += other.other
+	t.elapsed.Merge(other.elapsed)
+	t.added.Merge(other.added)
+}
+
+// load is a running load.
+type load struct {
+	cancel context.CancelFunc
+	ended  chan *tally
+}
+
+func startLoad(ctx context.Context, addresses []string) *load {
+	ctx, cancel := context.WithCancel(ctx)
+	l := &load{cancel: cancel, ended: make(chan *tally, callers)}
+	for c := range callers {
+		caller := &caller{number: c, addresses: addresses, client: &http.Client{Transport: &http.Transport{}}, seen: newTally()}
+		go func() { l.ended <- caller.run(ctx) }()
+	}
+	return l
+}
+
+// stop ends the load and returns what all callers saw.
+func (l *load) stop() *tally {
+	l.cancel()
+	sum := newTally()
+	for range callers {
+		sum.merge(<-l.ended)
+	}
+	return sum
+}
+
+// caller sends one request at a time.
+type caller struct {
+	number    int
+	addresses []string
+	client    *http.Client
+	seen      *tally
+	sent      int
+}
+
+func (c *caller) run(ctx context.Context) *tally {
+	defer c.client.CloseIdleConnections()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			c.send()
+		case <-ctx.Done():
+			return c.seen
+		}
+	}
+}
+
+// send sends a request and, when nothing ran, sends it again to the other instances. A caller behind the platform's
+// balancer does the same.
+func (c *caller) send() {
+	c.sent++
+	key := fmt.Sprintf("demo-%d-%d", c.number, c.sent)
+	for try := range c.addresses {
+		address := c.addresses[(c.number+c.sent+try)%len(c.addresses)]
+		again := c.attempt(address, key)
+		if !again {
+			return
+		}
+	}
+	c.seen.notRun++
+}
+
+// attempt reports whether the request may be sent to another instance.
+func (c *caller) attempt(address, key string) (again bool) {
+	start := time.Now()
+	resp, err := c.client.Do(c.request(address, key))
+	if err != nil {
+		if strings.Contains(err.Error(), "connection refused") {
+			return true
+		}
+		c.seen.unknown++
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		c.seen.unknown++
+		return false
+	}
+	return c.judge(resp, time.Since(start))
+}
+
+func (c *caller) judge(resp *http.Response, elapsed time.Duration) (again bool) {
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		c.seen.answered++
+		_ = c.seen.elapsed.RecordValue(elapsed.Microseconds()) // longer than a minute is not possible here
+		if ran, err := strconv.ParseInt(resp.Header.Get(backend.HeaderRan), 10, 64); err == nil {
+			_ = c.seen.added.RecordValue(max(1, elapsed.Microseconds()-ran)) // same
+		}
+	case resp.Header.Get(frontend.HeaderOutcome) == "not-run":
+		return true
+	case resp.Header.Get(frontend.HeaderOutcome) == "unknown":
+		c.seen.unknown++
+	default:
+		c.seen.other++
+	}
+	return false
+}
+
+// request is a dispatch, which is once-only, every fifth time and else a lookup.
+func (c *caller) request(address, key string) *http.Request {
+	method, path, service := http.MethodGet, "/meters/"+key, "atlas"
+	if c.sent%5 == 0 {
+		method, path, service = http.MethodPost, "/dispatches", "intake"
+	}
+	req, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(key))
+	if err != nil {
+		panic(err) // all parts are constants of this package
+	}
+	req.Header.Set(frontend.HeaderService, service)
+	if method == http.MethodPost {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	return req
+}
+
+// waitReady polls the readiness of an instance.
+func waitReady(ctx context.Context, operations string) error {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		resp, err := http.Get("http://" + operations + "/ready")
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fault.New(fault.DeadlineExceeded, "look at the log with --verbose", "instance at %s did not become ready", operations)
+		}
+	}
+}
--- /dev/null
+++ b/internal/demo/result.go
@@ -0,0 +1,57 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+// Result is what the demo measured.
+type Result struct {
+	load *tally
+	// twice counts once-only requests that ran more than once.
+	twice int
+	// coldOverloads counts requests that failed because a backend server was cold.
+	coldOverloads int
+	// quiet is how long an availability zone that was taken out still got new work.
+	quiet time.Duration
+	// afterDrain counts requests that began at a backend server after it first said that it is leaving.
+	afterDrain int
+}
+
+func (r *Result) print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	row := func(name, format string, args ...any) {
+		_, _ = fmt.Fprintf(w, name+"\t"+format+"\n", args...) // a broken output ends with the program
+	}
+	row("answered", "%d", r.load.answered)
+	row("refused as not run", "%d", r.load.notRun)
+	row("outcome unknown", "%d", r.load.unknown)
+	row("run twice", "%d", r.twice)
+	row("overloads of cold servers", "%d", r.coldOverloads)
+	row("p50", "%.2f ms", millis(r.load.elapsed.ValueAtPercentile(50)))
+	row("p99", "%.2f ms", millis(r.load.elapsed.ValueAtPercentile(99)))
+	row("added latency p50", "%.2f ms", millis(r.load.added.ValueAtPercentile(50)))
+	row("added latency p99", "%.2f ms", millis(r.load.added.ValueAtPercentile(99)))
+	row("zone quiet after", "%.1f s", r.quiet.Seconds())
+	_ = w.Flush() // same
+}
+
+func millis(micros int64) float64 { return float64(micros) / 1000 }
+
+// check fails when a promise was broken.
+func (r *Result) check() error {
+	const remedy = "report this as a bug with the output of fuchsiahub demo --verbose"
+	switch {
+	case r.twice > 0:
+		return fault.New(fault.Internal, remedy, "%d once-only requests ran twice", r.twice)
+	case r.load.answered == 0:
+		return fault.New(fault.Internal, remedy, "no request was answered")
+	case r.quiet >= quietLimit-200*time.Millisecond:
+		return fault.New(fault.Internal, remedy, "the zone that was taken out still got new work")
+	}
+	return nil
+}
--- a/internal/standin/backend/handler.go
+++ b/internal/standin/backend/handler.go
@@ -18,6 +18,9 @@
 // HeaderName carries the name of the server that answered.
 const HeaderName = "Standin-Name"
 
+// HeaderRan carries how long the request ran at the server, in microseconds.
+const HeaderRan = "Standin-Ran-Us"
+
 // handler serves one life of a server. Each request runs on a goroutine of net/http, which holds no state.
 //
 // An answered request gets its own body back, or its method and target when it has none. The paths /health,
@@ -135,7 +138,9 @@
 }
 
 func (h *handler) run(ctx context.Context, w http.ResponseWriter, r *http.Request, v verdict, body []byte) {
+	start := time.Now()
 	done := pause(ctx, v.time)
+	ran := time.Since(start)
 	about, err := ask(context.WithoutCancel(ctx), h.server, func(reply chan<- self) any { return end{life: h.life, reply: reply} })
 	if err != nil {
 		panic(http.ErrAbortHandler) // the server has ended
@@ -148,6 +153,7 @@
 		body = []byte(r.Method + " " + r.URL.RequestURI())
 	}
 	h.describe(w, about)
+	w.Header().Set(HeaderRan, strconv.FormatInt(ran.Microseconds(), 10))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if v.truncate {
 		body = body[:len(body)/2]
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io/fs"
+	"maps"
 	"net"
 	"net/http"
 	"path"
@@ -39,8 +40,8 @@
 	*backend.Server
 	Service, Name, Zone string
 	Slots               int
-	// Stop ends the server after the requests that run.
-	Stop func()
+	// stop ends the server after the requests that run.
+	stop func()
 }
 
 // Site is a running site.
@@ -52,11 +53,13 @@
 	Fleet   *document.Fleet
 	// Documents holds the text of each service document with the addresses of this site.
 	Documents map[string][]byte
+	// last holds the reports of servers that were stopped.
+	last map[string]backend.Report
 }
 
 // Start runs a site as tasks of the group and stores its documents. Files is one folder of package examples.
 func Start(group *task.Group, files fs.FS, options Options) (*Site, error) {
-	s := &Site{Store: standinapi.New(), Documents: map[string][]byte{}}
+	s := &Site{Store: standinapi.New(), Documents: map[string][]byte{}, last: map[string]backend.Report{}}
 	group.Go("object API", s.Store.Run)
 	if err := s.serveStore(group); err != nil {
 		return nil, err
@@ -134,7 +137,7 @@
 	address := first.Addr().String()
 	serverCtx, stop := context.WithCancel(group.Context())
 	s.Servers = append(s.Servers, Server{
-		Server: server, Service: doc.Name, Name: spec.Name, Zone: spec.Zone, Slots: doc.SlotsOf(spec), Stop: stop,
+		Server: server, Service: doc.Name, Name: spec.Name, Zone: spec.Zone, Slots: doc.SlotsOf(spec), stop: stop,
 	})
 	group.Go(spec.Name, func(context.Context) error {
 		defer stop()
@@ -149,15 +152,30 @@
 	return address, nil
 }
 
-// Reports returns what each server counted, by service and name.
+// StopServer ends a server after the requests that run and returns what it counted.
+func (s *Site) StopServer(ctx context.Context, server Server) (backend.Report, error) {
+	report, err := server.Report(ctx)
+	if err != nil {
+		return report, err
+	}
+	s.last[server.Service+"/"+server.Name] = report
+	server.stop()
+	return report, nil
+}
+
+// Reports returns what each server counted, by service and name. Those that were stopped give their last report.
 func (s *Site) Reports(ctx context.Context) (map[string]backend.Report, error) {
-	reports := map[string]backend.Report{}
+	reports := maps.Clone(s.last)
 	for _, server := range s.Servers {
+		key := server.Service + "/" + server.Name
+		if _, stopped := reports[key]; stopped {
+			continue
+		}
 		report, err := server.Report(ctx)
 		if err != nil {
 			return nil, err
 		}
-		reports[server.Service+"/"+server.Name] = report
+		reports[key] = report
 	}
 	return reports, nil
 }
