Ask suspects in both regions, those asked least first

Change: each round one question goes to a suspect of the own region and one to a suspect of another, first to those that were asked least and have been silent for longest.

--- a/internal/decide/member/peer.go
+++ b/internal/decide/member/peer.go
@@ -16,6 +16,8 @@
 	heard time.Time
 	// known is when this incarnation was first heard of.
 	known time.Time
+	// asked counts the direct questions since the last heartbeat.
+	asked int
 
 	machine *chart.Machine[*peer]
 	// news is the entry that an event brings; the chart decides whether it is taken.
@@ -42,7 +44,7 @@
 	if e.PeerAddress != "" {
 		p.Instance = e.Instance
 	}
-	p.heartbeat, p.state, p.config = e.Heartbeat, e.State, e.Config
+	p.heartbeat, p.state, p.config, p.asked = e.Heartbeat, e.State, e.Config, 0
 	if p.news.heard.After(p.heard) {
 		p.heard = p.news.heard
 	}
--- a/internal/decide/member/round.go
+++ b/internal/decide/member/round.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -17,46 +18,74 @@
 
 // Round starts a round of gossip and returns the names of the peers that get a Request, or addresses of seeds.
 //
-// One of the messages goes to a suspect, if there is one: its own answer settles whether it is alive. That keeps a
-// fleet of hundreds, where the freshest entries of a message are a small part of all, from taking live members as
-// dead.
+// Two of the messages go to suspects, if there are any, one in the own region and one in another: their own answers
+// settle whether they are alive. That keeps a fleet of hundreds, where the freshest entries of a message are a small
+// part of all, from taking live members as dead.
 func (t *Table) Round(now time.Time, rnd *rand.Rand) []string {
 	t.Tick(now)
 	t.heartbeat++
 	t.round++
-	near, far, suspect, lost := t.sortPeers()
+	g := t.groups()
 	var targets []string
-	targets = add(targets, pick(rnd, suspect, 1))
-	targets = add(targets, pick(rnd, near, fanout-len(targets)))
-	if len(near) == 0 {
-		targets = add(targets, pick(rnd, lost, fanout))
+	targets = add(targets, g.nearSuspects.next())
+	targets = add(targets, g.farSuspects.next())
+	targets = add(targets, pick(rnd, g.near, fanout-len(targets)))
+	if len(g.near) == 0 {
+		targets = add(targets, pick(rnd, g.lost, fanout))
 	}
 	if t.round%farRounds == 0 {
-		targets = add(targets, pick(rnd, far, 1))
-		targets = add(targets, pick(rnd, lost, 1))
+		targets = add(targets, pick(rnd, g.far, 1))
+		targets = add(targets, pick(rnd, g.lost, 1))
 	}
 	return targets
 }
 
-// sortPeers returns the names of peers in the own region, in other regions, of suspects, and of those that do not
-// take part in gossip now: listed, dead and seeds. Asking the lost ones ends a partition.
-func (t *Table) sortPeers() (near, far, suspect, lost []string) {
+// groups are the peers by what gossip does with them.
+type groups struct {
+	// near and far are alive, in the own region and in others.
+	near, far                 []string
+	nearSuspects, farSuspects suspects
+	// lost are those that do not take part in gossip now: listed, dead and seeds. Asking them ends a partition.
+	lost []string
+}
+
+func (t *Table) groups() groups {
+	var g groups
 	for _, p := range t.peers {
+		near := p.Region == t.self.Region
 		switch {
+		case p.machine.In("suspect") && near:
+			g.nearSuspects = append(g.nearSuspects, p)
 		case p.machine.In("suspect"):
-			suspect = append(suspect, p.Name)
-		case p.present() && p.Region == t.self.Region:
-			near = append(near, p.Name)
+			g.farSuspects = append(g.farSuspects, p)
+		case p.present() && near:
+			g.near = append(g.near, p.Name)
 		case p.present():
-			far = append(far, p.Name)
+			g.far = append(g.far, p.Name)
 		case !p.machine.In("left"):
-			lost = append(lost, p.Name)
+			g.lost = append(g.lost, p.Name)
 		}
 	}
-	for _, list := range [][]string{near, far, suspect, lost} {
+	for _, list := range [][]string{g.near, g.far, g.lost} {
 		slices.Sort(list) // the order of a map would make runs with one seed differ
 	}
-	return near, far, suspect, append(lost, t.unknownSeeds()...)
+	g.lost = append(g.lost, t.unknownSeeds()...)
+	return g
+}
+
+type suspects []*peer
+
+// next returns the suspect that was asked least and, of those, has been silent for longest. Others that really
+// failed, which were asked before, do not hold it up.
+func (s suspects) next() []string {
+	if len(s) == 0 {
+		return nil
+	}
+	first := slices.MinFunc(s, func(x, y *peer) int {
+		return cmp.Or(cmp.Compare(x.asked, y.asked), x.heard.Compare(y.heard), cmp.Compare(x.Name, y.Name))
+	})
+	first.asked++
+	return []string{first.Name}
 }
 
 // unknownSeeds returns the seeds that no known member has as its address.
--- /dev/null
+++ b/internal/node/gossipcost_test.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
+)
+
+// gossipCost runs member tables over encoded messages and counts bytes. It has no transport.
+type gossipCost struct {
+	tb     testing.TB
+	now    time.Time
+	rnd    *rand.Rand
+	tables map[string]*member.Table
+	names  []string
+	bytes  int
+}
+
+func newGossipCost(tb testing.TB, seed uint64, size int) *gossipCost {
+	ch, err := charts.Load("peer", nil)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	g := &gossipCost{tb: tb, now: time.Unix(1_700_000_000, 0), rnd: rand.New(rand.NewPCG(seed, 1)), tables: map[string]*member.Table{}}
+	var all []member.Instance
+	for i := range size {
+		region := []string{"permian", "gulf"}[i%2]
+		all = append(all, member.Instance{
+			Name: fmt.Sprintf("entry-%03d", i), Incarnation: member.NewIncarnation(g.now), Region: region, Zone: region + "-a",
+			PeerAddress: fmt.Sprintf("10.20.%d.%d:7000", i/200, i%200),
+		})
+	}
+	for _, self := range all {
+		table, err := member.New(ch, self, nil)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		table.List(g.now, all)
+		table.SetState(member.Serving)
+		table.SetConfig(member.Version{Digest: 0x123456789abcdef, Fleet: 40_000})
+		g.tables[self.Name] = table
+		g.names = append(g.names, self.Name)
+	}
+	return g
+}
+
+// rounds runs rounds in which each instance sends its messages and answers those of others.
+func (g *gossipCost) rounds(n int) {
+	for range n {
+		for _, name := range g.names {
+			g.now = g.now.Add(member.RoundTime / time.Duration(len(g.names)))
+			for _, to := range g.tables[name].Round(g.now, g.rnd) {
+				g.exchange(g.tables[name], g.tables[to])
+			}
+		}
+	}
+}
+
+func (g *gossipCost) exchange(from, to *member.Table) {
+	request := &peerpb.GossipRequest{}
+	g.carry(gossipRequest(from.Request(g.now)), request)
+	m := readGossip(request, request.GetFull())
+	g.receive(to, m)
+	reply := &peerpb.GossipReply{}
+	g.carry(gossipReply(to.Reply(g.now, m)), reply)
+	g.receive(from, readGossip(reply, false))
+}
+
+func (g *gossipCost) carry(out, in proto.Message) {
+	data, err := proto.Marshal(out)
+	if err == nil {
+		err = proto.Unmarshal(data, in)
+	}
+	if err != nil {
+		g.tb.Fatal(err)
+	}
+	g.bytes += len(data)
+}
+
+func (g *gossipCost) receive(table *member.Table, m member.Message) {
+	if _, err := table.Receive(g.now, m); err != nil {
+		g.tb.Fatal(err)
+	}
+}
+
+// settle runs past the time in which entries of new instances carry their addresses.
+func (g *gossipCost) settle() {
+	g.rounds(int(12 * time.Second / member.RoundTime))
+	g.bytes = 0
+}
+
+// Guards against gossip whose bytes grow with the fleet until they alone use up the target for all control work of a
+// node: 21 KB a second.
+func TestGossipBytesStayWithinTarget(t *testing.T) {
+	const perSecond, seconds = 21_000, 2
+	for _, size := range []int{15, 60, 200} {
+		g := newGossipCost(t, 41, size)
+		g.settle()
+		g.rounds(int(seconds * time.Second / member.RoundTime))
+		if each := g.bytes / size / seconds; each > perSecond {
+			t.Errorf("size %d: each instance sends %d bytes a second, target %d", size, each, perSecond)
+		}
+	}
+}
+
+// BenchmarkGossipRound measures one round of one instance with its encoding: the requests that it sends, their
+// replies, and the replies to others that it sends. It leaves out the transport.
+func BenchmarkGossipRound(b *testing.B) {
+	for _, size := range []int{15, 60, 200} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			g := newGossipCost(b, 41, size)
+			g.settle()
+			for b.Loop() {
+				g.rounds(1)
+			}
+			rounds := float64(b.N * size)
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/rounds, "ns/round")
+			b.ReportMetric(float64(g.bytes)/rounds, "B-sent/round")
+		})
+	}
+}
