Bound lists while watches are too old, and join the tasks over the real transport

Cause: each list that succeeded ended the backoff, so an object API that keeps too few changes got about 13 lists a second for each instance. A report of a state was held back when any instance had reported the same state before, even if the state had changed since.

Change: only a watch that brought news or stayed open ends the backoff. A report is held back only when the latest notice about the server says the same. A test runs gossip and configuration over drpc connections in memory.

--- a/internal/decide/member/notices.go
+++ b/internal/decide/member/notices.go
@@ -54,14 +54,16 @@
 	delete(b.kept, oldest)
 }
 
-// says reports whether any origin has said the same of the server already.
+// says reports whether the latest notice about the server, of whatever origin, says the same.
 func (b *noticeBoard) says(service string, n balance.Notice) bool {
+	var latest *keptNotice
 	for _, k := range b.kept {
-		if k.notice.Service == service && k.notice.Notice == n {
-			return true
+		about := k.notice.Service == service && k.notice.Server == n.Server
+		if about && (latest == nil || k.heard.After(latest.heard)) {
+			latest = k
 		}
 	}
-	return false
+	return latest != nil && latest.notice.Notice == n
 }
 
 // next returns the notices for one message, those that were sent least first, and counts them as sent. Notices of
--- a/internal/decide/member/table_test.go
+++ b/internal/decide/member/table_test.go
@@ -163,6 +163,27 @@
 	}
 }
 
+// Guards against a change that is not spread because another instance reported the same state before the last change,
+// and against one that every instance spreads although it heard of it.
+func TestReportedChangesFollowTheServer(t *testing.T) {
+	f := newFleet(t, 22, 5, 1)
+	f.rounds(joinRounds, func() {})
+	report := func(i int, state balance.ReportedState) {
+		f.tables[i].Report(f.now, "intake", balance.Notice{Server: "intake-1", State: state})
+		f.rounds(int(gossipTime/member.RoundTime), func() {})
+	}
+	for n, step := range []struct {
+		origin int
+		state  balance.ReportedState
+		total  int
+	}{{0, balance.Draining, 1}, {1, balance.Draining, 1}, {1, balance.Ready, 2}, {1, balance.Draining, 3}} {
+		report(step.origin, step.state)
+		if f.notices[4] != step.total {
+			t.Errorf("after report %d an instance has heard %d notices, want %d", n+1, f.notices[4], step.total)
+		}
+	}
+}
+
 // Guards against cost that grows with the fleet: messages and entries of one instance for each round.
 func TestCostDoesNotGrowWithFleet(t *testing.T) {
 	for _, size := range []int{15, 60, 200} {
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -139,3 +139,25 @@
 		}
 	})
 }
+
+// Guards against a storm of lists while the object API is down, or while it keeps too few changes for any watch.
+func TestListsAreBounded(t *testing.T) {
+	for name, break_ := range map[string]func(*cluster){
+		"down":    func(c *cluster) { c.broken = true },
+		"too old": func(c *cluster) { c.store.compactAlways() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 35)
+				defer c.stopAll()
+				break_(c)
+				in := c.start(0)
+				time.Sleep(time.Minute)
+				// Four kinds, each at least 2 s apart at the limit of the backoff, and few before.
+				if limit := 4 * (30 + 8); in.api.lists > limit {
+					t.Errorf("%d lists in a minute, want at most %d", in.api.lists, limit)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/store_test.go
+++ b/internal/node/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 
@@ -63,6 +64,9 @@
 // compact forgets changes, so that watches from before are too old.
 func (s *store) compact() { s.change(func() { s.compacted = s.revision() }) }
 
+// compactAlways makes every watch too old.
+func (s *store) compactAlways() { s.change(func() { s.compacted = math.MaxUint64 }) }
+
 // client is the access of one instance to the store, with the faults that it meets.
 type client struct {
 	*store
@@ -71,6 +75,8 @@
 	lag uint64
 	// generation rises when open watches are cut.
 	generation int
+	// lists counts the lists that were served or refused.
+	lists int
 }
 
 // fail changes the faults of a client.
@@ -105,6 +111,7 @@
 func (c *client) List(_ context.Context, kind objectapi.Kind) ([]objectapi.Object, uint64, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lists++
 	if c.down {
 		return nil, 0, unavailable()
 	}
--- /dev/null
+++ b/internal/node/transport_test.go
@@ -0,0 +1,125 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/peer"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+// pipes is a network of listeners in memory.
+type pipes struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+}
+
+type pipeListener struct {
+	conns  chan net.Conn
+	closed context.Context
+	close  context.CancelFunc
+}
+
+func (p *pipes) listen(address string) *pipeListener {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := &pipeListener{conns: make(chan net.Conn)}
+	l.closed, l.close = context.WithCancel(context.Background())
+	p.listeners[address] = l
+	return l
+}
+
+func (p *pipes) dial(ctx context.Context, address string) (net.Conn, error) {
+	p.mu.Lock()
+	l := p.listeners[address]
+	p.mu.Unlock()
+	if l == nil {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+		return near, nil
+	case <-l.closed.Done():
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed.Done():
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { l.close(); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against tasks that do not fit together over the real transport: instances that start without the object API
+// find each other by seeds, gossip, fetch the configuration, and end.
+func TestInstancesTalkOverTransport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 71)
+		network := &pipes{listeners: map[string]*pipeListener{}}
+		group := task.NewGroup(context.Background())
+		c.caller = func(in *instance) peer.Caller { return startTransport(t, group, network, in) }
+		c.mustWrite(objectapi.Fleet, "fleet", 0, fleetDocument())
+		v := c.mustWrite(objectapi.Services, "intake", 0, serviceDocument("intake", 1))
+		c.start(0)
+		time.Sleep(time.Second)
+		c.broken = true
+		c.start(1)
+		c.start(2)
+		time.Sleep(inForceTime)
+		for _, in := range c.all {
+			if n, got := len(in.live()), in.versions()[intake]; n != 3 || got != v || !in.config.Status().Ready {
+				t.Errorf("%s: %d live instances, version %d, ready %t", in.name, n, got, in.config.Status().Ready)
+			}
+		}
+		c.stopAll()
+		group.Stop()
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// startTransport runs the client and the server of an instance.
+func startTransport(t *testing.T, group *task.Group, network *pipes, in *instance) peer.Caller {
+	registry := metrics.NewRegistry()
+	server, err := peer.NewServer(peer.Handlers{
+		Gossip: func(ctx context.Context, m *peerpb.GossipRequest) (*peerpb.GossipReply, error) {
+			return in.gossip.Handle(ctx, m)
+		},
+		Documents: func(ctx context.Context, m *peerpb.DocumentsRequest) (*peerpb.DocumentsReply, error) {
+			return in.config.Handle(ctx, m)
+		},
+	}, nil, registry, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, err := peer.NewClient(func() *member.View { return in.gossip.View() }, network.dial, nil, registry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := network.listen(in.name)
+	group.Go("peer client "+in.name, client.Run)
+	group.Go("peer server "+in.name, func(ctx context.Context) error { return server.Run(ctx, listener) })
+	return client
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -63,12 +63,18 @@
 	return &watcher{api: api, kind: kind, inbox: inbox, log: log, retry: backoff{first: watchRetryFirst, limit: watchRetryLimit}}
 }
 
-// run is the body of the watcher's task. It ends with the context.
+// run is the body of the watcher's task. It ends with the context. Only a watch that brought news or stayed open for
+// watchTimeout ends the backoff: a list may succeed while every watch of its version is too old.
 func (w *watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := w.follow(ctx)
-		if err != nil && ctx.Err() == nil {
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
 			w.failed(ctx, err)
+		default:
+			w.retry.reset()
 		}
 	}
 }
@@ -128,7 +134,6 @@
 		return err
 	}
 	w.after, w.resume = version, true
-	w.retry.reset()
 	w.tell(ctx, listed{kind: w.kind, objects: objects, version: version})
 	return nil
 }
