Start test servers after the tasks that they serve

The race detector found two races in tests, not in the product: a server that answered before the tasks of its instance existed, and a counter that was read without its lock.

--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -154,8 +154,8 @@
 				in := c.start(0)
 				time.Sleep(time.Minute)
 				// Four kinds, each at least 2 s apart at the limit of the backoff, and few before.
-				if limit := 4 * (30 + 8); in.api.lists > limit {
-					t.Errorf("%d lists in a minute, want at most %d", in.api.lists, limit)
+				if lists, limit := in.api.listed(), 4*(30+8); lists > limit {
+					t.Errorf("%d lists in a minute, want at most %d", lists, limit)
 				}
 			})
 		})
--- a/internal/node/store_test.go
+++ b/internal/node/store_test.go
@@ -143,6 +143,12 @@
 	return err
 }
 
+func (c *client) listed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lists
+}
+
 func (c *client) isDown() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/transport_test.go
+++ b/internal/node/transport_test.go
@@ -16,7 +16,6 @@
 
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 	"fuchsiahub.example/fuchsiahub/internal/peer"
-	"fuchsiahub.example/fuchsiahub/internal/peerpb"
 	"fuchsiahub.example/fuchsiahub/internal/task"
 )
 
@@ -78,14 +77,14 @@
 		c := newCluster(t, 71)
 		network := &pipes{listeners: map[string]*pipeListener{}}
 		group := task.NewGroup(context.Background())
-		c.caller = func(in *instance) peer.Caller { return startTransport(t, group, network, in) }
+		c.caller = func(in *instance) peer.Caller { return startClient(t, group, network, in) }
 		c.mustWrite(objectapi.Fleet, "fleet", 0, fleetDocument())
 		v := c.mustWrite(objectapi.Services, "intake", 0, serviceDocument("intake", 1))
-		c.start(0)
+		startServer(t, group, network, c.start(0))
 		time.Sleep(time.Second)
 		c.broken = true
-		c.start(1)
-		c.start(2)
+		startServer(t, group, network, c.start(1))
+		startServer(t, group, network, c.start(2))
 		time.Sleep(inForceTime)
 		for _, in := range c.all {
 			if n, got := len(in.live()), in.versions()[intake]; n != 3 || got != v || !in.config.Status().Ready {
@@ -100,26 +99,21 @@
 	})
 }
 
-// startTransport runs the client and the server of an instance.
-func startTransport(t *testing.T, group *task.Group, network *pipes, in *instance) peer.Caller {
-	registry := metrics.NewRegistry()
-	server, err := peer.NewServer(peer.Handlers{
-		Gossip: func(ctx context.Context, m *peerpb.GossipRequest) (*peerpb.GossipReply, error) {
-			return in.gossip.Handle(ctx, m)
-		},
-		Documents: func(ctx context.Context, m *peerpb.DocumentsRequest) (*peerpb.DocumentsReply, error) {
-			return in.config.Handle(ctx, m)
-		},
-	}, nil, registry, slog.New(slog.DiscardHandler))
+func startClient(t *testing.T, group *task.Group, network *pipes, in *instance) peer.Caller {
+	client, err := peer.NewClient(func() *member.View { return in.gossip.View() }, network.dial, nil, metrics.NewRegistry())
 	if err != nil {
 		t.Fatal(err)
 	}
-	client, err := peer.NewClient(func() *member.View { return in.gossip.View() }, network.dial, nil, registry)
+	group.Go("peer client "+in.name, client.Run)
+	return client
+}
+
+func startServer(t *testing.T, group *task.Group, network *pipes, in *instance) {
+	server, err := peer.NewServer(peer.Handlers{Gossip: in.gossip.Handle, Documents: in.config.Handle}, nil,
+		metrics.NewRegistry(), slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
 	listener := network.listen(in.name)
-	group.Go("peer client "+in.name, client.Run)
 	group.Go("peer server "+in.name, func(ctx context.Context) error { return server.Run(ctx, listener) })
-	return client
 }
