Name the parts of leasing by standard terms, return idle slots at once

The keeper counted slots that an instance had given up until they expired, because an instance that held and wanted nothing sent no request.

--- a/internal/decide/keeper/account.go
+++ b/internal/decide/keeper/account.go
@@ -33,7 +33,7 @@
 		until = a.granted.until
 	}
 	if h.Busy > 0 || slots > a.inForce(now) {
-		until = now.Add(Quiet)
+		until = now.Add(GracePeriod)
 	}
 	return account{held: claim{slots: slots, until: until}}
 }
--- a/internal/decide/keeper/history_test.go
+++ b/internal/decide/keeper/history_test.go
@@ -28,8 +28,8 @@
 
 // leaseHolder is one instance as it uses its leases.
 type leaseHolder struct {
-	asker *keeper.Asker
-	lease balance.Leased
+	client *keeper.Client
+	lease  balance.Leased
 	// shown is what the last request said that it holds; the instance uses no more until the reply.
 	shown int
 	// sequence is that of the last request.
@@ -62,7 +62,7 @@
 	rnd     *rand.Rand
 	faults  faults
 	now     time.Time
-	keepers []*bench
+	keepers []*fixture
 	holders []*leaseHolder
 	// requests and replies are under way; any of them may arrive next, late or never.
 	requests, replies []message
@@ -70,14 +70,14 @@
 }
 
 func (h *history) newKeeper() {
-	b := &bench{t: h.t, authority: session.Authority{Until: at(1e6)}}
+	b := &fixture{t: h.t, authority: session.Authority{Until: at(1e6)}}
 	if n := len(h.keepers); n > 0 && !h.faults.keeperIgnoresTerm {
 		h.keepers[n-1].authority.Until = h.now
 	}
 	generation := uint64(len(h.keepers) + 1)
 	taken := h.now
 	if h.faults.newKeeperIsHasty {
-		taken = taken.Add(-keeper.Quiet)
+		taken = taken.Add(-keeper.GracePeriod)
 	}
 	b.authority.Generation = generation
 	b.shard = keeper.NewShard(h.bound, taken, key, keeper.Entry{Owner: keeper.Owner{Generation: generation}, Epoch: generation},
@@ -86,7 +86,7 @@
 }
 
 func (h *history) ask(holder *leaseHolder) {
-	if _, free := holder.asker.Due(); !free || h.now.Before(holder.paused) {
+	if _, free := holder.client.Due(); !free || h.now.Before(holder.paused) {
 		return
 	}
 	d := balance.Demand{Want: h.rnd.IntN(5)}
@@ -94,7 +94,7 @@
 	if holder.shown > 0 {
 		d.Held = []balance.HeldSlots{{Server: "w1", Slots: holder.shown}}
 	}
-	if req, ok := holder.asker.Ask(h.now, d, false); ok {
+	if req, ok := holder.client.Ask(h.now, d, false); ok {
 		holder.sequence = req.Sequence
 		h.requests = append(h.requests, message{holder: holder, sent: h.now, req: req})
 	}
@@ -126,7 +126,7 @@
 	}
 	reply, err := b.shard.Lease(h.now, b.authority, req)
 	if err != nil {
-		m.holder.asker.Failed(m.req.Sequence)
+		m.holder.client.Failed(m.req.Sequence)
 		return
 	}
 	m.reply = reply
@@ -142,7 +142,7 @@
 		h.replies = append(h.replies, m)
 		return
 	}
-	lease, ok := m.holder.asker.Replied(h.now, m.sent, m.req.Sequence, m.reply)
+	lease, ok := m.holder.client.Replied(h.now, m.sent, m.req.Sequence, m.reply)
 	if ok {
 		m.holder.lease, m.holder.shown = lease, 6
 	}
@@ -152,7 +152,7 @@
 func run(t *testing.T, bound *keeper.Chart, seed uint64, f faults) error {
 	h := &history{t: t, bound: bound, rnd: rand.New(rand.NewPCG(seed, 0)), faults: f, now: start}
 	for _, name := range []string{"x", "y", "z"} {
-		h.holders = append(h.holders, &leaseHolder{asker: keeper.NewAsker(key, session.Identity{Instance: name, Incarnation: 1})})
+		h.holders = append(h.holders, &leaseHolder{client: keeper.NewClient(key, session.Identity{Instance: name, Incarnation: 1})})
 	}
 	h.newKeeper()
 	for step := range 1000 {
@@ -166,7 +166,7 @@
 		case p < 800:
 			h.receive()
 		case p < 985:
-			holder.asker.Failed(holder.sequence)
+			holder.client.Failed(holder.sequence)
 		case p < 996:
 			holder.paused = h.now.Add(time.Duration(h.rnd.IntN(5000)) * time.Millisecond)
 		default:
--- a/internal/decide/keeper/keeper_test.go
+++ b/internal/decide/keeper/keeper_test.go
@@ -22,7 +22,7 @@
 
 func load(t testing.TB) *chart.Chart {
 	t.Helper()
-	ch, err := charts.Load("lease", charts.Params{"lease_term": keeper.Quiet, "warm_up_step": time.Second})
+	ch, err := charts.Load("lease", charts.Params{"lease_term": keeper.GracePeriod, "warm_up_step": time.Second})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,24 +38,24 @@
 	return bound
 }
 
-// bench is one shard and its holders.
-type bench struct {
+// fixture is one shard and its holders.
+type fixture struct {
 	t         testing.TB
 	shard     *keeper.Shard
 	authority session.Authority
 	sequence  uint64
 }
 
-func newBench(t testing.TB, warm []keeper.Warm, servers ...keeper.Server) *bench {
+func newFixture(t testing.TB, warm []keeper.Warm, servers ...keeper.Server) *fixture {
 	t.Helper()
-	return &bench{
+	return &fixture{
 		t: t, shard: keeper.NewShard(bind(t), start, key, entry, servers, warm),
 		authority: session.Authority{Generation: 1, Until: at(1e6)},
 	}
 }
 
 // ask makes one exchange and returns the reply.
-func (b *bench) ask(now time.Time, holder string, want int, held []keeper.Held, reports ...balance.Report) keeper.Reply {
+func (b *fixture) ask(now time.Time, holder string, want int, held []keeper.Held, reports ...balance.Report) keeper.Reply {
 	b.t.Helper()
 	b.sequence++
 	reply, err := b.shard.Lease(now, b.authority, keeper.Request{
@@ -96,13 +96,13 @@
 		if s.To == "open" && s.From != "open" && s.Guard != "ramp_complete" && s.Guard != "trusted" {
 			t.Errorf("%s reaches open by %s", s.From, s.Event)
 		}
-		if s.From == "quiet" && (s.To == "cold" || s.To == "open") && s.Event != "settled" {
-			t.Errorf("quiet ends early by %s", s.Event)
+		if s.From == "grace" && (s.To == "cold" || s.To == "open") && s.Event != "settled" {
+			t.Errorf("grace ends early by %s", s.Event)
 		}
-		if s.Event == "presume_cold" && s.To != "cold" && s.From != "quiet" && s.From != "draining" {
+		if s.Event == "presume_cold" && s.To != "cold" && s.From != "grace" && s.From != "draining" {
 			t.Errorf("%s stays %s in doubt", s.From, s.To)
 		}
-		if s.From == "draining" && s.To != "draining" && s.To != "quiet" && s.To != "gone" {
+		if s.From == "draining" && s.To != "draining" && s.To != "grace" && s.To != "gone" {
 			t.Errorf("a draining server becomes %s by %s", s.To, s.Event)
 		}
 	})
@@ -110,7 +110,7 @@
 
 // Guards against grants beside those of an earlier keeper.
 func TestNewKeeperWaitsForEarlierLeases(t *testing.T) {
-	b := newBench(t, nil, worker("w1"))
+	b := newFixture(t, nil, worker("w1"))
 	if n := total(b.ask(at(2.3), "x", 6, nil)); n != 0 {
 		t.Errorf("%d slots granted before the longest earlier lease has expired", n)
 	}
@@ -122,7 +122,7 @@
 
 // Guards against a handover that is lost, and against one that is trusted although the server restarted.
 func TestHandedOverServersAreWarm(t *testing.T) {
-	b := newBench(t, []keeper.Warm{{Server: "w1", Incarnation: "i1"}, {Server: "w2", Incarnation: "i1"}}, worker("w1"), worker("w2"))
+	b := newFixture(t, []keeper.Warm{{Server: "w1", Incarnation: "i1"}, {Server: "w2", Incarnation: "i1"}}, worker("w1"), worker("w2"))
 	b.shard.Probed(at(1), keeper.Probe{Server: "w1", Answered: true, Incarnation: "i1"})
 	b.shard.Probed(at(1), keeper.Probe{Server: "w2", Answered: true, Incarnation: "i2"})
 	r := b.ask(at(3), "x", 12, nil)
@@ -139,7 +139,7 @@
 // Guards against a cold allowance that holds for each instance instead of for all together, also when the reply with
 // the grant was lost.
 func TestColdAllowanceIsTotal(t *testing.T) {
-	b := newBench(t, nil, worker("w1"))
+	b := newFixture(t, nil, worker("w1"))
 	if n := total(b.ask(at(3), "x", 1, nil)); n != 1 {
 		t.Fatalf("first instance got %d slots", n)
 	}
@@ -155,7 +155,7 @@
 
 // Guards against a busy slot that is granted again when its lease has run out.
 func TestBusySlotStaysCounted(t *testing.T) {
-	b := newBench(t, nil, worker("w1"))
+	b := newFixture(t, nil, worker("w1"))
 	b.ask(at(3), "x", 1, nil)
 	for s := 4.0; s < 10; s++ {
 		b.ask(at(s), "x", 0, []keeper.Held{{Server: "w1", Slots: 0, Busy: 1}})
@@ -167,7 +167,7 @@
 
 // Guards against a ramp that grows without answers, that does not double, or that goes on after a bad answer.
 func TestRampDoublesWhileAnswersComeInTime(t *testing.T) {
-	b := newBench(t, nil, worker("w1"))
+	b := newFixture(t, nil, worker("w1"))
 	held := func(n int) []keeper.Held { return []keeper.Held{{Server: "w1", Slots: n}} }
 	b.ask(at(2.4), "x", 6, nil)
 	steps := []struct {
@@ -193,21 +193,21 @@
 
 // Guards against a doubt that leaves a server warm, and against news of an earlier run that counts as a restart.
 func TestEveryDoubtPresumesCold(t *testing.T) {
-	doubts := map[string]func(*bench){
-		"refused probe":        func(b *bench) { b.shard.Probed(at(4), keeper.Probe{Server: "w1", Refused: true}) },
-		"new incarnation":      func(b *bench) { b.shard.Probed(at(4), keeper.Probe{Server: "w1", Answered: true, Incarnation: "i2"}) },
-		"reported incarnation": func(b *bench) { b.ask(at(4), "y", 0, nil, balance.Report{Server: "w1", Incarnation: "i2", Good: 1}) },
-		"reported down":        func(b *bench) { b.ask(at(4), "y", 0, nil, balance.Report{Server: "w1", State: balance.Down}) },
-		"sudden latency": func(b *bench) {
+	doubts := map[string]func(*fixture){
+		"refused probe":        func(b *fixture) { b.shard.Probed(at(4), keeper.Probe{Server: "w1", Refused: true}) },
+		"new incarnation":      func(b *fixture) { b.shard.Probed(at(4), keeper.Probe{Server: "w1", Answered: true, Incarnation: "i2"}) },
+		"reported incarnation": func(b *fixture) { b.ask(at(4), "y", 0, nil, balance.Report{Server: "w1", Incarnation: "i2", Good: 1}) },
+		"reported down":        func(b *fixture) { b.ask(at(4), "y", 0, nil, balance.Report{Server: "w1", State: balance.Down}) },
+		"sudden latency": func(b *fixture) {
 			b.ask(at(3.9), "y", 0, nil, good(10))
 			b.ask(at(4), "y", 0, nil, balance.Report{Server: "w1", Good: 3, Latency: 90 * time.Millisecond})
 		},
-		"other address": func(b *bench) {
+		"other address": func(b *fixture) {
 			b.shard.Update(at(4), []keeper.Server{{Name: "w1", Address: "10.0.0.9:80", Slots: 6, Cold: 1}})
 		},
 	}
 	for name, doubt := range doubts {
-		b := newBench(t, []keeper.Warm{{Server: "w1", Incarnation: "i1"}}, worker("w1"))
+		b := newFixture(t, []keeper.Warm{{Server: "w1", Incarnation: "i1"}}, worker("w1"))
 		if n := total(b.ask(at(3), "x", 4, nil)); n != 4 {
 			t.Fatalf("%d slots of a warm server", n)
 		}
@@ -216,7 +216,7 @@
 			t.Errorf("%s: %d slots, want the cold allowance", name, n)
 		}
 	}
-	b := newBench(t, []keeper.Warm{{Server: "w1", Incarnation: "i1"}}, worker("w1"))
+	b := newFixture(t, []keeper.Warm{{Server: "w1", Incarnation: "i1"}}, worker("w1"))
 	b.shard.Probed(at(1), keeper.Probe{Server: "w1", Answered: true, Incarnation: "i2"})
 	b.ask(at(3), "x", 1, nil, good(1))
 	b.ask(at(3.1), "y", 0, nil, balance.Report{Server: "w1", Incarnation: "i1", State: balance.Down})
@@ -227,7 +227,7 @@
 
 // Guards against a reply that gives all slots to the first that asks, and against slots that a leaving instance keeps.
 func TestGrantsComeInBatchesAndEndOnLeave(t *testing.T) {
-	b := newBench(t, []keeper.Warm{{Server: "w1"}}, worker("w1"))
+	b := newFixture(t, []keeper.Warm{{Server: "w1"}}, worker("w1"))
 	if n := total(b.ask(at(3), "x", 6, nil)); n != keeper.Batch {
 		t.Errorf("%d slots at once, want %d", n, keeper.Batch)
 	}
@@ -241,7 +241,7 @@
 
 // Guards against new work for a leaving server, and against a stale health endpoint that ends a drain.
 func TestDrainingServerGetsNothing(t *testing.T) {
-	b := newBench(t, []keeper.Warm{{Server: "w1", Incarnation: "i1"}}, worker("w1"))
+	b := newFixture(t, []keeper.Warm{{Server: "w1", Incarnation: "i1"}}, worker("w1"))
 	b.ask(at(3), "y", 0, nil, balance.Report{Server: "w1", Incarnation: "i1", State: balance.Draining})
 	for s := 4.0; s < 8; s++ {
 		b.shard.Probed(at(s), keeper.Probe{Server: "w1", Answered: true, Incarnation: "i1", Said: true, State: balance.Ready})
@@ -257,7 +257,7 @@
 
 // Guards against an instance that keeps more than its part while others want slots, and against parts that starve.
 func TestSlotsAreSharedFairly(t *testing.T) {
-	b := newBench(t, []keeper.Warm{{Server: "w1"}}, worker("w1"))
+	b := newFixture(t, []keeper.Warm{{Server: "w1"}}, worker("w1"))
 	held := map[string]int{}
 	ask := func(s float64, holder string, want int) {
 		r := b.ask(at(s), holder, want, []keeper.Held{{Server: "w1", Slots: held[holder]}})
@@ -293,7 +293,7 @@
 
 // Guards against a delayed request that returns slots which are in use, and against grants without authority.
 func TestLateRequestAndLostAuthorityAreRefused(t *testing.T) {
-	b := newBench(t, nil, worker("w1"))
+	b := newFixture(t, nil, worker("w1"))
 	x := session.Identity{Instance: "x", Incarnation: 1}
 	if _, err := b.shard.Lease(at(3), b.authority, keeper.Request{Holder: x, Sequence: 2, Want: 1}); err != nil {
 		t.Fatal(err)
@@ -309,8 +309,8 @@
 }
 
 // Guards against a reply that is used after its term, after a newer request, or from an earlier keeper.
-func TestAskerRefusesStaleReplies(t *testing.T) {
-	a := keeper.NewAsker(key, session.Identity{Instance: "x", Incarnation: 1})
+func TestClientRefusesStaleReplies(t *testing.T) {
+	a := keeper.NewClient(key, session.Identity{Instance: "x", Incarnation: 1})
 	reply := func(epoch uint64) keeper.Reply { return keeper.Reply{Epoch: epoch, Term: keeper.Term} }
 	first, _ := a.Ask(at(0), balance.Demand{Want: 1}, false)
 	a.Failed(first.Sequence)
@@ -331,6 +331,24 @@
 	}
 }
 
+// Guards against idle slots that the keeper goes on counting, and against exchanges that say nothing.
+func TestClientReturnsIdleSlots(t *testing.T) {
+	c := keeper.NewClient(key, session.Identity{Instance: "x", Incarnation: 1})
+	if _, ok := c.Ask(at(0), balance.Demand{}, false); ok {
+		t.Error("asked without any need")
+	}
+	first, _ := c.Ask(at(1), balance.Demand{Want: 1}, false)
+	c.Replied(at(1), at(1), first.Sequence, keeper.Reply{Epoch: 1, Term: keeper.Term, Grants: []balance.SlotGrant{{Server: "w1", Slots: 1}}})
+	second, ok := c.Ask(at(2), balance.Demand{}, false)
+	if !ok {
+		t.Error("idle slots are not returned")
+	}
+	c.Replied(at(2), at(2), second.Sequence, keeper.Reply{Epoch: 1, Term: keeper.Term})
+	if _, ok := c.Ask(at(3), balance.Demand{}, false); ok {
+		t.Error("asked although everything was returned")
+	}
+}
+
 // Guards against two instances that take one shard, and against a shard that nobody takes.
 func TestClaims(t *testing.T) {
 	live := []member.Instance{{Name: "a", Incarnation: 1}, {Name: "b", Incarnation: 1}}
--- a/internal/decide/keeper/shard.go
+++ b/internal/decide/keeper/shard.go
@@ -14,9 +14,9 @@
 const (
 	// Term is how long a grant holds, on the holder's clock from before it asked.
 	Term = 2 * time.Second
-	// Quiet is how long a keeper counts a grant: the term and a margin for clocks that run apart by a fifth. A new
+	// GracePeriod is how long a keeper counts a grant: the term and a margin for clocks that run apart by a fifth. A new
 	// keeper grants nothing for this time.
-	Quiet = Term + 400*time.Millisecond
+	GracePeriod = Term + 400*time.Millisecond
 	// Batch is by how many slots one reply raises what an instance holds. Small batches leave slots to others.
 	Batch = 4
 )
@@ -273,7 +273,7 @@
 			continue
 		}
 		a := o.server.accounts[id]
-		a.granted = claim{slots: o.slots, until: now.Add(Quiet)}
+		a.granted = claim{slots: o.slots, until: now.Add(GracePeriod)}
 		o.server.accounts[id] = a
 		grants = append(grants, balance.SlotGrant{
 			Server: o.server.spec.Name, Incarnation: o.server.incarnation, Slots: o.slots, Cold: !o.server.machine.In("open"),
--- a/internal/decide/keeper/share.go
+++ b/internal/decide/keeper/share.go
@@ -50,7 +50,7 @@
 func (s *Shard) asking(now time.Time) []*holder {
 	var list []*holder
 	for id, h := range s.holders {
-		if now.Sub(h.seen) >= Quiet {
+		if now.Sub(h.seen) >= GracePeriod {
 			delete(s.holders, id)
 			continue
 		}
--- a/internal/decide/session/holder.go
+++ b/internal/decide/session/holder.go
@@ -50,8 +50,8 @@
 	Record  Record
 }
 
-// Ask is one question for an acknowledgement to a witness.
-type Ask struct {
+// AckRequest is one question for an acknowledgement to a witness.
+type AckRequest struct {
 	Witness Identity
 	Version uint64
 	Sent    time.Time
@@ -321,21 +321,21 @@
 	}
 }
 
-// Asks returns the questions to witnesses that are due. They start when renewals fail.
-func (h *Holder) Asks(now time.Time) []Ask {
+// AckRequests returns the questions to witnesses that are due. They start when renewals fail.
+func (h *Holder) AckRequests(now time.Time) []AckRequest {
 	if !h.machine.In("valid") || now.Before(h.nextAsk) {
 		return nil
 	}
 	h.nextAsk = now.Add(AskEvery)
-	var asks []Ask
+	var asks []AckRequest
 	for _, w := range h.required() {
-		asks = append(asks, Ask{Witness: w, Version: h.version, Sent: now})
+		asks = append(asks, AckRequest{Witness: w, Version: h.version, Sent: now})
 	}
 	return asks
 }
 
-// Acknowledged takes a witness's answer to a question of Asks.
-func (h *Holder) Acknowledged(now time.Time, ask Ask, reply Reply) {
+// Acknowledged takes a witness's answer to a question of AckRequests.
+func (h *Holder) Acknowledged(now time.Time, ask AckRequest, reply Reply) {
 	h.Tick(now)
 	if reply.Renounced {
 		h.renounced[ask.Witness] = true
--- a/internal/decide/session/observer.go
+++ b/internal/decide/session/observer.go
@@ -26,8 +26,8 @@
 	next     time.Time
 }
 
-// Move is what to do about a session that may be dead: fence it, or ask its witnesses for a release.
-type Move struct {
+// Action is what to do about a session that may be dead: fence it, or ask its witnesses for a release.
+type Action struct {
 	Holder  string
 	Version uint64
 	// Record is the value of the conditional update when Fence is true.
@@ -73,17 +73,17 @@
 }
 
 // Due returns what to do now about sessions that have not changed for the term and its margin.
-func (o *Observer) Due(now time.Time, role *Witness, view *member.View) []Move {
-	var moves []Move
+func (o *Observer) Due(now time.Time, role *Witness, view *member.View) []Action {
+	var actions []Action
 	for holder, s := range o.seen {
 		if s.record.State != Active || s.record.Identity == o.self || now.Sub(s.read) > sightTerm || now.Before(o.due(holder, s, view)) {
 			continue
 		}
 		s.next = now.Add(RetryEvery)
-		moves = append(moves, o.move(now, holder, s, role, view))
+		actions = append(actions, o.action(now, holder, s, role, view))
 	}
-	slices.SortFunc(moves, func(a, b Move) int { return strings.Compare(a.Holder, b.Holder) })
-	return moves
+	slices.SortFunc(actions, func(a, b Action) int { return strings.Compare(a.Holder, b.Holder) })
+	return actions
 }
 
 // due returns when a session may be dead. One instance goes first, so that fences seldom compete.
@@ -96,14 +96,14 @@
 	return later(at, s.next)
 }
 
-func (o *Observer) move(now time.Time, holder string, s *seen, role *Witness, view *member.View) Move {
+func (o *Observer) action(now time.Time, holder string, s *seen, role *Witness, view *member.View) Action {
 	if !o.mayFence(now, holder, s, role, view) {
-		return Move{Holder: holder, Version: s.version, Ask: s.record.Witnesses}
+		return Action{Holder: holder, Version: s.version, Ask: s.record.Witnesses}
 	}
 	fenced := s.record
 	fenced.State = Fenced
 	fenced.FencedBy = o.self.Instance
-	return Move{Holder: holder, Version: s.version, Record: fenced, Fence: true}
+	return Action{Holder: holder, Version: s.version, Record: fenced, Fence: true}
 }
 
 // mayFence holds for a witness that has stopped acknowledging, for an instance with the release of a witness, for a
--- a/internal/decide/session/session_test.go
+++ b/internal/decide/session/session_test.go
@@ -114,7 +114,7 @@
 func TestWitnessesExtendTheTerm(t *testing.T) {
 	h, _ := held(t)
 	ask := func(now time.Time, answering int) {
-		for i, a := range h.Asks(now) {
+		for i, a := range h.AckRequests(now) {
 			if i < answering {
 				h.Acknowledged(now.Add(100*time.Millisecond), a, session.Reply{Acknowledged: true})
 			}
@@ -140,14 +140,14 @@
 func TestRenouncedWitnessIsNotNeeded(t *testing.T) {
 	h, _ := held(t)
 	for s := 5.0; s <= 10; s++ {
-		for i, a := range h.Asks(at(s)) {
+		for i, a := range h.AckRequests(at(s)) {
 			h.Acknowledged(at(s), a, session.Reply{Acknowledged: i == 0, Renounced: i == 1})
 		}
 	}
 	if !valid(h, at(11)) {
 		t.Fatalf("state %s", h.State())
 	}
-	for _, a := range h.Asks(at(11)) {
+	for _, a := range h.AckRequests(at(11)) {
 		h.Acknowledged(at(11), a, session.Reply{Renounced: true})
 	}
 	if valid(h, at(11)) {
@@ -163,7 +163,7 @@
 	defer func() { peers = peers[:3] }()
 	h.Answered(at(4), next(t, h, at(3), session.Update), session.Result{Outcome: session.Unknown})
 	for s := 5.0; s <= 11; s++ {
-		for _, a := range h.Asks(at(s)) {
+		for _, a := range h.AckRequests(at(s)) {
 			h.Acknowledged(at(s), a, session.Reply{Acknowledged: a.Witness.Instance != "d"})
 		}
 	}
@@ -181,7 +181,7 @@
 	defer func() { peers = all }()
 	h.Answered(at(4), next(t, h, at(3), session.Update), session.Result{Outcome: session.Unknown})
 	for s := 5.0; s <= 11; s++ {
-		for _, a := range h.Asks(at(s)) {
+		for _, a := range h.AckRequests(at(s)) {
 			h.Acknowledged(at(s), a, session.Reply{Acknowledged: true})
 		}
 	}
@@ -199,7 +199,7 @@
 		if op, ok := h.Next(at(s), peers); ok {
 			h.Answered(at(s), op, session.Result{Outcome: session.Unknown})
 		}
-		for _, a := range h.Asks(at(s)) {
+		for _, a := range h.AckRequests(at(s)) {
 			h.Acknowledged(at(s), a, session.Reply{Acknowledged: a.Witness.Instance != "d"})
 		}
 	}
--- a/internal/node/holder.go
+++ b/internal/node/holder.go
@@ -60,26 +60,26 @@
 	id    session.Identity
 	inbox *task.Mailbox[any]
 	ended chan struct{}
-	errands
+	pendingCalls
 
 	docs    *Documents
-	askers  map[keeper.Key]*asker
+	clients map[keeper.Key]*shardClient
 	signals map[string]*signal
 	// hints are owners that other instances named, for shards whose owner is not known here.
 	hints   map[keeper.Key]string
 	leaving bool
 }
 
-// asker is one shard and what the service task was told of its servers.
-type asker struct {
-	*keeper.Asker
+// shardClient is one shard and what the service task was told of its servers.
+type shardClient struct {
+	*keeper.Client
 	told map[string]balance.Notice
 	// busy is true while the service task is asked or told something. A demand that overtakes the delivery of a lease
 	// would tell the keeper that the lease is not held.
 	busy bool
 }
 
-// signal is the errand that waits for a service that is short of slots.
+// signal is the goroutine that waits for a service that is short of slots.
 type signal struct {
 	taker LeaseTaker
 	stop  context.CancelFunc
@@ -117,9 +117,9 @@
 	h := &Holder{
 		HolderConfig: config, id: session.Identity{Instance: config.Self.Name, Incarnation: config.Self.Incarnation},
 		inbox: task.NewMailbox[any]("holder", holderCapacity), ended: make(chan struct{}),
-		askers: map[keeper.Key]*asker{}, signals: map[string]*signal{}, hints: map[keeper.Key]string{},
+		clients: map[keeper.Key]*shardClient{}, signals: map[string]*signal{}, hints: map[keeper.Key]string{},
 	}
-	h.errands.inbox = h.inbox
+	h.pendingCalls.inbox = h.inbox
 	return h
 }
 
@@ -170,14 +170,14 @@
 		for _, server := range docs.servers(doc) {
 			key := keeper.Key{Service: name, Zone: server.Zone}
 			wanted[key] = true
-			if h.askers[key] == nil {
-				h.askers[key] = &asker{Asker: keeper.NewAsker(key, h.id), told: map[string]balance.Notice{}}
+			if h.clients[key] == nil {
+				h.clients[key] = &shardClient{Client: keeper.NewClient(key, h.id), told: map[string]balance.Notice{}}
 			}
 		}
 	}
-	for key := range h.askers {
+	for key := range h.clients {
 		if !wanted[key] {
-			delete(h.askers, key)
+			delete(h.clients, key)
 		}
 	}
 	for name, s := range h.signals {
@@ -208,7 +208,7 @@
 			case <-taker.Short():
 				_ = h.inbox.Send(signalCtx, shortOf{service: name, taker: taker}) // an error means that the loop ends
 			case <-signalCtx.Done():
-				_ = h.inbox.Send(context.Background(), errandDone{}) // a background context never ends
+				_ = h.inbox.Send(context.Background(), callDone{}) // a background context never ends
 				return
 			}
 		}
@@ -217,10 +217,10 @@
 
 func (h *Holder) handle(ctx context.Context, now time.Time, m any) {
 	switch m := m.(type) {
-	case errandDone:
+	case callDone:
 		h.handle(ctx, now, h.done(m))
 	case shortOf:
-		h.nudge(now, func(key keeper.Key) bool { return key.Service == m.service })
+		h.expedite(now, func(key keeper.Key) bool { return key.Service == m.service })
 	case demanded:
 		h.demanded(ctx, now, m)
 	case leaseReplied:
@@ -229,14 +229,14 @@
 		h.delivered(m)
 	case leaveLeases:
 		h.leaving = true
-		h.nudge(now, func(keeper.Key) bool { return true })
+		h.expedite(now, func(keeper.Key) bool { return true })
 	}
 }
 
-func (h *Holder) nudge(now time.Time, which func(keeper.Key) bool) {
-	for key, a := range h.askers {
+func (h *Holder) expedite(now time.Time, which func(keeper.Key) bool) {
+	for key, a := range h.clients {
 		if which(key) {
-			a.Nudge(now)
+			a.Expedite(now)
 		}
 	}
 }
@@ -244,7 +244,7 @@
 // work asks the services whose shards are due and returns when the next one is.
 func (h *Holder) work(ctx context.Context, now time.Time) time.Duration {
 	wake := now.Add(holderSync)
-	for key, a := range h.askers {
+	for key, a := range h.clients {
 		due, free := a.Due()
 		if !free || a.busy {
 			continue
@@ -261,10 +261,10 @@
 }
 
 // askService asks a service task what it needs of a shard.
-func (h *Holder) askService(ctx context.Context, now time.Time, key keeper.Key, a *asker) {
+func (h *Holder) askService(ctx context.Context, now time.Time, key keeper.Key, a *shardClient) {
 	taker, ok := h.Service(key.Service)
 	if !ok {
-		a.Rest(now)
+		a.Postpone(now)
 		return
 	}
 	a.busy = true
@@ -276,14 +276,14 @@
 
 // demanded sends what a service needs to the keeper of the shard.
 func (h *Holder) demanded(ctx context.Context, now time.Time, m demanded) {
-	a := h.askers[m.key]
+	a := h.clients[m.key]
 	if a == nil {
 		return
 	}
 	a.busy = false
 	to, known := h.owner(m.key)
 	if m.err != nil || !known {
-		a.Rest(now)
+		a.Postpone(now)
 		return
 	}
 	req, ok := a.Ask(now, m.demand, h.leaving)
@@ -318,7 +318,7 @@
 
 // replied takes the keeper's answer. Without a usable one the leases run out and the service falls back.
 func (h *Holder) replied(ctx context.Context, now time.Time, m leaseReplied) {
-	a := h.askers[m.key]
+	a := h.clients[m.key]
 	if a == nil {
 		return
 	}
@@ -356,7 +356,7 @@
 }
 
 func (h *Holder) delivered(m delivered) {
-	a := h.askers[m.key]
+	a := h.clients[m.key]
 	if a == nil {
 		return
 	}
@@ -368,7 +368,7 @@
 }
 
 // news returns what the service task has not been told of the servers.
-func (a *asker) news(servers []balance.Report) []balance.Notice {
+func (a *shardClient) news(servers []balance.Report) []balance.Notice {
 	var list []balance.Notice
 	for _, s := range servers {
 		n := balance.Notice{Server: s.Server, Incarnation: s.Incarnation, State: s.State}
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -56,7 +56,7 @@
 	id    session.Identity
 	inbox *task.Mailbox[any]
 	ended chan struct{}
-	errands
+	pendingCalls
 
 	docs *Documents
 	// specs are the servers of each shard of the own region.
@@ -100,7 +100,7 @@
 		specs: map[keeper.Key]shardSpec{}, shards: map[keeper.Key]*keeper.Shard{}, tables: newTables(),
 		prober: keeper.NewProber(time.Now(), config.ProbesPerSecond), probes: map[keeper.Target]*probePool{},
 	}
-	k.errands.inbox = k.inbox
+	k.pendingCalls.inbox = k.inbox
 	k.owners.Store(&map[keeper.Key]string{})
 	return k
 }
@@ -148,7 +148,7 @@
 
 func (k *Keeper) handle(ctx context.Context, now time.Time, m any) {
 	switch m := m.(type) {
-	case errandDone:
+	case callDone:
 		k.handle(ctx, now, k.done(m))
 	case leaseAsked:
 		out, err := k.lease(now, m.in)
@@ -230,7 +230,7 @@
 	if !ok {
 		return
 	}
-	ch, err := charts.Load("lease", charts.Params{"lease_term": keeper.Quiet, "warm_up_step": spec.doc.Servers.WarmUpStep})
+	ch, err := charts.Load("lease", charts.Params{"lease_term": keeper.GracePeriod, "warm_up_step": spec.doc.Servers.WarmUpStep})
 	if err != nil {
 		k.Log.Error("shard cannot be kept", "shard", key.String(), "error", err)
 		return
--- a/internal/node/keeperhistory_test.go
+++ b/internal/node/keeperhistory_test.go
@@ -480,7 +480,7 @@
 
 // Guards against a dead owner whose session is never fenced: the shard must have moved after the waits of the design.
 func TestShardMovesAfterKill(t *testing.T) {
-	waits := gossipLag + session.Term + session.TermMargin + session.WitnessTerm + session.WitnessMargin + keeper.Quiet
+	waits := gossipLag + session.Term + session.TermMargin + session.WitnessTerm + session.WitnessMargin + keeper.GracePeriod
 	const turns = 6 * time.Second // the stagger of fences, and a turn of each task on the way
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, none)
@@ -516,7 +516,7 @@
 				}
 			}
 			f.leave(owner, time.Hour)
-			f.run(blind + keeper.Quiet + 2500*time.Millisecond) // before the ramp of a cold server is complete
+			f.run(blind + keeper.GracePeriod + 2500*time.Millisecond) // before the ramp of a cold server is complete
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			cold := map[bool]int{}
--- a/internal/node/keeperprobes.go
+++ b/internal/node/keeperprobes.go
@@ -68,7 +68,7 @@
 	go func() {
 		_ = pool.Run(poolCtx) // Run has no error to report
 		stop()
-		_ = k.inbox.Send(context.Background(), errandDone{}) // a background context never ends
+		_ = k.inbox.Send(context.Background(), callDone{}) // a background context never ends
 	}()
 	return true
 }
--- a/internal/node/keepertables.go
+++ b/internal/node/keepertables.go
@@ -83,7 +83,7 @@
 	}
 )
 
-// watch starts the errand that follows the objects. It ends with the task's context.
+// watch starts the goroutine that follows the objects. It ends with the task's context.
 func (k *Keeper) watch(ctx context.Context) {
 	k.open++
 	go func() {
@@ -93,7 +93,7 @@
 			}
 			pause(ctx, watchPause)
 		}
-		_ = k.inbox.Send(context.Background(), errandDone{}) // a background context never ends
+		_ = k.inbox.Send(context.Background(), callDone{}) // a background context never ends
 	}()
 }
 
--- a/internal/node/leasemessage_test.go
+++ b/internal/node/leasemessage_test.go
@@ -95,6 +95,9 @@
 	}
 }
 
+// holders are the instances of the benchmark. The servers have slots for all of them, so that every reply has grants.
+const holders = 15
+
 // BenchmarkLeaseExchange makes one exchange of one of 15 holders without the transport: both sides' decisions and
 // encodings. It reports the sizes of the messages.
 func BenchmarkLeaseExchange(b *testing.B) {
@@ -104,7 +107,7 @@
 }
 
 func benchmarkExchange(b *testing.B, servers int) {
-	const holders = 15
+
 	shard := warmShard(b, servers)
 	authority := session.Authority{Generation: 1, Until: time.Now().Add(time.Hour)}
 	var requestBytes, replyBytes int
@@ -132,7 +135,7 @@
 }
 
 func warmShard(b *testing.B, servers int) *keeper.Shard {
-	ch, err := charts.Load("lease", charts.Params{"lease_term": keeper.Quiet})
+	ch, err := charts.Load("lease", charts.Params{"lease_term": keeper.GracePeriod})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -143,7 +146,7 @@
 	var specs []keeper.Server
 	var warm []keeper.Warm
 	for _, h := range fullRequest("", 0, servers).Held {
-		specs = append(specs, keeper.Server{Name: h.Server, Address: "10.0.0.1:80", Slots: 6, Cold: 1})
+		specs = append(specs, keeper.Server{Name: h.Server, Address: "10.0.0.1:80", Slots: 6 * holders, Cold: 1})
 		warm = append(warm, keeper.Warm{Server: h.Server, Incarnation: "1764842526123"})
 	}
 	entry := keeper.Entry{Owner: keeper.Owner{Generation: 1}, Epoch: 1}
--- a/internal/node/errands.go
+++ b/internal/node/pendingcalls.go
@@ -8,28 +8,28 @@
 	"fuchsiahub.example/fuchsiahub/internal/task"
 )
 
-// errands are calls that a task makes without waiting for them. Each runs in its own goroutine and comes back as an
-// errandDone in the task's mailbox. The task ends after all of them have.
-type errands struct {
+// pendingCalls are calls that a task makes without waiting for them. Each runs in its own goroutine and comes back as a
+// callDone in the task's mailbox. The task ends after all of them have.
+type pendingCalls struct {
 	inbox *task.Mailbox[any]
 	open  int
 }
 
-// errandDone carries what an errand found. The task passes it to done and handles the message.
-type errandDone struct{ message any }
+// callDone carries what a call found. The task passes it to done and handles the message.
+type callDone struct{ message any }
 
 // start runs a call with a time limit.
-func (e *errands) start(ctx context.Context, limit time.Duration, call func(ctx context.Context) any) {
-	e.open++
+func (p *pendingCalls) start(ctx context.Context, limit time.Duration, call func(ctx context.Context) any) {
+	p.open++
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
-		_ = e.inbox.Send(context.Background(), errandDone{message: call(callCtx)}) // a background context never ends
+		_ = p.inbox.Send(context.Background(), callDone{message: call(callCtx)}) // a background context never ends
 	}()
 }
 
-func (e *errands) done(m errandDone) any {
-	e.open--
+func (p *pendingCalls) done(m callDone) any {
+	p.open--
 	return m.message
 }
 
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -45,7 +45,7 @@
 	id    session.Identity
 	inbox *task.Mailbox[any]
 	ended chan struct{}
-	errands
+	pendingCalls
 
 	holder   *session.Holder
 	witness  *session.Witness
@@ -69,7 +69,7 @@
 		result session.Result
 	}
 	witnessAnswered struct {
-		ask   session.Ask
+		ask   session.AckRequest
 		reply session.Reply
 	}
 	releaseAnswered struct {
@@ -109,7 +109,7 @@
 		holder: session.NewHolder(bound, now, id), witness: session.NewWitness(now, id), observer: session.NewObserver(id),
 		reading: map[string]bool{}, fencing: map[string]bool{}, nextLook: now,
 	}
-	s.errands.inbox = s.inbox
+	s.pendingCalls.inbox = s.inbox
 	s.authority.Store(&session.Authority{})
 	s.seen.Store(&map[string]session.Record{})
 	return s, nil
@@ -161,7 +161,7 @@
 
 func (s *Session) handle(now time.Time, m any) {
 	switch m := m.(type) {
-	case errandDone:
+	case callDone:
 		s.handle(now, s.done(m))
 	case sessionAnswered:
 		s.answered(now, m)
@@ -191,7 +191,7 @@
 	if op, ok := s.holder.Next(now, view.In(s.Self.Region)); ok {
 		s.start(ctx, storeCallTimeout, func(ctx context.Context) any { return s.call(ctx, op) })
 	}
-	for _, ask := range s.holder.Asks(now) {
+	for _, ask := range s.holder.AckRequests(now) {
 		s.start(ctx, witnessTimeout, func(ctx context.Context) any { return s.ask(ctx, ask) })
 	}
 	if !now.Before(s.nextLook) {
@@ -275,7 +275,7 @@
 }
 
 // ask asks one witness for its acknowledgement. No answer is no acknowledgement.
-func (s *Session) ask(ctx context.Context, ask session.Ask) any {
+func (s *Session) ask(ctx context.Context, ask session.AckRequest) any {
 	reply, err := s.Peers.Witness(ctx, ask.Witness.Instance, &peerpb.WitnessRequest{
 		Sender: senderOf(s.Self), SessionVersion: ask.Version, WitnessIncarnation: ask.Witness.Incarnation,
 	})
@@ -343,40 +343,40 @@
 
 // fence ends sessions that are surely dead and asks witnesses about those that may be.
 func (s *Session) fence(ctx context.Context, now time.Time, view *member.View) {
-	for _, move := range s.observer.Due(now, s.witness, view) {
-		if !move.Fence {
-			s.askRelease(ctx, move)
+	for _, action := range s.observer.Due(now, s.witness, view) {
+		if !action.Fence {
+			s.askRelease(ctx, action)
 			continue
 		}
-		if s.fencing[move.Holder] {
+		if s.fencing[action.Holder] {
 			continue
 		}
-		s.fencing[move.Holder] = true
-		s.Log.Info("fencing a dead session", "instance", move.Holder, "version", move.Version)
-		s.start(ctx, storeCallTimeout, func(ctx context.Context) any { return s.sendFence(ctx, move) })
+		s.fencing[action.Holder] = true
+		s.Log.Info("fencing a dead session", "instance", action.Holder, "version", action.Version)
+		s.start(ctx, storeCallTimeout, func(ctx context.Context) any { return s.sendFence(ctx, action) })
 	}
 }
 
-func (s *Session) sendFence(ctx context.Context, move session.Move) any {
-	value, err := encodeSession(move.Record)
+func (s *Session) sendFence(ctx context.Context, action session.Action) any {
+	value, err := encodeSession(action.Record)
 	if err != nil {
-		return sessionRead{name: move.Holder, fence: true, err: err}
+		return sessionRead{name: action.Holder, fence: true, err: err}
 	}
-	written, err := s.API.Update(ctx, objectapi.Sessions, move.Holder, move.Version, value)
-	object := objectapi.Object{Kind: objectapi.Sessions, Name: move.Holder, Version: written.Version, Value: value}
-	return sessionRead{name: move.Holder, object: object, fence: true, err: err}
+	written, err := s.API.Update(ctx, objectapi.Sessions, action.Holder, action.Version, value)
+	object := objectapi.Object{Kind: objectapi.Sessions, Name: action.Holder, Version: written.Version, Value: value}
+	return sessionRead{name: action.Holder, object: object, fence: true, err: err}
 }
 
-func (s *Session) askRelease(ctx context.Context, move session.Move) {
-	for _, w := range move.Ask {
+func (s *Session) askRelease(ctx context.Context, action session.Action) {
+	for _, w := range action.Ask {
 		if w.Instance == s.id.Instance {
 			continue
 		}
 		s.start(ctx, witnessTimeout, func(ctx context.Context) any {
 			reply, err := s.Peers.Witness(ctx, w.Instance, &peerpb.WitnessRequest{
-				Sender: senderOf(s.Self), SessionVersion: move.Version, Release: move.Holder, WitnessIncarnation: w.Incarnation,
+				Sender: senderOf(s.Self), SessionVersion: action.Version, Release: action.Holder, WitnessIncarnation: w.Incarnation,
 			})
-			return releaseAnswered{holder: move.Holder, version: move.Version, released: err == nil && reply.GetReleased()}
+			return releaseAnswered{holder: action.Holder, version: action.Version, released: err == nil && reply.GetReleased()}
 		})
 	}
 }
