--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -44,6 +44,8 @@
 	dial  backend.Dialer
 	log   *slog.Logger
 	inbox *task.Mailbox[applyDocuments]
+	// noKeepers says that no keeper grants slots.
+	noKeepers bool
 
 	published atomic.Pointer[map[string]Entry]
 	running   map[string]*runningService
@@ -65,6 +67,12 @@
 	return d
 }
 
+// WithoutKeepers makes the services run without slot leases. It is called before Run.
+func (d *Directory) WithoutKeepers() *Directory {
+	d.noKeepers = true
+	return d
+}
+
 type applyDocuments struct {
 	docs  *Documents
 	reply chan<- struct{}
@@ -89,19 +97,19 @@
 
 // Run is the body of the directory's task. It ends after the context has ended and all service tasks have.
 func (d *Directory) Run(ctx context.Context) error {
-	open := 0
+	open, stopping := 0, false
 	done := ctx.Done()
-	for done != nil || open > 0 {
+	for !stopping || open > 0 {
 		select {
 		case m := <-d.inbox.C():
-			if done != nil {
+			if !stopping {
 				open += d.apply(ctx, m.docs)
 			}
 			m.reply <- struct{}{}
 		case <-d.ended:
 			open--
 		case <-done:
-			done = nil
+			done, stopping = nil, true
 			d.stopAll()
 		}
 	}
@@ -112,7 +120,7 @@
 func (d *Directory) apply(ctx context.Context, docs *Documents) int {
 	started := 0
 	for name, doc := range docs.Services {
-		view := balance.View{Service: doc, Servers: docs.servers(doc), Zones: docs.Fleet, Self: d.self}
+		view := balance.View{Service: doc, Servers: docs.servers(doc), Zones: docs.Fleet, Self: d.self, NoKeepers: d.noKeepers}
 		if known, ok := d.running[name]; ok {
 			known.entry.Doc = doc
 			known.entry.Task.inbox.SendUntil(known.entry.Task.ended, update{view: view})
--- a/internal/node/holder.go
+++ b/internal/node/holder.go
@@ -379,3 +379,5 @@
 	}
 	return list
 }
+
+var _ LeaseTaker = (*Service)(nil)
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -19,8 +19,6 @@
 const (
 	// sessionCapacity bounds the messages that wait at the session task. Questions of peers are refused when it is full.
 	sessionCapacity = 256
-	// storeCallTimeout bounds one call to the object API, which answers in milliseconds when it is up.
-	storeCallTimeout = 2 * time.Second
 	// witnessTimeout bounds one question to a peer; a later answer would be of no use.
 	witnessTimeout = time.Second
 	// lookEvery is how often sessions of owners that are not live are read.
@@ -189,7 +187,7 @@
 	view := s.View()
 	s.holder.Tick(now)
 	if op, ok := s.holder.Next(now, view.In(s.Self.Region)); ok {
-		s.start(ctx, storeCallTimeout, func(ctx context.Context) any { return s.call(ctx, op) })
+		s.start(ctx, storeTimeout, func(ctx context.Context) any { return s.call(ctx, op) })
 	}
 	for _, ask := range s.holder.AckRequests(now) {
 		s.start(ctx, witnessTimeout, func(ctx context.Context) any { return s.ask(ctx, ask) })
@@ -317,7 +315,7 @@
 		return
 	}
 	s.reading[name] = true
-	s.start(ctx, storeCallTimeout, func(ctx context.Context) any {
+	s.start(ctx, storeTimeout, func(ctx context.Context) any {
 		object, err := s.API.Get(ctx, objectapi.Sessions, name)
 		return sessionRead{name: name, object: object, err: err}
 	})
@@ -353,7 +351,7 @@
 		}
 		s.fencing[action.Holder] = true
 		s.Log.Info("fencing a dead session", "instance", action.Holder, "version", action.Version)
-		s.start(ctx, storeCallTimeout, func(ctx context.Context) any { return s.sendFence(ctx, action) })
+		s.start(ctx, storeTimeout, func(ctx context.Context) any { return s.sendFence(ctx, action) })
 	}
 }
 
