Look over shards at intervals, count requests beyond the lease as held

It now looks when one is due, at most every 10 ms. The keeper's turn looked for the preferred owner of every shard; it now does so for free ones only.

--- a/internal/decide/keeper/account.go
+++ b/internal/decide/keeper/account.go
@@ -27,15 +27,14 @@
 // confirm replaces what the instance may hold by what it says that it holds. Slots that carry a request, and slots of
 // an earlier keeper, count for a full lease.
 func (a account) confirm(now time.Time, h Held) account {
-	slots := max(h.Slots, h.Busy)
 	until := a.held.until
 	if a.granted.until.After(until) {
 		until = a.granted.until
 	}
-	if h.Busy > 0 || slots > a.inForce(now) {
+	if h.Busy > 0 || h.Slots > a.inForce(now) {
 		until = now.Add(GracePeriod)
 	}
-	return account{held: claim{slots: slots, until: until}}
+	return account{held: claim{slots: h.Slots, until: until}}
 }
 
 // inForce returns how many slots of the server all instances but one may be using.
--- a/internal/decide/keeper/client.go
+++ b/internal/decide/keeper/client.go
@@ -12,8 +12,8 @@
 	KeepEvery = Term / 2
 	// WantEvery is how often an instance asks while it could use more slots.
 	WantEvery = 250 * time.Millisecond
-	// ExpediteGap bounds the exchanges that waiting requests cause.
-	ExpediteGap = 20 * time.Millisecond
+	// ExpediteGap bounds the exchanges that waiting requests cause. It is the AskInterval of package balance.
+	ExpediteGap = 100 * time.Millisecond
 )
 
 // Client is the holder's side of one shard: it asks the keeper and decides what a reply allows. It is owned by one task.
--- a/internal/decide/keeper/keeper_test.go
+++ b/internal/decide/keeper/keeper_test.go
@@ -153,6 +153,17 @@
 	}
 }
 
+// Guards against requests that were sent without a lease and are then not counted, or not leased, by a new keeper.
+func TestFallbackRequestsAreLeased(t *testing.T) {
+	b := newFixture(t, []keeper.Warm{{Server: "w1"}}, worker("w1"))
+	if n := total(b.ask(at(3), "x", 0, []keeper.Held{{Server: "w1", Busy: 3}})); n != 3 {
+		t.Errorf("%d slots for 3 requests that run", n)
+	}
+	if n := total(b.ask(at(3), "y", 6, nil)); n != 3 {
+		t.Errorf("%d slots beside 3 requests of another instance, of 6", n)
+	}
+}
+
 // Guards against a busy slot that is granted again when its lease has run out.
 func TestBusySlotStaysCounted(t *testing.T) {
 	b := newFixture(t, nil, worker("w1"))
--- a/internal/decide/keeper/shard.go
+++ b/internal/decide/keeper/shard.go
@@ -175,7 +175,7 @@
 	demand := req.Want
 	for _, known := range s.servers {
 		h := heldOf(req, known.spec.Name)
-		if h.Slots == 0 && h.Busy == 0 {
+		if h.Slots == 0 {
 			delete(known.accounts, req.Holder)
 			continue
 		}
@@ -188,9 +188,12 @@
 	return demand
 }
 
+// heldOf returns what the instance holds of a server. Requests that it sent beyond its lease, because no keeper
+// answered, count as held.
 func heldOf(req Request, server string) Held {
 	for _, h := range req.Held {
 		if h.Server == server {
+			h.Slots = max(h.Slots, h.Busy)
 			return h
 		}
 	}
--- a/internal/decide/keeper/table.go
+++ b/internal/decide/keeper/table.go
@@ -67,8 +67,11 @@
 			}
 			continue
 		}
+		if !e.free(self, sessions) {
+			continue
+		}
 		winner, ok := member.Rendezvous(Key{service, t.Zone}.String(), live)
-		if ok && winner.Name == self.Instance && e.free(self, sessions) {
+		if ok && winner.Name == self.Instance {
 			claims = append(claims, service)
 		}
 	}
--- a/internal/node/holder.go
+++ b/internal/node/holder.go
@@ -23,6 +23,9 @@
 	leaseTimeout = 500 * time.Millisecond
 	// holderSync is how often the list of shards is compared with the documents.
 	holderSync = time.Second
+	// holderGranularity is the least time between two looks over all shards. Looking after each message would cost the
+	// square of the number of shards.
+	holderGranularity = 10 * time.Millisecond
 )
 
 // LeaseTaker is what the holder task needs of the task of a service. Service implements it.
@@ -66,7 +69,11 @@
 	clients map[keeper.Key]*shardClient
 	signals map[string]*signal
 	// hints are owners that other instances named, for shards whose owner is not known here.
-	hints   map[keeper.Key]string
+	hints map[keeper.Key]string
+	// wake is when the first shard is due, as far as known.
+	wake time.Time
+	// worked is when all shards were looked over last.
+	worked  time.Time
 	leaving bool
 }
 
@@ -142,12 +149,11 @@
 		case <-sync.C:
 			h.sync(ctx)
 		case <-timer.C:
+			h.work(ctx, time.Now(), done != nil)
 		case <-done:
 			done = nil
 		}
-		if done != nil {
-			timer.Reset(h.work(ctx, time.Now()))
-		}
+		timer.Reset(time.Until(latest(h.wake, h.worked.Add(holderGranularity))))
 	}
 	return nil
 }
@@ -222,11 +228,11 @@
 	case shortOf:
 		h.expedite(now, func(key keeper.Key) bool { return key.Service == m.service })
 	case demanded:
-		h.demanded(ctx, now, m)
+		h.onClient(m.key, func(c *shardClient) { h.demanded(ctx, now, c, m) })
 	case leaseReplied:
-		h.replied(ctx, now, m)
+		h.onClient(m.key, func(c *shardClient) { h.replied(ctx, now, c, m) })
 	case delivered:
-		h.delivered(m)
+		h.onClient(m.key, func(c *shardClient) { h.delivered(c, m) })
 	case leaveLeases:
 		h.leaving = true
 		h.expedite(now, func(keeper.Key) bool { return true })
@@ -234,40 +240,55 @@
 }
 
 func (h *Holder) expedite(now time.Time, which func(keeper.Key) bool) {
-	for key, a := range h.clients {
+	for key, c := range h.clients {
 		if which(key) {
-			a.Expedite(now)
+			c.Expedite(now)
+			h.schedule(c)
 		}
 	}
 }
 
-// work asks the services whose shards are due and returns when the next one is.
-func (h *Holder) work(ctx context.Context, now time.Time) time.Duration {
-	wake := now.Add(holderSync)
-	for key, a := range h.clients {
-		due, free := a.Due()
-		if !free || a.busy {
-			continue
-		}
-		if due.After(now) {
-			if due.Before(wake) {
-				wake = due
-			}
-			continue
+// onClient handles a message about a shard, unless the documents no longer name it.
+func (h *Holder) onClient(key keeper.Key, handle func(*shardClient)) {
+	if c := h.clients[key]; c != nil {
+		handle(c)
+		h.schedule(c)
+	}
+}
+
+// schedule wakes the task when a shard is due.
+func (h *Holder) schedule(c *shardClient) {
+	if due, free := c.Due(); free && !c.busy && due.Before(h.wake) {
+		h.wake = due
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// work asks the services whose shards are due. A task whose context has ended asks nobody.
+func (h *Holder) work(ctx context.Context, now time.Time, open bool) {
+	h.wake, h.worked = now.Add(holderSync), now
+	for key, c := range h.clients {
+		if due, free := c.Due(); open && free && !c.busy && !due.After(now) {
+			h.askService(ctx, now, key, c)
 		}
-		h.askService(ctx, now, key, a)
+		h.schedule(c)
 	}
-	return wake.Sub(now)
 }
 
 // askService asks a service task what it needs of a shard.
-func (h *Holder) askService(ctx context.Context, now time.Time, key keeper.Key, a *shardClient) {
+func (h *Holder) askService(ctx context.Context, now time.Time, key keeper.Key, c *shardClient) {
 	taker, ok := h.Service(key.Service)
 	if !ok {
-		a.Postpone(now)
+		c.Postpone(now)
 		return
 	}
-	a.busy = true
+	c.busy = true
 	h.start(ctx, demandTimeout, func(ctx context.Context) any {
 		d, err := taker.Demand(ctx, key.Zone)
 		return demanded{key: key, demand: d, err: err}
@@ -275,18 +296,14 @@
 }
 
 // demanded sends what a service needs to the keeper of the shard.
-func (h *Holder) demanded(ctx context.Context, now time.Time, m demanded) {
-	a := h.clients[m.key]
-	if a == nil {
-		return
-	}
-	a.busy = false
+func (h *Holder) demanded(ctx context.Context, now time.Time, c *shardClient, m demanded) {
+	c.busy = false
 	to, known := h.owner(m.key)
 	if m.err != nil || !known {
-		a.Postpone(now)
+		c.Postpone(now)
 		return
 	}
-	req, ok := a.Ask(now, m.demand, h.leaving)
+	req, ok := c.Ask(now, m.demand, h.leaving)
 	if !ok {
 		return
 	}
@@ -317,29 +334,25 @@
 }
 
 // replied takes the keeper's answer. Without a usable one the leases run out and the service falls back.
-func (h *Holder) replied(ctx context.Context, now time.Time, m leaseReplied) {
-	a := h.clients[m.key]
-	if a == nil {
-		return
-	}
+func (h *Holder) replied(ctx context.Context, now time.Time, c *shardClient, m leaseReplied) {
 	delete(h.hints, m.key)
 	if m.err == nil && m.out.GetNotKeeper() && m.out.GetKeeper() != "" && m.out.GetKeeper() != m.to {
 		h.hints[m.key] = m.out.GetKeeper()
 	}
 	if m.err != nil || m.out.GetNotKeeper() {
-		a.Failed(m.sequence)
+		c.Failed(m.sequence)
 		return
 	}
 	reply, err := readLeaseReply(m.key, m.out)
 	if err != nil {
 		h.Log.Warn("lease reply refused", "keeper", m.to, "error", err)
-		a.Failed(m.sequence)
+		c.Failed(m.sequence)
 		return
 	}
-	leased, ok := a.Replied(now, m.sent, m.sequence, reply)
+	leased, ok := c.Replied(now, m.sent, m.sequence, reply)
 	if taker, served := h.Service(m.key.Service); served && ok {
-		a.busy = true
-		h.deliver(ctx, taker, m.key, leased, a.news(reply.Servers))
+		c.busy = true
+		h.deliver(ctx, taker, m.key, leased, c.news(reply.Servers))
 	}
 }
 
@@ -355,25 +368,21 @@
 	})
 }
 
-func (h *Holder) delivered(m delivered) {
-	a := h.clients[m.key]
-	if a == nil {
-		return
-	}
-	a.busy = false
+func (h *Holder) delivered(c *shardClient, m delivered) {
+	c.busy = false
 	if m.err != nil {
 		h.Log.Warn("service did not take a lease", "shard", m.key.String(), "error", m.err)
-		clear(a.told) // the next reply tells everything again
+		clear(c.told) // the next reply tells everything again
 	}
 }
 
 // news returns what the service task has not been told of the servers.
-func (a *shardClient) news(servers []balance.Report) []balance.Notice {
+func (c *shardClient) news(servers []balance.Report) []balance.Notice {
 	var list []balance.Notice
 	for _, s := range servers {
 		n := balance.Notice{Server: s.Server, Incarnation: s.Incarnation, State: s.State}
-		if a.told[s.Server] != n {
-			a.told[s.Server] = n
+		if c.told[s.Server] != n {
+			c.told[s.Server] = n
 			list = append(list, n)
 		}
 	}
--- /dev/null
+++ b/internal/node/holder_test.go
@@ -0,0 +1,69 @@
+package node_test
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/decide/keeper"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/node"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
+)
+
+// hastyService signals that it is short every millisecond, also while nothing is granted.
+type hastyService struct {
+	short chan struct{}
+}
+
+func (s *hastyService) Demand(context.Context, string) (balance.Demand, error) {
+
+	return balance.Demand{Want: 1}, nil
+}
+
+func (s *hastyService) Lease(context.Context, balance.Leased) error  { return nil }
+func (s *hastyService) Notice(context.Context, balance.Notice) error { return nil }
+func (s *hastyService) Short() <-chan struct{}                       { return s.short }
+
+// Guards against signals of a service that keep the task from asking, and against an exchange for each signal.
+func TestSignalsNeitherStarveNorFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := &hastyService{short: make(chan struct{})}
+		doc := &document.Service{Name: "s0"}
+		doc.Servers.List = []document.Server{{Name: "w1", Address: "10.0.0.1:80", Zone: "permian-a"}}
+		doc.Complete()
+		docs := &node.Documents{
+			Services: map[string]*document.Service{"s0": doc},
+			Fleet:    &document.Fleet{Regions: []document.Region{{Name: "permian", Zones: []string{"permian-a"}}}},
+		}
+		self := member.Instance{Name: "i0", Incarnation: 1, Region: "permian"}
+		exchanges := 0
+		holder := node.NewHolder(node.HolderConfig{
+			Self: self, Log: slog.New(slog.DiscardHandler), Docs: func() *node.Documents { return docs },
+			View:    func() *member.View { return &member.View{Self: self, Live: []member.Instance{self}} },
+			Owners:  func() map[keeper.Key]string { return map[keeper.Key]string{{Service: "s0", Zone: "permian-a"}: "i0"} },
+			Service: func(string) (node.LeaseTaker, bool) { return service, true },
+			Own: func(context.Context, *peerpb.LeaseRequest) (*peerpb.LeaseReply, error) {
+				exchanges++
+				return &peerpb.LeaseReply{Epoch: 1, TermMs: 2000}, nil
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- holder.Run(ctx) }()
+		for range 10_000 {
+			service.short <- struct{}{}
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+		<-ended
+		most := int(10*time.Second/keeper.ExpediteGap) + 1
+		if exchanges > most || exchanges < most/2 {
+			t.Errorf("%d exchanges in 10 s, want about one for each %v", exchanges, keeper.ExpediteGap)
+		}
+	})
+}
