--- /dev/null
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -0,0 +1,122 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	s1    = quarantine.Server{Service: "intake", Name: "intake-1"}
+	s2    = quarantine.Server{Service: "intake", Name: "intake-2"}
+	f     = quarantine.Fingerprint{1}
+)
+
+// Guards against a fingerprint that is condemned too early, too late or for too long.
+func TestTreatment(t *testing.T) {
+	lost := func(s quarantine.Server, incarnation string) quarantine.Loss {
+		return quarantine.Loss{Server: s, Incarnation: incarnation, Fingerprint: f}
+	}
+	strike := func(s quarantine.Server, incarnation string, at time.Time) quarantine.Strike {
+		return quarantine.Strike{Fingerprint: f, Crash: quarantine.Crash{Server: s, Incarnation: incarnation, At: at}}
+	}
+	tests := []struct {
+		name string
+		do   func(q *quarantine.Quarantine, now time.Time)
+		wait time.Duration
+		want quarantine.Treatment
+	}{
+		{"connection broke", func(q *quarantine.Quarantine, now time.Time) { q.Lost(now, lost(s1, "a")) }, 0, quarantine.Alone},
+		{"server still accepts", func(q *quarantine.Quarantine, now time.Time) { q.Lost(now, lost(s1, "a")); q.Accepted(now, s1) }, 0, quarantine.Free},
+		{"one crash", func(q *quarantine.Quarantine, now time.Time) { q.Lost(now, lost(s1, "a")); q.Refused(now, s1) }, 0, quarantine.Alone},
+		{"one crash shown by a new start", func(q *quarantine.Quarantine, now time.Time) {
+			q.Started(now, s1, "a")
+			q.Lost(now, lost(s1, "a"))
+			q.Accepted(now, s1)
+			q.Started(now, s1, "b")
+		}, 0, quarantine.Alone},
+		{"crash is too long after the broken connection", func(q *quarantine.Quarantine, now time.Time) {
+			q.Lost(now, lost(s1, "a"))
+			q.Accepted(now, s1)
+			q.Refused(now.Add(time.Minute), s1)
+		}, time.Minute, quarantine.Free},
+		{"second connection broke", func(q *quarantine.Quarantine, now time.Time) {
+			q.Strike(now, strike(s1, "a", now))
+			q.Lost(now, lost(s2, "a"))
+		}, 0, quarantine.Refuse},
+		{"second server did not crash", func(q *quarantine.Quarantine, now time.Time) {
+			q.Strike(now, strike(s1, "a", now))
+			q.Lost(now, lost(s2, "a"))
+			q.Accepted(now, s2)
+		}, 0, quarantine.Alone},
+		{"same crash from two instances", func(q *quarantine.Quarantine, now time.Time) {
+			q.Strike(now, strike(s1, "a", now))
+			q.Strike(now, strike(s1, "a", now.Add(time.Minute)))
+			q.Strike(now, strike(s1, "", now.Add(time.Second)))
+		}, 0, quarantine.Alone},
+		{"two crashes of one server", func(q *quarantine.Quarantine, now time.Time) {
+			q.Strike(now, strike(s1, "a", now))
+			q.Strike(now, strike(s1, "b", now))
+		}, 0, quarantine.Refuse},
+		{"two crashes of one server without incarnations", func(q *quarantine.Quarantine, now time.Time) {
+			q.Strike(now, strike(s1, "", now))
+			q.Strike(now, strike(s1, "", now.Add(time.Minute)))
+		}, 0, quarantine.Refuse},
+		{"answer after two crashes", func(q *quarantine.Quarantine, now time.Time) {
+			q.Strike(now, strike(s1, "a", now))
+			q.Strike(now, strike(s2, "a", now))
+			q.Clear(now, f)
+		}, 0, quarantine.Free},
+		{"condemned for nine minutes", func(q *quarantine.Quarantine, now time.Time) {
+			q.Strike(now, strike(s1, "a", now))
+			q.Strike(now, strike(s2, "a", now))
+		}, 9 * time.Minute, quarantine.Refuse},
+		{"condemned for ten minutes", func(q *quarantine.Quarantine, now time.Time) {
+			q.Strike(now, strike(s1, "a", now))
+			q.Strike(now, strike(s2, "a", now))
+		}, 10 * time.Minute, quarantine.Free},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ch, err := charts.Load("quarantine", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			q, err := quarantine.New(ch, 30*time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			test.do(q, start)
+			q.Tick(start.Add(test.wait))
+			if got := q.Snapshot().Marks[f]; got != test.want {
+				t.Errorf("treatment %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against marks without bound.
+func TestMarksAreBounded(t *testing.T) {
+	ch, err := charts.Load("quarantine", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	q, err := quarantine.New(ch, 30*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range quarantine.MaxMarks + 10 {
+		q.Lost(start, quarantine.Loss{Server: s1, Fingerprint: quarantine.Fingerprint{byte(n), byte(n >> 8)}})
+	}
+	if marks := len(q.Snapshot().Marks); marks != quarantine.MaxMarks || q.Dropped != 10 {
+		t.Errorf("%d marks, %d dropped", marks, q.Dropped)
+	}
+	q.Tick(start.Add(time.Hour))
+	q.Tick(start.Add(2 * time.Hour))
+	if _, due := q.Deadline(); due {
+		t.Error("something is still remembered after two hours")
+	}
+}
