--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -57,8 +57,6 @@
 		{Name: "loose-ramp", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, LooseRamp: true},
 		{Name: "stale-reports", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, StaleReports: true},
 		{Name: "region-notices", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, RegionNotices: true},
-			t.AskInterval, t.ReturnInterval, t.Reserve = 50*time.Millisecond, 50*time.Millisecond, 0
-		}), Keepers: true, Evidence: true},
 		{Name: "ask-at-once", Tuning: with(func(t *balance.Tuning) { t.AskInterval, t.ReturnInterval = 0, 10*time.Millisecond }), Keepers: true, Evidence: true},
 		{Name: "default+hedge", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, Hedge: true},
 	}
