--- a/internal/node/added_test.go
+++ b/internal/node/added_test.go
@@ -105,7 +105,7 @@
 	work := make(chan struct{})
 	results := make(chan *hdrhistogram.Histogram)
 	for i := range benchClients {
-		go func() { results <- client(address(i), work) }()
+		go func() { results <- sendWork(address(i), work) }()
 	}
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
@@ -126,8 +126,8 @@
 	b.ReportMetric(float64(b.N-int(total.TotalCount())), "failed")
 }
 
-// client sends a request for each item of work on one connection and returns the added times in microseconds.
-func client(address string, work <-chan struct{}) *hdrhistogram.Histogram {
+// sendWork sends a request for each item of work on one connection and returns the added times in microseconds.
+func sendWork(address string, work <-chan struct{}) *hdrhistogram.Histogram {
 	added := hdrhistogram.New(1, 60_000_000, 3)
 	conn, err := net.Dial("tcp", address)
 	reader := bufio.NewReader(conn)
