Keep tasks running under contexts without end; share waiting and asking

Cause: seven tasks still took a nil Done channel as a stop, the fault that made the first tasks end at once, and four packages had their own copies of a pause and of a question to a task that may end.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -303,13 +303,7 @@
 
 func pauseFor(length time.Duration) func(context.Context) error {
 	return func(ctx context.Context) error {
-		timer := time.NewTimer(length)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+		task.Pause(ctx, length)
+		return ctx.Err()
 	}
 }
--- a/internal/node/backoff.go
+++ b/internal/node/backoff.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -21,15 +20,3 @@
 	b.failures++
 	return wait/2 + rand.N(wait/2)
 }
-
-// pause waits and reports false when the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -165,8 +165,8 @@
 	}()
 	ticker := time.NewTicker(member.RoundTime)
 	defer ticker.Stop()
-	done := ctx.Done()
-	for done != nil || g.exchanges > 0 || watching != nil {
+	done, running := ctx.Done(), true
+	for running || g.exchanges > 0 || watching != nil {
 		select {
 		case m := <-g.inbox.C():
 			g.handle(ctx, m)
@@ -175,7 +175,7 @@
 		case <-watching:
 			watching = nil
 		case <-done:
-			done = nil
+			done, running = nil, false
 		}
 		g.view.Store(g.table.View())
 	}
--- a/internal/node/holder.go
+++ b/internal/node/holder.go
@@ -141,17 +141,17 @@
 	sync := time.NewTicker(holderSync)
 	defer sync.Stop()
 	h.sync(ctx)
-	done := ctx.Done()
-	for done != nil || h.open > 0 {
+	done, running := ctx.Done(), true
+	for running || h.open > 0 {
 		select {
 		case m := <-h.inbox.C():
 			h.handle(ctx, time.Now(), m)
 		case <-sync.C:
 			h.sync(ctx)
 		case <-timer.C:
-			h.work(ctx, time.Now(), done != nil)
+			h.work(ctx, time.Now(), running)
 		case <-done:
-			done = nil
+			done, running = nil, false
 		}
 		timer.Reset(time.Until(latest(h.wake, h.worked.Add(holderGranularity))))
 	}
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -129,17 +129,17 @@
 	k.watch(ctx)
 	ticker := time.NewTicker(keeperTurn)
 	defer ticker.Stop()
-	done := ctx.Done()
-	for done != nil || k.open > 0 {
+	done, running := ctx.Done(), true
+	for running || k.open > 0 {
 		select {
 		case m := <-k.inbox.C():
 			k.handle(ctx, time.Now(), m)
 		case <-ticker.C:
-			if done != nil {
+			if running {
 				k.turn(ctx, time.Now())
 			}
 		case <-done:
-			done = nil
+			done, running = nil, false
 			k.stopProbes()
 		}
 	}
--- a/internal/node/keepertables.go
+++ b/internal/node/keepertables.go
@@ -8,6 +8,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/decide/session"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/task"
 )
 
 // watchPause is the wait before a watch that has ended is begun again.
@@ -91,7 +92,7 @@
 			if err := k.follow(ctx); err != nil && ctx.Err() == nil {
 				k.Log.Warn("keepers are not watched", "error", err)
 			}
-			pause(ctx, watchPause)
+			task.Pause(ctx, watchPause)
 		}
 		_ = k.inbox.Send(context.Background(), callDone{}) // a background context never ends
 	}()
--- a/internal/node/registrar.go
+++ b/internal/node/registrar.go
@@ -127,7 +127,7 @@
 		if err == nil || fault.Is(err, fault.NotFound) || fault.Is(err, fault.Conflict) {
 			return nil // gone, or a later process of the same name has replaced it
 		}
-		if !pause(ctx, retry.next()) {
+		if !task.Pause(ctx, retry.next()) {
 			return fault.Wrap(err, fault.StoreUnavailable, "delete the object if the instance does not return",
 				"entry %s/%s could not be deleted", objectapi.Instances, r.name)
 		}
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -139,16 +139,16 @@
 	defer close(s.ended)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	done := ctx.Done()
-	for done != nil || s.open > 0 {
+	done, running := ctx.Done(), true
+	for running || s.open > 0 {
 		select {
 		case m := <-s.inbox.C():
 			s.handle(time.Now(), m)
 		case <-timer.C:
 		case <-done:
-			done = nil
+			done, running = nil, false
 		}
-		if done != nil {
+		if running {
 			timer.Reset(s.work(ctx, time.Now()))
 		}
 		s.publish()
--- a/internal/node/settlements.go
+++ b/internal/node/settlements.go
@@ -73,8 +73,8 @@
 	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var limit <-chan time.Time
-	done := ctx.Done()
-	for done != nil || t.calls+len(t.ready)+len(t.failed)+t.inbox.Len() > 0 {
+	done, running := ctx.Done(), true
+	for running || t.calls+len(t.ready)+len(t.failed)+t.inbox.Len() > 0 {
 		t.start(calls)
 		select {
 		case s := <-t.inbox.C():
@@ -85,7 +85,7 @@
 		case <-retry.C:
 			t.retry(time.Now())
 		case <-done:
-			done = nil
+			done, running = nil, false
 			limit = time.After(claimsStopLimit)
 		case <-limit:
 			t.log.Warn("settlements of once-only claims were not confirmed", "open", t.calls+len(t.ready)+len(t.failed))
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -86,7 +86,7 @@
 	}
 	w.log.Warn("object API does not answer", "kind", string(w.kind), "error", err)
 	w.tell(ctx, unreadable{kind: w.kind, err: err})
-	pause(ctx, w.retry.next())
+	task.Pause(ctx, w.retry.next())
 }
 
 // follow lists if needed, and then watches until an error. A watch without news ends without an error.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -74,13 +74,13 @@
 // Run is the body of the client's task. It ends after the context has ended and all connections are closed.
 func (c *Client) Run(ctx context.Context) error {
 	defer close(c.ended)
-	done := ctx.Done()
-	for done != nil || c.open > 0 {
+	done, running := ctx.Done(), true
+	for running || c.open > 0 {
 		select {
 		case m := <-c.inbox.C():
 			c.handle(ctx, m)
 		case <-done:
-			done = nil
+			done, running = nil, false
 			for name := range c.links {
 				c.stop(name)
 			}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -67,15 +67,15 @@
 	s.listener = listener
 	stopped := make(chan struct{})
 	go s.accept(ctx, stopped)
-	done := ctx.Done()
-	for done != nil || s.open > 0 || stopped != nil {
+	done, running := ctx.Done(), true
+	for running || s.open > 0 || stopped != nil {
 		select {
 		case m := <-s.inbox.C():
 			s.handle(ctx, m)
 		case <-stopped:
 			stopped = nil
 		case <-done:
-			done = nil
+			done, running = nil, false
 			s.closeListener()
 		}
 	}
@@ -153,20 +153,11 @@
 			return
 		default:
 			s.log.Warn("connection of a peer was not accepted", "error", err)
-			wait(ctx, acceptPause)
+			task.Pause(ctx, acceptPause)
 		}
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // serve starts the task of one connection.
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	if s.draining || s.open >= maxInbound || ctx.Err() != nil {
--- a/internal/standin/backend/handler.go
+++ b/internal/standin/backend/handler.go
@@ -10,6 +10,7 @@
 
 	"fuchsiahub.example/fuchsiahub/internal/backend"
 	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/task"
 )
 
 // maxBody bounds the request body that is read.
@@ -47,7 +48,7 @@
 }
 
 func (h *handler) probe(w http.ResponseWriter, r *http.Request) {
-	about, err := ask(r.Context(), h.server, func(reply chan<- self) any { return probed{reply: reply} })
+	about, err := task.AskUntil(r.Context(), h.server.ended, h.server.inbox, func(reply chan<- self) any { return probed{reply: reply} })
 	h.describe(w, about)
 	writeJSON(w, map[string]string{"state": about.state, "load": about.load}, err)
 }
@@ -139,9 +140,9 @@
 
 func (h *handler) run(ctx context.Context, w http.ResponseWriter, r *http.Request, v verdict, body []byte) {
 	start := time.Now()
-	done := pause(ctx, v.time)
+	done := task.Pause(ctx, v.time)
 	ran := time.Since(start)
-	about, err := ask(context.WithoutCancel(ctx), h.server, func(reply chan<- self) any { return end{life: h.life, reply: reply} })
+	about, err := task.AskUntil(context.WithoutCancel(ctx), h.server.ended, h.server.inbox, func(reply chan<- self) any { return end{life: h.life, reply: reply} })
 	if err != nil {
 		panic(http.ErrAbortHandler) // the server has ended
 	}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -210,10 +210,10 @@
 func (s *Server) connState(c net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		if allowed, _ := ask(context.Background(), s, func(reply chan<- bool) any { return connOpened{reply: reply} }); !allowed {
+		if allowed, _ := task.AskUntil(context.Background(), s.ended, s.inbox, func(reply chan<- bool) any { return connOpened{reply: reply} }); !allowed {
 			_ = c.Close() // refused; the server's goroutine sees it closed
 		}
-		pause(context.Background(), s.state.options.ConnectCost)
+		task.Pause(context.Background(), s.state.options.ConnectCost)
 	case http.StateClosed, http.StateHijacked:
 		s.inbox.SendUntil(s.ended, connClosed{})
 	}
@@ -221,50 +221,17 @@
 
 // Set changes the switches. It returns when they hold.
 func (s *Server) Set(ctx context.Context, switches Switches) error {
-	_, err := ask(ctx, s, func(reply chan<- struct{}) any { return setSwitches{switches: switches, reply: reply} })
+	_, err := task.AskUntil(ctx, s.ended, s.inbox, func(reply chan<- struct{}) any { return setSwitches{switches: switches, reply: reply} })
 	return err
 }
 
 // Report returns what the server counted.
 func (s *Server) Report(ctx context.Context) (Report, error) {
-	return ask(ctx, s, func(reply chan<- Report) any { return getReport{reply: reply} })
+	return task.AskUntil(ctx, s.ended, s.inbox, func(reply chan<- Report) any { return getReport{reply: reply} })
 }
 
 // Crash closes all connections and refuses new ones for Options.DownTime. The next start has a new incarnation.
 func (s *Server) Crash(ctx context.Context) error {
-	_, err := ask(ctx, s, func(reply chan<- struct{}) any { return crash{reply: reply} })
+	_, err := task.AskUntil(ctx, s.ended, s.inbox, func(reply chan<- struct{}) any { return crash{reply: reply} })
 	return err
 }
-
-var errEnded = errors.New("the stand-in has ended")
-
-func ask[R any](ctx context.Context, s *Server, build func(reply chan<- R) any) (R, error) {
-	reply := make(chan R, 1)
-	var none R
-	if !s.inbox.SendUntil(s.ended, build(reply)) {
-		return none, errEnded
-	}
-	select {
-	case r := <-reply:
-		return r, nil
-	case <-s.ended:
-		return none, errEnded
-	case <-ctx.Done():
-		return none, ctx.Err()
-	}
-}
-
-// pause waits; it reports false when the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/objectapi/store.go
+++ b/internal/standin/objectapi/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/fault"
@@ -118,41 +117,6 @@
 	}
 }
 
-// errEnded is the cause of calls to a store whose task has ended.
-var errEnded = errors.New("the stand-in has ended")
-
-// ask sends a message to the store's task and waits for the reply.
-func ask[R any](ctx context.Context, s *Store, build func(reply chan<- R) any) (R, error) {
-	reply := make(chan R, 1)
-	var none R
-	if !s.inbox.SendUntil(s.ended, build(reply)) {
-		return none, errEnded
-	}
-	select {
-	case r := <-reply:
-		return r, nil
-	case <-s.ended:
-		return none, errEnded
-	case <-ctx.Done():
-		return none, ctx.Err()
-	}
-}
-
-// wait lets the delay of the switches pass.
-func wait(ctx context.Context, delay time.Duration) error {
-	if delay <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func unavailable(err error) error {
 	return fault.Wrap(err, fault.StoreUnavailable, "check the platform's object API", "the object API does not answer")
 }
@@ -173,9 +137,10 @@
 }
 
 func (s *Store) read(ctx context.Context, kind objectapi.Kind, name string) (readReply, error) {
-	r, err := ask(ctx, s, func(reply chan<- readReply) any { return read{kind: kind, name: name, reply: reply} })
+	r, err := task.AskUntil(ctx, s.ended, s.inbox, func(reply chan<- readReply) any { return read{kind: kind, name: name, reply: reply} })
 	if err == nil {
-		err = wait(ctx, r.delay)
+		task.Pause(ctx, r.delay)
+		err = ctx.Err()
 	}
 	if err != nil {
 		return readReply{}, unavailable(err)
@@ -204,9 +169,10 @@
 		return objectapi.Object{}, fault.New(fault.Invalid, "shorten the value", "value of %s/%s is larger than 1 MiB", object.Kind, object.Name)
 	}
 	object.Value = append([]byte(nil), object.Value...)
-	r, err := ask(ctx, s, func(reply chan<- writeReply) any { return write{action: a, object: object, reply: reply} })
+	r, err := task.AskUntil(ctx, s.ended, s.inbox, func(reply chan<- writeReply) any { return write{action: a, object: object, reply: reply} })
 	if err == nil {
-		err = wait(ctx, r.delay)
+		task.Pause(ctx, r.delay)
+		err = ctx.Err()
 	}
 	if err != nil {
 		return objectapi.Object{}, fault.Wrap(err, fault.AmbiguousWrite, "read the object back", "the answer to a write was lost")
@@ -216,9 +182,10 @@
 
 // Watch reports changes of a kind after the given version.
 func (s *Store) Watch(ctx context.Context, kind objectapi.Kind, after uint64) (objectapi.Watch, error) {
-	r, err := ask(ctx, s, func(reply chan<- watchReply) any { return openWatch{kind: kind, after: after, store: s, reply: reply} })
+	r, err := task.AskUntil(ctx, s.ended, s.inbox, func(reply chan<- watchReply) any { return openWatch{kind: kind, after: after, store: s, reply: reply} })
 	if err == nil {
-		err = wait(ctx, r.delay)
+		task.Pause(ctx, r.delay)
+		err = ctx.Err()
 	}
 	if err != nil {
 		if r.watch != nil {
@@ -234,22 +201,22 @@
 
 // Set changes the switches. It returns when they hold.
 func (s *Store) Set(ctx context.Context, switches Switches) error {
-	_, err := ask(ctx, s, func(reply chan<- struct{}) any { return setSwitches{switches: switches, reply: reply} })
+	_, err := task.AskUntil(ctx, s.ended, s.inbox, func(reply chan<- struct{}) any { return setSwitches{switches: switches, reply: reply} })
 	return err
 }
 
 // Switches returns the switches that hold. LoseAnswers counts down.
 func (s *Store) Switches(ctx context.Context) (Switches, error) {
-	return ask(ctx, s, func(reply chan<- Switches) any { return getSwitches{reply: reply} })
+	return task.AskUntil(ctx, s.ended, s.inbox, func(reply chan<- Switches) any { return getSwitches{reply: reply} })
 }
 
 // CutWatches ends all watches, as when a connection breaks.
 func (s *Store) CutWatches(ctx context.Context) error {
-	_, err := ask(ctx, s, func(reply chan<- struct{}) any { return cutWatches{reply: reply} })
+	_, err := task.AskUntil(ctx, s.ended, s.inbox, func(reply chan<- struct{}) any { return cutWatches{reply: reply} })
 	return err
 }
 
 // Counts returns how many calls the store took.
 func (s *Store) Counts(ctx context.Context) (Counts, error) {
-	return ask(ctx, s, func(reply chan<- Counts) any { return getCounts{reply: reply} })
+	return task.AskUntil(ctx, s.ended, s.inbox, func(reply chan<- Counts) any { return getCounts{reply: reply} })
 }
