Record what the fleet changed by itself in the audit trail

Cause: the trail held only changes of operators. The machines of servers and zones now report each change of state; the keeper of a shard records ejections, presumed cold starts and shifted zones, and the taking of shards; the quarantine records that a fingerprint was refused, without naming it.

--- /dev/null
+++ b/internal/daemon/changes.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"strconv"
+
+	"fuchsiahub.example/fuchsiahub/internal/audit"
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/decide/keeper"
+)
+
+// serverActions are the states of charts/backend.toml whose begin is recorded in the audit trail.
+var serverActions = map[string]audit.Action{
+	"ejected": audit.ServerEjected,
+	"cold":    audit.ServerCold,
+}
+
+// causes explain the events of charts/backend.toml and charts/zone.toml to operators.
+var causes = map[string]string{
+	"answer_bad":   "several requests in a row failed at the server",
+	"presume_cold": "the server refused or broke a connection, reported a new start, or another instance saw one of these",
+	"shed":         "the server refused work while it was warming up",
+	"token":        "the server is new or was not seen before",
+	"ready":        "the server that was leaving takes work again",
+	"take_out":     "operators took the availability zone out",
+	"bring_in":     "operators brought the availability zone back",
+	"quiet":        "the shift of the availability zone's work is over",
+	"returned":     "the availability zone has its full share again",
+}
+
+// changed logs a change of state. The trail gets it from the keeper of the shard only, so that it stands there once.
+func (d *Daemon) changed(service string, c balance.Change) {
+	d.log.Debug("state changed", "service", service, "zone", c.Zone, "server", c.Server, "from", c.From, "event", c.Event, "to", c.To)
+	if d.keeper.Owners()[keeper.Key{Service: service, Zone: c.Zone}] != d.self.Name {
+		return
+	}
+	action, recorded := serverActions[c.To]
+	if c.Server == "" {
+		action, recorded = audit.ZoneShifted, true
+	}
+	if !recorded {
+		return
+	}
+	d.record(audit.Record{Action: action, Service: service, Zone: c.Zone, Server: c.Server, Cause: cause(c)})
+}
+
+func cause(c balance.Change) string {
+	text, ok := causes[c.Event]
+	if !ok {
+		text = c.Event
+	}
+	return c.From + " to " + c.To + ": " + text
+}
+
+// record adds a change to the audit trail. The trail drops what comes too fast.
+func (d *Daemon) record(r audit.Record) {
+	if err := d.audit.Offer(r); err != nil {
+		d.log.Warn("change not recorded in the audit trail", "action", r.Action, "service", r.Service, "zone", r.Zone, "error", err)
+	}
+}
+
+func (d *Daemon) shardTaken(key keeper.Key, epoch uint64) {
+	d.record(audit.Record{
+		Action: audit.OwnerMoved, Service: key.Service, Zone: key.Zone,
+		Cause: "the shard had no keeper, or its keeper left or lost its session; epoch " + strconv.FormatUint(epoch, 10),
+	})
+}
+
+// condemned records no fingerprint: the trail may be read in any region.
+func (d *Daemon) condemned() {
+	d.record(audit.Record{Action: audit.RequestQuarantined, Cause: "backend servers crashed twice while a request with the same fingerprint ran"})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -148,7 +148,9 @@
 func (d *Daemon) buildServices() error {
 	var err error
 	d.directory = node.NewDirectory(d.place(), backend.NetDialer, d.log)
-	d.relay = node.NewRelay(node.RelayOptions{View: d.view, Entries: d.directory.Entries, Report: d.gossip.Report, Log: d.log})
+	d.relay = node.NewRelay(node.RelayOptions{
+		View: d.view, Entries: d.directory.Entries, Report: d.gossip.Report, Changed: d.changed, Log: d.log,
+	})
 	d.audit, err = audit.NewWriter(d.api, d.self.Name, d.self.Incarnation, d.log)
 	return err
 }
@@ -160,7 +162,7 @@
 	}
 	d.keeper = node.NewKeeper(node.KeeperConfig{
 		Self: d.self, API: d.api, View: d.view, Docs: d.documents, Standing: d.session, Dial: backend.NetDialer,
-		ProbesPerSecond: d.probes(), Log: d.log,
+		ProbesPerSecond: d.probes(), Taken: d.shardTaken, Log: d.log,
 	})
 	d.holder = node.NewHolder(node.HolderConfig{
 		Self: d.self, Peers: d.client, Own: d.keeper.Lease, Owners: d.keeper.Owners, View: d.view, Docs: d.documents,
@@ -179,7 +181,8 @@
 	d.claims = node.NewClaims(d.claimParts(key))
 	var err error
 	d.quarantine, err = node.NewQuarantine(node.QuarantineParts{
-		Secret: key, Self: d.self, Peers: d.client, View: d.view, RegionOf: d.regionOf, Dial: backend.NetDialer, Log: d.log,
+		Secret: key, Self: d.self, Peers: d.client, View: d.view, RegionOf: d.regionOf, Dial: backend.NetDialer,
+		Condemned: d.condemned, Log: d.log,
 	})
 	if err != nil {
 		return err
--- a/internal/decide/balance/fleet.go
+++ b/internal/decide/balance/fleet.go
@@ -83,6 +83,9 @@
 	backlog int
 	// notices are signs that other instances have not heard of.
 	notices []Notice
+	// changes are changes of state that were not taken yet, and changesLost counts those beyond maxChanges.
+	changes     []Change
+	changesLost int
 	// typical is the moving average of the latency of all servers.
 	typical time.Duration
 }
@@ -145,7 +148,7 @@
 	for _, s := range f.view.Servers {
 		z, ok := f.zones[s.Zone]
 		if !ok {
-			z = newZone(f.inZone, now, s.Zone, f.view.Zones.IsOut(s.Zone))
+			z = newZone(f, now, s.Zone, f.view.Zones.IsOut(s.Zone))
 			f.zones[s.Zone] = z
 		}
 		z.set(now, f.view.Zones.IsOut(s.Zone))
--- a/internal/decide/balance/zone.go
+++ b/internal/decide/balance/zone.go
@@ -9,6 +9,7 @@
 // zone is one availability zone as the fleet sees it. It is the context of charts/zone.toml.
 type zone struct {
 	name    string
+	fleet   *Fleet
 	machine *chart.Machine[*zone]
 }
 
@@ -23,14 +24,18 @@
 )
 
 func bindZone(ch *chart.Chart) (*chart.Bound[*zone], error) {
-	return chart.Bind(ch, chart.Bindings[*zone]{})
+	return chart.Bind(ch, chart.Bindings[*zone]{
+		Observe: func(z *zone, from, event, to string) {
+			z.fleet.observe(Change{Zone: z.name, From: from, Event: event, To: to})
+		},
+	})
 }
 
 // newZone returns a zone. One that is out when the instance starts gets no work at all: the shift is long over.
-func newZone(bound *chart.Bound[*zone], now time.Time, name string, out bool) *zone {
-	z := &zone{name: name}
+func newZone(f *Fleet, now time.Time, name string, out bool) *zone {
+	z := &zone{name: name, fleet: f}
 	longAgo := now.Add(-time.Hour)
-	z.machine = bound.New(longAgo, z)
+	z.machine = f.inZone.New(longAgo, z)
 	z.set(longAgo, out)
 	z.machine.Tick(now)
 	return z
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -47,7 +47,9 @@
 	Dial     backend.Dialer
 	// ProbesPerSecond is the budget of this instance for probes. Zero means no probes.
 	ProbesPerSecond int
-	Log             *slog.Logger
+	// Taken gets each shard that this instance has begun to keep. It must not block; nil takes none.
+	Taken func(key keeper.Key, epoch uint64)
+	Log   *slog.Logger
 }
 
 // Keeper is the task that takes shards, probes their servers and leases their slots.
@@ -240,6 +242,9 @@
 		k.Log.Error("shard cannot be kept", "shard", key.String(), "error", err)
 		return
 	}
+	if k.Taken != nil {
+		k.Taken(key, entry.Epoch)
+	}
 	k.Log.Info("keeping a shard", "shard", key.String(), "epoch", entry.Epoch, "handed_over", len(warm))
 	k.shards[key] = keeper.NewShard(bound, now, key, entry, spec.servers, warm)
 }
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -44,7 +44,9 @@
 	// RegionOf returns the region of an availability zone, or "" when it is not known.
 	RegionOf func(zone string) string
 	Dial     backend.Dialer
-	Log      *slog.Logger
+	// Condemned is called when more fingerprints are refused than before. It must not block; nil is not called.
+	Condemned func()
+	Log       *slog.Logger
 }
 
 // Quarantine is the task that remembers which requests were running when backend servers crashed.
@@ -152,7 +154,13 @@
 	timer.Reset(time.Hour)
 }
 
-func (q *Quarantine) publish() { q.snapshot.Store(q.state.Snapshot()) }
+func (q *Quarantine) publish() {
+	before := q.Status().Refused
+	q.snapshot.Store(q.state.Snapshot())
+	if q.parts.Condemned != nil && q.Status().Refused > before {
+		q.parts.Condemned()
+	}
+}
 
 func (q *Quarantine) handle(ctx context.Context, m any) {
 	now := time.Now()
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -24,7 +24,9 @@
 	Entries func() map[string]Entry
 	// Report passes a change that this instance saw on to the others: Report of Gossip.
 	Report func(service string, n balance.Notice)
-	Log    *slog.Logger
+	// Changed gets each change of state of a server or zone that this instance went through.
+	Changed func(service string, c balance.Change)
+	Log     *slog.Logger
 }
 
 // Relay is the task between the membership and the services: it tells services how many instances are live, passes on
@@ -105,4 +107,14 @@
 	for _, n := range notices {
 		r.o.Report(name, n)
 	}
+	changes, lost, err := s.Changes(ctx)
+	if err != nil {
+		return
+	}
+	for _, c := range changes {
+		r.o.Changed(name, c)
+	}
+	if lost > 0 {
+		r.o.Log.Warn("changes of state were not recorded", "service", name, "lost", lost)
+	}
 }
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -88,6 +88,7 @@
 	}
 	dueZones    struct{ reply chan<- []string }
 	takeNotices struct{ reply chan<- []balance.Notice }
+	takeChanges struct{ reply chan<- changes }
 	inspect     struct{ reply chan<- ServiceStatus }
 	poolEnded   struct{}
 )
@@ -207,6 +208,18 @@
 	return askUntil(ctx, s.ended, s.inbox, func(reply chan<- []string) any { return dueZones{reply: reply} })
 }
 
+// changes are what the service's servers and zones went through, and how many more were lost.
+type changes struct {
+	list []balance.Change
+	lost int
+}
+
+// Changes returns the changes of state of servers and zones since the last call, and how many more were lost.
+func (s *Service) Changes(ctx context.Context) ([]balance.Change, int, error) {
+	c, err := askUntil(ctx, s.ended, s.inbox, func(reply chan<- changes) any { return takeChanges{reply: reply} })
+	return c.list, c.lost, err
+}
+
 // Notices returns what this instance saw of servers since the last call.
 func (s *Service) Notices(ctx context.Context) ([]balance.Notice, error) {
 	return askUntil(ctx, s.ended, s.inbox, func(reply chan<- []balance.Notice) any { return takeNotices{reply: reply} })
@@ -277,6 +290,10 @@
 		m.reply <- s.fleet.Demand(now, m.zone)
 	case dueZones:
 		m.reply <- s.fleet.DueZones(now)
+	case takeChanges:
+		var c changes
+		c.list, c.lost = s.fleet.Changes()
+		m.reply <- c
 	case takeNotices:
 		m.reply <- s.fleet.Notices()
 	case update:
