Read the entries of the platform's list as instances write them, and the claims key file

Cause: the tool read another form of the entries than instances write, so status found none; the daemon did not read claims.key_file, so it refused every once-only request with no-claims-key. Entries now carry the operations address; internal/instanceobject goes. The daemon loads settings with settings.Load. The page of errors lists each kind once, and its test sees to that.

--- a/docs/errors_test.go
+++ b/docs/errors_test.go
@@ -14,7 +14,7 @@
 )
 
 // Guards against an error kind that the page does not list, one that is gone, a status that differs from the one that
-// callers get, and a kind without a remedy.
+// callers get, a kind without a remedy, and one that stands twice.
 func TestErrorsPage(t *testing.T) {
 	listed := rows(t)
 	for _, kind := range kinds(t) {
@@ -54,7 +54,11 @@
 		for i := range cells {
 			cells[i] = strings.TrimSpace(cells[i])
 		}
-		found[strings.Trim(cells[0], "`")] = cells
+		kind := strings.Trim(cells[0], "`")
+		if found[kind] != nil {
+			t.Errorf("docs/errors.md lists kind %q twice", kind)
+		}
+		found[kind] = cells
 	}
 	return found
 }
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -89,7 +89,7 @@
 		}
 		return objectapi.Object{Kind: objectapi.Backends, Name: service}, nil
 	}
-	return objectapi.Object{}, fault.New(fault.Invalid, "give settings to the daemon with its flag --settings", "%s: a settings file is not a document", x.source)
+	return objectapi.Object{}, fault.New(fault.Invalid, "give settings to the daemon with its flag --config", "%s: a settings file is not a document", x.source)
 }
 
 // checkAgainstOthers checks zones and regions: those of a service against the fleet, and those of all services against a
--- a/internal/cli/instances.go
+++ b/internal/cli/instances.go
@@ -12,8 +12,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"fuchsiahub.example/fuchsiahub/internal/docfile"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
-	"fuchsiahub.example/fuchsiahub/internal/instanceobject"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 	"fuchsiahub.example/fuchsiahub/internal/ops"
 )
@@ -111,9 +111,9 @@
 	}
 	var addresses []string
 	for _, o := range objects {
-		r, err := instanceobject.Read("instances/"+o.Name, o.Value)
-		if err == nil && r.State == instanceobject.Live {
-			addresses = append(addresses, r.OperationsAddress)
+		entry, err := docfile.ReadInstance("instances/"+o.Name, o.Value)
+		if err == nil && !entry.Leaving && entry.OperationsAddress != "" {
+			addresses = append(addresses, entry.OperationsAddress)
 		}
 	}
 	return addresses, nil
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -13,7 +13,8 @@
 
 	"fuchsiahub.example/fuchsiahub/internal/cli"
 	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
-	"fuchsiahub.example/fuchsiahub/internal/instanceobject"
+	"fuchsiahub.example/fuchsiahub/internal/docfile"
+	"fuchsiahub.example/fuchsiahub/internal/document"
 	"fuchsiahub.example/fuchsiahub/internal/node"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 	"fuchsiahub.example/fuchsiahub/internal/ops"
@@ -83,9 +84,9 @@
 	}))
 	ts.Defer(server.Close)
 	address := server.Listener.Addr().String()
-	value, err := instanceobject.Record{
-		Region: "permian", Zone: "permian-a", PeerAddress: address, OperationsAddress: address, State: instanceobject.Live,
-	}.Write()
+	value, err := docfile.WriteInstance(&document.Instance{
+		Name: args[0], Region: "permian", Zone: "permian-a", PeerAddress: address, OperationsAddress: address,
+	})
 	ts.Check(err)
 	_, err = ts.Value(storeKey{}).(*standin.Store).Create(context.Background(), objectapi.Instances, args[0], value)
 	ts.Check(err)
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"os"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -46,11 +45,7 @@
 }
 
 func run(ctx context.Context, path string, checkOnly bool, errOut io.Writer) (int, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return exitInvalid, errors.WithHint(errors.Wrap(err, "settings cannot be read"), "name the settings file with --config")
-	}
-	s, err := settings.Read(path, text)
+	s, err := settings.Load(path)
 	if err != nil {
 		return exitInvalid, err
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -110,7 +110,8 @@
 func (d *Daemon) buildRegistrar() error {
 	var err error
 	d.registrar, err = node.NewRegistrar(d.api, document.Instance{
-		Name: d.self.Name, Region: d.self.Region, Zone: d.self.Zone, PeerAddress: d.self.PeerAddress, Incarnation: d.self.Incarnation,
+		Name: d.self.Name, Region: d.self.Region, Zone: d.self.Zone, PeerAddress: d.self.PeerAddress,
+		OperationsAddress: d.operations.Addr().String(), Incarnation: d.self.Incarnation,
 	}, d.log)
 	return err
 }
--- a/internal/docfile/instance.go
+++ b/internal/docfile/instance.go
@@ -8,12 +8,13 @@
 
 // instance is the TOML form of document.Instance.
 type instance struct {
-	Name        string `toml:"instance"`
-	Region      string `toml:"region"`
-	Zone        string `toml:"zone"`
-	PeerAddress string `toml:"peer_address"`
-	Incarnation uint64 `toml:"incarnation,omitempty"`
-	Leaving     bool   `toml:"leaving,omitempty"`
+	Name              string `toml:"instance"`
+	Region            string `toml:"region"`
+	Zone              string `toml:"zone"`
+	PeerAddress       string `toml:"peer_address"`
+	OperationsAddress string `toml:"operations_address,omitempty"`
+	Incarnation       uint64 `toml:"incarnation,omitempty"`
+	Leaving           bool   `toml:"leaving,omitempty"`
 }
 
 // ReadInstance decodes and checks an entry of the platform's list of instances. The source appears in errors.
--- a/internal/docfile/read_test.go
+++ b/internal/docfile/read_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"fuchsiahub.example/fuchsiahub/internal/docfile"
+	"fuchsiahub.example/fuchsiahub/internal/document"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 )
 
@@ -192,3 +193,23 @@
 		}
 	})
 }
+
+// Guards against a malformed entry of the platform's list that is taken as an instance, and against one that reads
+// differently after it was written.
+func TestInstances(t *testing.T) {
+	good := document.Instance{
+		Name: "entry-1", Region: "permian", Zone: "permian-a", PeerAddress: "10.0.0.7:8081", OperationsAddress: "10.0.0.7:8082", Incarnation: 7,
+	}
+	text, err := docfile.WriteInstance(&good)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := docfile.ReadInstance("f.toml", text); err != nil || *got != good {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	for _, key := range []string{"peer_address", "operations_address"} {
+		wrong := strings.Replace(string(text), key+" = '10.0.0.7:", key+" = 'host:", 1)
+		_, err := docfile.ReadInstance("f.toml", []byte(wrong))
+		refused(t, err, "f.toml", key, "write an IP address")
+	}
+}
