--- a/internal/decide/keeper/shard.go
+++ b/internal/decide/keeper/shard.go
@@ -14,9 +14,9 @@
 const (
 	// Term is how long a grant holds, on the holder's clock from before it asked.
 	Term = 2 * time.Second
-	// Quiet is how long a keeper counts a grant: the term and a margin for clocks that run apart by a fifth. A new
+	// GracePeriod is how long a keeper counts a grant: the term and a margin for clocks that run apart by a fifth. A new
 	// keeper grants nothing for this time.
-	Quiet = Term + 400*time.Millisecond
+	GracePeriod = Term + 400*time.Millisecond
 	// Batch is by how many slots one reply raises what an instance holds. Small batches leave slots to others.
 	Batch = 4
 )
@@ -175,7 +175,7 @@
 	demand := req.Want
 	for _, known := range s.servers {
 		h := heldOf(req, known.spec.Name)
-		if h.Slots == 0 && h.Busy == 0 {
+		if h.Slots == 0 {
 			delete(known.accounts, req.Holder)
 			continue
 		}
@@ -188,9 +188,12 @@
 	return demand
 }
 
+// heldOf returns what the instance holds of a server. Requests that it sent beyond its lease, because no keeper
+// answered, count as held.
 func heldOf(req Request, server string) Held {
 	for _, h := range req.Held {
 		if h.Server == server {
+			h.Slots = max(h.Slots, h.Busy)
 			return h
 		}
 	}
@@ -273,7 +276,7 @@
 			continue
 		}
 		a := o.server.accounts[id]
-		a.granted = claim{slots: o.slots, until: now.Add(Quiet)}
+		a.granted = claim{slots: o.slots, until: now.Add(GracePeriod)}
 		o.server.accounts[id] = a
 		grants = append(grants, balance.SlotGrant{
 			Server: o.server.spec.Name, Incarnation: o.server.incarnation, Slots: o.slots, Cold: !o.server.machine.In("open"),
--- a/internal/node/keepertables.go
+++ b/internal/node/keepertables.go
@@ -8,6 +8,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/decide/session"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/task"
 )
 
 // watchPause is the wait before a watch that has ended is begun again.
@@ -83,7 +84,7 @@
 	}
 )
 
-// watch starts the errand that follows the objects. It ends with the task's context.
+// watch starts the goroutine that follows the objects. It ends with the task's context.
 func (k *Keeper) watch(ctx context.Context) {
 	k.open++
 	go func() {
@@ -91,9 +92,9 @@
 			if err := k.follow(ctx); err != nil && ctx.Err() == nil {
 				k.Log.Warn("keepers are not watched", "error", err)
 			}
-			pause(ctx, watchPause)
+			task.Pause(ctx, watchPause)
 		}
-		_ = k.inbox.Send(context.Background(), errandDone{}) // a background context never ends
+		_ = k.inbox.Send(context.Background(), callDone{}) // a background context never ends
 	}()
 }
 
