--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -161,7 +161,7 @@
 	case tableWritten:
 		k.tableWritten(ctx, now, m)
 	case tableReadBack:
-		k.tableReadBack(now, m)
+		k.tableReadBack(ctx, now, m)
 	case probed:
 		k.probed(now, m)
 	}
--- a/internal/node/keeperhistory_test.go
+++ b/internal/node/keeperhistory_test.go
@@ -339,7 +339,7 @@
 
 // disturb makes one fault.
 func (f *fleet) disturb() {
-	n := f.rnd.IntN(fleetSize)
+	n := f.rnd.IntN(len(f.nodes))
 	name := f.nodes[n].self.Name
 	lasting := time.Duration(1+f.rnd.IntN(40)) * time.Second
 	switch f.rnd.IntN(10) {
@@ -364,7 +364,7 @@
 		f.show(n, false) // a view that takes a living instance as dead
 		f.later(lasting, func() { f.show(n, f.nodes[n].alive) })
 	default:
-		other := f.nodes[f.rnd.IntN(fleetSize)].self.Name
+		other := f.nodes[f.rnd.IntN(len(f.nodes))].self.Name
 		f.cut(name, other, 1)
 		f.later(lasting, func() { f.cut(name, other, -1) })
 	}
@@ -392,7 +392,7 @@
 	f.net.cut[[2]string{b, a}] += faults
 }
 
-func newFleet(t *testing.T, seed uint64, flaw flaw) *fleet {
+func newFleet(t *testing.T, seed uint64, flaw flaw, instances, services int) *fleet {
 	f := &fleet{
 		dial: func(context.Context, string) (net.Conn, error) { return nil, errors.New("connection refused") },
 		t:    t, rnd: rand.New(rand.NewPCG(seed, 1)), flaw: flaw, store: newMemoryStore(), grants: map[string][]porcupine.Operation{},
@@ -400,14 +400,14 @@
 		docs: &node.Documents{Services: map[string]*document.Service{}},
 	}
 	f.docs.Fleet = &document.Fleet{Regions: []document.Region{{Name: "permian", Zones: []string{"permian-a"}}}}
-	for n := range fleetServices {
+	for n := range services {
 		doc := &document.Service{Name: fmt.Sprintf("s%d", n)}
 		doc.Servers.Slots, doc.Servers.ColdAllowance = 6, fleetCold
 		doc.Servers.List = []document.Server{{Name: "w1", Address: "10.0.0.1:80", Zone: "permian-a"}, {Name: "w2", Address: "10.0.0.2:80", Zone: "permian-a"}}
 		doc.Complete()
 		f.docs.Services[doc.Name] = doc
 	}
-	for n := range fleetSize {
+	for n := range instances {
 		f.live = append(f.live, member.Instance{Name: fmt.Sprintf("i%d", n), Incarnation: 1, Region: "permian", Zone: "permian-a"})
 	}
 	return f
@@ -446,7 +446,7 @@
 // play runs one history and returns the first violation.
 func play(t *testing.T, seed uint64, flaw flaw, story func(*fleet)) (err error) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, seed, flaw)
+		f := newFleet(t, seed, flaw, fleetSize, fleetServices)
 		f.startAll()
 		story(f)
 		f.run(faultEnds)
@@ -483,7 +483,7 @@
 	waits := gossipLag + session.Term + session.TermMargin + session.WitnessTerm + session.WitnessMargin + keeper.GracePeriod
 	const turns = 6 * time.Second // the stagger of fences, and a turn of each task on the way
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 1, none)
+		f := newFleet(t, 1, none, fleetSize, fleetServices)
 		f.startAll()
 		f.run(10 * time.Second)
 		owner := f.owner("s0")
@@ -504,7 +504,7 @@
 func TestGracefulLeaveHandsOverWarmServers(t *testing.T) {
 	for name, blind := range map[string]time.Duration{"fresh": 0, "old": 12 * time.Second} {
 		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(t, 1, none)
+			f := newFleet(t, 1, none, fleetSize, fleetServices)
 			f.good, f.dial = true, readyServer
 			f.startAll()
 			f.run(20 * time.Second)
@@ -610,3 +610,18 @@
 		t.Logf("%s: %q", name, err)
 	}
 }
+
+// Guards against instances that start together and take the shards of a zone one after the other, because each conflict
+// costs all but one of them the same wait.
+func TestShardsAreTakenSoonAfterStart(t *testing.T) {
+	const instances, services = 30, 60
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, none, instances, services)
+		f.startAll()
+		f.run(session.Term)
+		if n := len(f.nodes[0].keeper.Owners()); n != services {
+			t.Errorf("%d of %d shards have a keeper", n, services)
+		}
+		f.stopAll()
+	})
+}
--- a/internal/node/keepertables.go
+++ b/internal/node/keepertables.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/decide/keeper"
 	"fuchsiahub.example/fuchsiahub/internal/decide/session"
-	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 )
 
 // watchPause is the wait before a watch that has ended is begun again.
 const watchPause = time.Second
 
+// writeSpread is over how long instances spread their next attempt after a conflict. Fifty instances then write about
+// a hundred times a second.
+const writeSpread = 500 * time.Millisecond
+
 // tables is what the keeper task knows of the objects keepers/<zone>.
 type tables struct {
 	// read is false until the objects were listed once; a zone that is not listed has no object then.
@@ -272,7 +276,6 @@
 func (k *Keeper) tableWritten(ctx context.Context, now time.Time, m tableWritten) {
 	zone := m.next.Zone
 	if m.err != nil {
-		k.tables.pause[zone] = now.Add(watchPause)
 		k.readTable(ctx, zone)
 		return
 	}
@@ -300,9 +303,11 @@
 }
 
 // readTable reads a table after a write that failed or whose outcome is not known. The zone stays blocked until the
-// read has ended.
+// read has ended. The wait is random, because all instances that start together write the same tables.
 func (k *Keeper) readTable(ctx context.Context, zone string) {
+	wait := rand.N(writeSpread)
 	k.start(ctx, storeTimeout, func(ctx context.Context) any {
+		pause(ctx, wait)
 		object, err := k.API.Get(ctx, objectapi.Keepers, zone)
 		return tableReadBack{zone: zone, object: object, err: err}
 	})
@@ -315,13 +320,15 @@
 	err    error
 }
 
-func (k *Keeper) tableReadBack(now time.Time, m tableReadBack) {
+// tableReadBack tries again at once: the table that was just read is the least likely to have changed.
+func (k *Keeper) tableReadBack(ctx context.Context, now time.Time, m tableReadBack) {
 	delete(k.tables.writing, m.zone)
 	if m.err != nil {
-		if !fault.Is(m.err, fault.NotFound) {
-			k.tables.pause[m.zone] = now.Add(watchPause)
-		}
+		k.tables.pause[m.zone] = now.Add(watchPause)
 		return
 	}
 	k.tablesRead(now, tablesRead{objects: []objectapi.Object{m.object}})
+	if ctx.Err() == nil {
+		k.claim(ctx, now)
+	}
 }
