Leave ready servers out of lease replies

A grant that is not cold says that its server is ready and names its incarnation, so the reply need not say it again. Reply with grants for all servers: 5 B + 35 B per server, before 5 B + 74 B. Request: 70 B + 67 B per server, as before.

--- a/internal/decide/keeper/keeper_test.go
+++ b/internal/decide/keeper/keeper_test.go
@@ -126,6 +126,9 @@
 	b.shard.Probed(at(1), keeper.Probe{Server: "w1", Answered: true, Incarnation: "i1"})
 	b.shard.Probed(at(1), keeper.Probe{Server: "w2", Answered: true, Incarnation: "i2"})
 	r := b.ask(at(3), "x", 12, nil)
+	if len(r.Servers) != 1 || r.Servers[0].Server != "w2" || r.Servers[0].State != balance.Cold {
+		t.Errorf("news %+v, want only that w2 is cold", r.Servers)
+	}
 	for _, g := range r.Grants {
 		if g.Cold != (g.Server == "w2") {
 			t.Errorf("grant %+v", g)
--- a/internal/decide/keeper/shard.go
+++ b/internal/decide/keeper/shard.go
@@ -47,7 +47,8 @@
 	Epoch  uint64
 	Term   time.Duration
 	Grants []balance.SlotGrant
-	// Servers says what the keeper knows about each server.
+	// Servers says what the keeper knows about each server. A server with a grant that is not cold is left out: it is
+	// ready and of the incarnation of the grant.
 	Servers []balance.Report
 }
 
@@ -158,7 +159,8 @@
 		}
 	}
 	h.demand = s.confirm(now, req)
-	return Reply{Epoch: s.entry.Epoch, Term: Term, Grants: s.grant(now, h, req), Servers: s.status()}, nil
+	grants := s.grant(now, h, req)
+	return Reply{Epoch: s.entry.Epoch, Term: Term, Grants: grants, Servers: s.status(grants)}, nil
 }
 
 func (s *Shard) holder(now time.Time, id session.Identity) *holder {
@@ -285,9 +287,16 @@
 	return grants
 }
 
-func (s *Shard) status() []balance.Report {
-	list := make([]balance.Report, 0, len(s.servers))
+func (s *Shard) status(grants []balance.SlotGrant) []balance.Report {
+	ready := map[string]bool{}
+	for _, g := range grants {
+		ready[g.Server] = !g.Cold
+	}
+	var list []balance.Report
 	for _, known := range s.servers {
+		if ready[known.spec.Name] {
+			continue
+		}
 		list = append(list, balance.Report{
 			Server: known.spec.Name, Incarnation: known.incarnation, State: known.state(), Running: known.running, Slots: known.slots,
 		})
--- a/internal/node/holder.go
+++ b/internal/node/holder.go
@@ -352,7 +352,7 @@
 	leased, ok := c.Replied(now, m.sent, m.sequence, reply)
 	if taker, served := h.Service(m.key.Service); served && ok {
 		c.busy = true
-		h.deliver(ctx, taker, m.key, leased, c.news(reply.Servers))
+		h.deliver(ctx, taker, m.key, leased, c.news(reply))
 	}
 }
 
@@ -376,10 +376,16 @@
 	}
 }
 
-// news returns what the service task has not been told of the servers.
-func (c *shardClient) news(servers []balance.Report) []balance.Notice {
+// news returns what the service task has not been told of the servers. It learns from a grant that is not cold that the
+// server is ready.
+func (c *shardClient) news(reply keeper.Reply) []balance.Notice {
+	for _, g := range reply.Grants {
+		if !g.Cold {
+			c.told[g.Server] = balance.Notice{Server: g.Server, Incarnation: g.Incarnation, State: balance.Ready}
+		}
+	}
 	var list []balance.Notice
-	for _, s := range servers {
+	for _, s := range reply.Servers {
 		n := balance.Notice{Server: s.Server, Incarnation: s.Incarnation, State: s.State}
 		if c.told[s.Server] != n {
 			c.told[s.Server] = n
--- a/internal/node/leasemessage_test.go
+++ b/internal/node/leasemessage_test.go
@@ -60,6 +60,22 @@
 	}
 }
 
+// Guards against a server that turns cold again without the service being told, because a grant had said that it was
+// ready, and against news that are told twice.
+func TestNewsOfServers(t *testing.T) {
+	c := &shardClient{told: map[string]balance.Notice{}}
+	cold := keeper.Reply{Servers: []balance.Report{{Server: "w1", Incarnation: "i1", State: balance.Cold}}}
+	ready := keeper.Reply{Grants: []balance.SlotGrant{{Server: "w1", Incarnation: "i1", Slots: 1}}}
+	for n, step := range []struct {
+		reply keeper.Reply
+		want  int
+	}{{cold, 1}, {cold, 0}, {ready, 0}, {cold, 1}, {ready, 0}} {
+		if got := c.news(step.reply); len(got) != step.want {
+			t.Errorf("reply %d: news %+v, want %d", n, got, step.want)
+		}
+	}
+}
+
 // Guards against an object that loses a field, and against garbage that is taken as a session or a table.
 func TestKeeperObjects(t *testing.T) {
 	record := session.Record{
