--- a/internal/decide/keeper/client.go
+++ b/internal/decide/keeper/client.go
@@ -58,11 +58,14 @@
 // Ask returns the request for a demand, and false when there is nothing to say. The time is when it is sent. What the
 // demand does not hold must not be used any more, whether or not the keeper answers.
 func (c *Client) Ask(now time.Time, d balance.Demand, leaving bool) (Request, bool) {
+	if leaving {
+		d.Want = 0
+	}
 	c.next = now.Add(KeepEvery)
 	if d.Want > 0 {
 		c.next = now.Add(WantEvery)
 	}
-	if d.Want == 0 && len(d.Held) == 0 && len(d.Reports) == 0 && !leaving && !c.granted {
+	if d.Want == 0 && len(d.Held) == 0 && len(d.Reports) == 0 && !c.granted {
 		return Request{}, false
 	}
 	c.sequence++
--- a/internal/decide/keeper/keeper_test.go
+++ b/internal/decide/keeper/keeper_test.go
@@ -361,6 +361,9 @@
 	if _, ok := c.Ask(at(3), balance.Demand{}, false); ok {
 		t.Error("asked although everything was returned")
 	}
+	if _, ok := c.Ask(at(4), balance.Demand{Want: 2}, true); ok {
+		t.Error("a leaving instance without slots asked")
+	}
 }
 
 // Guards against two instances that take one shard, and against a shard that nobody takes.
