Do not fence by a platform list that lags behind new instances

The list may not name a new holder and its witnesses yet. An observer whose gossip knows one of them as live no longer fences the session by the list.

--- a/internal/decide/session/observer.go
+++ b/internal/decide/session/observer.go
@@ -117,14 +117,16 @@
 			return true
 		}
 	}
-	return view.Listed != nil && !o.concerned(holder, s, view.Listed)
+	return view.Listed != nil && !o.concerned(s, view)
 }
 
-// concerned reports whether the platform's list names the holder or a witness. The own name in the list stands for
-// this process, not for an earlier one.
-func (o *Observer) concerned(holder string, s *seen, listed map[string]bool) bool {
-	if listed[holder] && holder != o.self.Instance {
+// concerned reports whether the platform's list names the holder or a witness, or gossip knows one of them as live: the
+// list also lags when instances are new. The own name in the list stands for this process, not for an earlier one.
+func (o *Observer) concerned(s *seen, view *member.View) bool {
+	if view.Listed[s.record.Instance] && s.record.Instance != o.self.Instance {
 		return true
 	}
-	return slices.ContainsFunc(s.record.Witnesses, func(w Identity) bool { return listed[w.Instance] })
+	named := func(w Identity) bool { return view.Listed[w.Instance] }
+	return slices.ContainsFunc(s.record.Witnesses, named) ||
+		slices.ContainsFunc(append([]Identity{s.record.Identity}, s.record.Witnesses...), func(id Identity) bool { return lives(id, view.Live) })
 }
--- a/internal/decide/session/session_test.go
+++ b/internal/decide/session/session_test.go
@@ -273,7 +273,10 @@
 		if fences(o, w, &member.View{Self: strange.Self}, 64) {
 			t.Error("fenced although the platform's list could not be read")
 		}
-		if !fences(o, w, &member.View{Self: strange.Self, Listed: map[string]bool{"z": true}}, 66) {
+		if fences(o, w, &member.View{Self: strange.Self, Live: peers[1:2], Listed: map[string]bool{}}, 65) {
+			t.Error("fenced although a witness is live and only the platform's list lags")
+		}
+		if !fences(o, w, &member.View{Self: strange.Self, Listed: map[string]bool{"z": true}}, 68) {
 			t.Error("not fenced although the platform names nobody")
 		}
 		version = 4
