--- a/internal/node/keepertables.go
+++ b/internal/node/keepertables.go
@@ -308,7 +308,7 @@
 func (k *Keeper) readTable(ctx context.Context, zone string) {
 	wait := rand.N(writeSpread)
 	k.start(ctx, storeTimeout, func(ctx context.Context) any {
-		pause(ctx, wait)
+		task.Pause(ctx, wait)
 		object, err := k.API.Get(ctx, objectapi.Keepers, zone)
 		return tableReadBack{zone: zone, object: object, err: err}
 	})
