Count requests per service in the node and skip documents that did not change

Cause: the front end looked up three metrics by a built name for each request, and each change of one document was sent to every service task.

--- a/internal/daemon/web.go
+++ b/internal/daemon/web.go
@@ -40,7 +40,7 @@
 	if config == nil {
 		d.log.Warn("callers use plain HTTP; set [tls.callers] to protect their connections")
 	}
-	handler := frontend.NewHandler(d.requests, d.newRequestID, frontend.WithMetrics(d.metrics), frontend.WithLog(d.log))
+	handler := frontend.NewHandler(d.requests, d.newRequestID, frontend.WithLog(d.log))
 	d.web = &web{
 		callers: newHTTPServer(d.announcing(handler), d.log), operations: newHTTPServer(ops.NewHandler(&source{d}), d.log), log: d.log,
 	}
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -17,7 +17,6 @@
 	"fuchsiahub.example/fuchsiahub/internal/call"
 	"fuchsiahub.example/fuchsiahub/internal/decide/route"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
-	"fuchsiahub.example/fuchsiahub/internal/metric"
 )
 
 // Header fields between callers and instances.
@@ -45,24 +44,20 @@
 
 // Handler is the HTTP front end.
 type Handler struct {
-	server  Server
-	newID   func() string
-	metrics *metric.Set
-	log     *slog.Logger
+	server Server
+	newID  func() string
+	log    *slog.Logger
 }
 
 // Option adds a part to the handler.
 type Option func(*Handler)
 
-// WithMetrics counts requests. Without it they are not counted.
-func WithMetrics(set *metric.Set) Option { return func(h *Handler) { h.metrics = set } }
-
 // WithLog logs refused and failed requests. Without it they are not logged.
 func WithLog(log *slog.Logger) Option { return func(h *Handler) { h.log = log } }
 
 // NewHandler returns the HTTP handler of the caller's side. NewID gives ids to requests that bring none.
 func NewHandler(server Server, newID func() string, options ...Option) http.Handler {
-	h := &Handler{server: server, newID: newID, metrics: metric.NewSet(), log: slog.New(slog.DiscardHandler)}
+	h := &Handler{server: server, newID: newID, log: slog.New(slog.DiscardHandler)}
 	for _, add := range options {
 		add(h)
 	}
@@ -74,7 +69,6 @@
 }
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
-	start := time.Now()
 	req, err := h.request(r)
 	if err != nil {
 		h.refuse(w, h.id(r), serviceOf(r), err)
@@ -86,19 +80,11 @@
 		return
 	}
 	writeAnswer(w, req.ID, answer)
-	h.metrics.Service(req.Service).Answered(time.Since(start))
 }
 
-// unknownService stands in metrics for names that no document has, so that callers cannot add metrics.
-const unknownService = "unknown"
-
 // refuse answers with an error. The log names neither path nor body, which must not leave the home regions.
 func (h *Handler) refuse(w http.ResponseWriter, id, service string, err error) {
 	e := fault.As(err)
-	if e.Kind == fault.UnknownService {
-		service = unknownService
-	}
-	h.metrics.Service(service).Failed(e.Kind)
 	h.log.Info("request not answered", "request_id", id, "service", service, "kind", e.Kind, "not_run", e.NotRun, "error", e.Message)
 	writeError(w, id, err)
 }
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -4,11 +4,13 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 
 	"fuchsiahub.example/fuchsiahub/internal/backend"
 	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
 	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/metric"
 	"fuchsiahub.example/fuchsiahub/internal/task"
 )
 
@@ -33,8 +35,9 @@
 
 // Entry is one service in the directory.
 type Entry struct {
-	Doc  *document.Service
-	Task *Service
+	Doc     *document.Service
+	Task    *Service
+	Metrics *metric.Service
 }
 
 // Directory is the task that starts and stops the tasks of services as documents come into force. It publishes an
@@ -46,10 +49,13 @@
 	inbox *task.Mailbox[applyDocuments]
 	// noKeepers says that no keeper grants slots.
 	noKeepers bool
+	metrics   *metric.Set
 
 	published atomic.Pointer[map[string]Entry]
 	running   map[string]*runningService
 	ended     chan string
+	// docs are the documents that were applied last.
+	docs *Documents
 }
 
 type runningService struct {
@@ -61,7 +67,7 @@
 func NewDirectory(self balance.Place, dial backend.Dialer, log *slog.Logger) *Directory {
 	d := &Directory{
 		self: self, dial: dial, log: log, inbox: task.NewMailbox[applyDocuments]("directory", directoryCapacity),
-		running: map[string]*runningService{}, ended: make(chan string),
+		running: map[string]*runningService{}, ended: make(chan string), metrics: metric.NewSet(),
 	}
 	d.published.Store(&map[string]Entry{})
 	return d
@@ -73,6 +79,12 @@
 	return d
 }
 
+// WithMetrics makes the services count their requests in the set. It is called before Run.
+func (d *Directory) WithMetrics(set *metric.Set) *Directory {
+	d.metrics = set
+	return d
+}
+
 type applyDocuments struct {
 	docs  *Documents
 	reply chan<- struct{}
@@ -122,6 +134,9 @@
 	for name, doc := range docs.Services {
 		view := balance.View{Service: doc, Servers: docs.servers(doc), Zones: docs.Fleet, Self: d.self, NoKeepers: d.noKeepers}
 		if known, ok := d.running[name]; ok {
+			if d.unchanged(name, docs) {
+				continue
+			}
 			known.entry.Doc = doc
 			known.entry.Task.inbox.SendUntil(known.entry.Task.ended, update{view: view})
 			continue
@@ -136,10 +151,17 @@
 			delete(d.running, name)
 		}
 	}
+	d.docs = docs
 	d.publish()
 	return started
 }
 
+// unchanged reports whether nothing that concerns a service differs from what was applied last.
+func (d *Directory) unchanged(name string, docs *Documents) bool {
+	return d.docs != nil && d.docs.Fleet == docs.Fleet && d.docs.Services[name] == docs.Services[name] &&
+		slices.Equal(d.docs.Backends[name], docs.Backends[name])
+}
+
 func (d *Directory) start(ctx context.Context, view balance.View) bool {
 	s, err := NewService(view, d.dial, d.log, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	if err != nil {
@@ -147,7 +169,7 @@
 		return false
 	}
 	serviceCtx, stop := context.WithCancel(ctx)
-	d.running[view.Service.Name] = &runningService{entry: Entry{Doc: view.Service, Task: s}, stop: stop}
+	d.running[view.Service.Name] = &runningService{entry: Entry{Doc: view.Service, Task: s, Metrics: d.metrics.Service(view.Service.Name)}, stop: stop}
 	go func() {
 		_ = s.Run(serviceCtx) // Run has no error to report
 		d.ended <- view.Service.Name
--- a/internal/node/do.go
+++ b/internal/node/do.go
@@ -57,14 +57,25 @@
 	if !ok {
 		return nil, unknownService(req.Service)
 	}
+	start := time.Now()
+	answer, err := s.do(ctx, entry, req)
+	if err != nil {
+		entry.Metrics.Failed(fault.KindOf(err))
+		return answer, err
+	}
+	entry.Metrics.Answered(time.Since(start))
+	return answer, nil
+}
+
+func (s *Server) do(ctx context.Context, entry Entry, req *call.Request) (*call.Answer, error) {
 	policy, err := route.Decide(time.Now(), entry.Doc, req, s.self.Region)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithDeadline(ctx, policy.Deadline)
-	answer, err := drive(s.requests, &exchange{
-		ctx: ctx, service: entry.Task, claims: s.claims, quarantine: s.quarantine, req: req, policy: policy,
-	})
+	e := &exchange{ctx: ctx, service: entry.Task, claims: s.claims, quarantine: s.quarantine, req: req, policy: policy}
+	answer, err := drive(s.requests, e)
+	entry.Metrics.Resent(int64(e.resends))
 	if answer != nil && answer.Stream != nil {
 		answer.Stream = &cancelOnClose{ReadCloser: answer.Stream, cancel: cancel}
 		return answer, err
