--- /dev/null
+++ b/internal/daemon/cost_test.go
@@ -0,0 +1,127 @@
+package daemon
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/frontend"
+)
+
+// cpu is the processor time that a stopped process used.
+func (p *process) cpu() time.Duration {
+	state := p.command.ProcessState
+	return state.UserTime() + state.SystemTime()
+}
+
+// stop ends a process gracefully and waits for its end.
+func (p *process) stop(b *testing.B) {
+	b.Helper()
+	if err := p.command.Process.Signal(syscall.SIGTERM); err != nil {
+		b.Fatal(err)
+	}
+	if err := <-p.exited; err != nil {
+		b.Errorf("exit: %v", err)
+	}
+}
+
+func (p *process) peakMegabytes() float64 {
+	return float64(p.command.ProcessState.SysUsage().(*syscall.Rusage).Maxrss) / 1024
+}
+
+// counter reads one line of GET /metrics.
+func (p *process) counter(b *testing.B, name string) float64 {
+	b.Helper()
+	resp, err := http.Get("http://" + p.addresses.Operations + "/metrics")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		if text, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			value, err := strconv.ParseFloat(text, 64)
+			if err != nil {
+				b.Fatal(err)
+			}
+			return value
+		}
+	}
+	b.Fatalf("no metric %s", name)
+	return 0
+}
+
+// BenchmarkCallCPU reports the processor time of an instance per call, as a process of its own. Run it with
+// -benchtime 30000x.
+func BenchmarkCallCPU(b *testing.B) {
+	s := startSite(b)
+	p := startProcess(b, s.Address, "entry-1", "permian", "permian-a", "0s")
+	await(b, "instance is ready", p.ready)
+	const callers = 16
+	work := make(chan int)
+	ended := make(chan int, callers)
+	for range callers {
+		go func() { ended <- lookUp(p.addresses.Callers, work) }()
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		work <- i
+	}
+	close(work)
+	answered := 0
+	for range callers {
+		answered += <-ended
+	}
+	b.StopTimer()
+	p.stop(b)
+	b.ReportMetric(float64(p.cpu().Microseconds())/float64(b.N), "cpu-us/call")
+	b.ReportMetric(float64(answered)/float64(b.N), "answered/call")
+	b.ReportMetric(p.peakMegabytes(), "peak-MB")
+}
+
+func lookUp(address string, work <-chan int) int {
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	answered := 0
+	for i := range work {
+		req, err := http.NewRequest("GET", fmt.Sprintf("http://%s/reports/%d", address, i), nil)
+		if err != nil {
+			panic(err) // the address is that of a listener
+		}
+		req.Header.Set(frontend.HeaderService, "intake")
+		resp, err := client.Do(req)
+		if err != nil {
+			continue
+		}
+		if resp.StatusCode == http.StatusOK {
+			answered++
+		}
+		_ = resp.Body.Close()
+	}
+	return answered
+}
+
+// BenchmarkControl reports what three instances without calls cost: processor time, memory and bytes between peers of
+// one instance. Run it with -benchtime 1x.
+func BenchmarkControl(b *testing.B) {
+	const length = 20 * time.Second
+	for range b.N {
+		s := startSite(b)
+		fleet := startFleet(b, s, "0s")
+		before := fleet[0].counter(b, "peer.sent_bytes")
+		start := time.Now()
+		time.Sleep(length) // the time over which the rates are taken
+		sent := fleet[0].counter(b, "peer.sent_bytes") - before
+		seconds := time.Since(start).Seconds()
+		for _, p := range fleet {
+			p.stop(b)
+		}
+		b.ReportMetric(100*fleet[0].cpu().Seconds()/seconds, "cpu-%")
+		b.ReportMetric(sent/seconds/1000, "sent-KB/s")
+		b.ReportMetric(fleet[0].peakMegabytes(), "peak-MB")
+	}
+}
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -43,7 +43,7 @@
 }
 
 // startProcess runs a daemon and returns when it listens.
-func startProcess(t *testing.T, api, name, region, zone, announce string) *process {
+func startProcess(t testing.TB, api, name, region, zone, announce string) *process {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), name+".toml")
 	text := fmt.Sprintf(`instance = %q
@@ -104,7 +104,7 @@
 }
 
 // await polls a condition until it holds; the test's own time limit bounds it.
-func await(t *testing.T, what string, holds func() bool) {
+func await(t testing.TB, what string, holds func() bool) {
 	t.Helper()
 	ticker := time.NewTicker(20 * time.Millisecond)
 	defer ticker.Stop()
@@ -117,7 +117,7 @@
 	}
 }
 
-func startSite(t *testing.T) *site.Site {
+func startSite(t testing.TB) *site.Site {
 	t.Helper()
 	group := task.NewGroup(context.Background())
 	pecos, err := fs.Sub(examples.Files, "pecos")
@@ -137,7 +137,7 @@
 	return s
 }
 
-func startFleet(t *testing.T, s *site.Site, announce string) []*process {
+func startFleet(t testing.TB, s *site.Site, announce string) []*process {
 	t.Helper()
 	places := []struct{ region, zone string }{{"permian", "permian-a"}, {"permian", "permian-b"}, {"gulf", "gulf-a"}}
 	var fleet []*process
