Bound the takeover benchmark

With more than one iteration it asked for a claim that its first iteration had taken, and waited without end. The wait is now bounded and each iteration has its own claim.

--- a/internal/decide/once/bench_test.go
+++ b/internal/decide/once/bench_test.go
@@ -192,13 +192,20 @@
 	for before.claims < 360_000 {
 		before.batch(300)
 	}
-	for b.Loop() {
-		t := &traffic{owner: newOwnerFor(b, before.store), asked: map[uint64]time.Time{}, claims: before.claims}
+	for claims := before.claims; b.Loop(); claims++ {
+		t := &traffic{owner: newOwnerFor(b, before.store), asked: map[uint64]time.Time{}, claims: claims}
 		t.ask()
-		for t.granted == 0 {
+		for range 10_000 { // 10 s of virtual time
 			t.now = t.now.Add(time.Millisecond)
 			t.Tick(t.now, t.view)
 			t.carryOut()
+			if t.granted > 0 {
+				break
+			}
+		}
+		if t.granted == 0 {
+			state, _ := t.State()
+			b.Fatalf("the partition is %s after 10 s; %d claims were refused", state, t.refused)
 		}
 		b.ReportMetric(float64(len(before.store.segments)), "segments")
 		b.ReportMetric(float64(t.wait.Milliseconds()), "ms-virtual")
