--- /dev/null
+++ b/internal/decide/admit/main_test.go
@@ -0,0 +1,16 @@
+package admit
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the properties, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/decide/balance/fleet_test.go
@@ -0,0 +1,213 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+)
+
+var start = time.Unix(1000, 0)
+
+const (
+	servers = 6
+	slots   = 6
+)
+
+func view(out ...string) balance.View {
+	doc := &document.Service{Name: "atlas", Owner: "dispatch", Servers: document.Servers{Slots: slots}}
+	for i := range servers {
+		doc.Servers.List = append(doc.Servers.List, document.Server{
+			Name: fmt.Sprintf("s%d", i), Address: fmt.Sprintf("10.0.0.%d:80", i), Zone: []string{"a", "b"}[i%2],
+		})
+	}
+	doc.Complete()
+	fleet := &document.Fleet{Regions: []document.Region{{Name: "r", Zones: []string{"a", "b"}}}, Out: out}
+	return balance.View{
+		Service: doc, Servers: doc.Servers.List, Zones: fleet, Self: balance.Place{Region: "r", Zone: "a"}, Instances: 3, Neighbours: 3,
+	}
+}
+
+func newFleet(t interface{ Fatal(...any) }, v balance.View) *balance.Fleet {
+	backendChart, err := charts.Load("backend", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	zoneChart, err := charts.Load("zone", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := balance.New(balance.Charts{Backend: backendChart, Zone: zoneChart}, start, v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// leased grants slots of every server of both zones.
+func lease(f *balance.Fleet, now time.Time, cold bool, n int) {
+	for z, zone := range []string{"a", "b"} {
+		l := balance.Leased{Zone: zone, Epoch: 1, Until: now.Add(2 * time.Second)}
+		for i := z; i < servers; i += 2 {
+			l.Grants = append(l.Grants, balance.SlotGrant{Server: fmt.Sprintf("s%d", i), Incarnation: "1", Slots: n, Cold: cold})
+		}
+		f.Lease(now, l)
+	}
+}
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// take picks until nothing is given and returns the grants by server.
+func take(f *balance.Fleet, now time.Time) map[string][]balance.Grant {
+	grants := map[string][]balance.Grant{}
+	for range 100 {
+		g, ok := f.Pick(now, random(), balance.Want{Wait: time.Hour})
+		if !ok {
+			break
+		}
+		grants[g.Server] = append(grants[g.Server], g)
+	}
+	return grants
+}
+
+var good = balance.Result{Fate: call.Answered, Latency: 10 * time.Millisecond, Incarnation: "1"}
+
+// Guards against work for a server that may be cold without a keeper's grant (P2): unknown servers, expired cold
+// grants, and a grant that was on its way when the server was seen to restart.
+func TestColdServerGetsWorkOnlyUnderColdGrant(t *testing.T) {
+	f := newFleet(t, view())
+	if got := take(f, start); len(got) != 0 {
+		t.Fatalf("unknown servers got work: %v", got)
+	}
+	lease(f, start, true, 1)
+	grants := take(f, start)
+	for name, list := range grants {
+		if len(list) != 1 {
+			t.Errorf("cold server %s got %d requests under a grant of 1", name, len(list))
+		}
+		f.Done(start, list[0], good)
+	}
+	if got := take(f, start.Add(3*time.Second)); len(got) != 0 {
+		t.Errorf("cold servers got work after their grant: %v", got)
+	}
+}
+
+// Guards against a grant of the keeper that is older than what the instance saw.
+func TestGrantOnItsWayDuringRestartIsVoid(t *testing.T) {
+	f := newFleet(t, view())
+	lease(f, start, false, 2)
+	g, _ := f.Pick(start, random(), balance.Want{})
+	f.Done(start.Add(time.Millisecond), g, balance.Result{Fate: call.MaybeRun, Failed: true})
+	lease(f, start.Add(2*time.Millisecond), false, 2)
+	if got := take(f, start.Add(2*time.Millisecond)); len(got[g.Server]) != 0 {
+		t.Error("the server got work under a grant from before its restart")
+	}
+	f.Demand(start.Add(3*time.Millisecond), g.Zone)
+	if got := take(f, start.Add(3*time.Millisecond)); len(got[g.Server]) != 0 {
+		t.Error("the server got work before the keeper answered the demand that reports its restart")
+	}
+	lease(f, start.Add(4*time.Millisecond), false, 2)
+	if got := take(f, start.Add(4*time.Millisecond)); len(got[g.Server]) == 0 {
+		t.Error("the server gets no work although the keeper has heard of the restart")
+	}
+}
+
+// Guards against instances that stop when a keeper does not respond, and against ones that take more than their share.
+func TestShareOfWarmServersWithoutKeeper(t *testing.T) {
+	f := newFleet(t, view())
+	lease(f, start, false, 4)
+	grants := take(f, start.Add(3*time.Second))
+	for i := range servers {
+		if n := len(grants[fmt.Sprintf("s%d", i)]); n != slots/3 {
+			t.Errorf("s%d got %d requests, the share is %d", i, n, slots/3)
+		}
+	}
+}
+
+// Guards against new work in a zone 3 s after it was taken out (P3), and against a return without a ramp.
+func TestZoneLeavesWithinThreeSecondsAndReturnsByRamp(t *testing.T) {
+	f := newFleet(t, view())
+	inB := func(now time.Time) int {
+		f.Tick(now)
+		lease(f, now, false, slots)
+		n, rnd := 0, rand.New(rand.NewPCG(3, 4))
+		for range 400 {
+			if g, ok := f.Pick(now, rnd, balance.Want{Avoid: []string{"s0", "s2", "s4"}, Wait: time.Hour}); ok {
+				n++
+				f.Done(now, g, good)
+			}
+		}
+		return n
+	}
+	if n := inB(start); n != 400 {
+		t.Fatalf("%d of 400 requests before", n)
+	}
+	f.Update(start, view("b"))
+	if n := inB(start.Add(time.Second)); n == 0 || n == 400 {
+		t.Errorf("%d of 400 requests after 1 s: the shift is not gradual", n)
+	}
+	for _, after := range []time.Duration{2999 * time.Millisecond, 3 * time.Second, time.Minute} {
+		if n := inB(start.Add(after)); n != 0 {
+			t.Errorf("%d requests %v after the zone was taken out", n, after)
+		}
+	}
+	back := start.Add(2 * time.Minute)
+	f.Update(back, view())
+	early, late := inB(back.Add(time.Second)), inB(back.Add(6*time.Second))
+	if early == 0 || early > 100 || late <= early || inB(back.Add(11*time.Second)) != 400 {
+		t.Errorf("return: %d after 1 s, %d after 6 s", early, late)
+	}
+}
+
+// Guards against an outage of the service that ejection makes: never more than a third, whatever fails.
+func TestNeverMoreThanThirdIsEjected(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := view()
+		v.NoKeepers = true
+		f := newFleet(t, v)
+		now := start
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			f.Tick(now)
+			g, ok := f.Pick(now, random(), balance.Want{Wait: time.Hour})
+			if !ok {
+				continue
+			}
+			r := good
+			r.Failed = rapid.IntRange(0, 9).Draw(t, "failed") > 0
+			f.Done(now, g, r)
+			ejected := 0
+			for _, s := range f.Status(now) {
+				if s.State == "ejected" {
+					ejected++
+				}
+			}
+			if ejected > servers/3 {
+				t.Fatalf("%d of %d servers are ejected", ejected, servers)
+			}
+		}
+	})
+}
+
+// Guards against slots that are used twice: what Demand gives up is not used any more, and it reports what is held.
+func TestDemandGivesUpIdleSlotsAboveReserve(t *testing.T) {
+	f := newFleet(t, view())
+	lease(f, start, false, 4)
+	g, _ := f.Pick(start, random(), balance.Want{Avoid: []string{"s1", "s3", "s5"}})
+	d := f.Demand(start, "a")
+	held, busy := 0, 0
+	for _, h := range d.Held {
+		held += h.Slots
+		busy += h.Busy
+	}
+	if reserve := balance.DefaultTuning().Reserve; busy != 1 || held != 1+reserve {
+		t.Errorf("held %d, busy %d after %s of 12 slots is busy and %d are kept", held, busy, g.Server, reserve)
+	}
+}
