--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -147,7 +147,7 @@
 
 func (d *Daemon) buildServices() error {
 	var err error
-	d.directory = node.NewDirectory(d.place(), backend.NetDialer, d.log).OnChange(d.record)
+	d.directory = node.NewDirectory(d.place(), backend.NetDialer, d.log)
 	d.relay = node.NewRelay(node.RelayOptions{View: d.view, Entries: d.directory.Entries, Report: d.gossip.Report, Log: d.log})
 	d.audit, err = audit.NewWriter(d.api, d.self.Name, d.self.Incarnation, d.log)
 	return err
--- a/internal/decide/balance/fleet.go
+++ b/internal/decide/balance/fleet.go
@@ -83,8 +83,6 @@
 	backlog int
 	// notices are signs that other instances have not heard of.
 	notices []Notice
-	// changes wait for TakeChanges.
-	changes []Change
 	// typical is the moving average of the latency of all servers.
 	typical time.Duration
 }
--- a/internal/decide/balance/server.go
+++ b/internal/decide/balance/server.go
@@ -75,7 +75,6 @@
 			"grow_ramp":   func(s *server) { s.ramp = min(2*s.ramp, s.slots) },
 			"lower_limit": func(s *server) { s.limit.halve() },
 		},
-		Observe: func(s *server, from, event, to string) { s.fleet.observe(s, from, event, to) },
 	})
 }
 
--- a/internal/node/directory.go
+++ b/internal/node/directory.go
@@ -46,8 +46,6 @@
 	inbox *task.Mailbox[applyDocuments]
 	// noKeepers says that no keeper grants slots.
 	noKeepers bool
-	// changed is given to the service tasks.
-	changed func(service string, c balance.Change)
 
 	published atomic.Pointer[map[string]Entry]
 	running   map[string]*runningService
@@ -63,19 +61,12 @@
 func NewDirectory(self balance.Place, dial backend.Dialer, log *slog.Logger) *Directory {
 	d := &Directory{
 		self: self, dial: dial, log: log, inbox: task.NewMailbox[applyDocuments]("directory", directoryCapacity),
-		running: map[string]*runningService{}, ended: make(chan string), changed: func(string, balance.Change) {},
+		running: map[string]*runningService{}, ended: make(chan string),
 	}
 	d.published.Store(&map[string]Entry{})
 	return d
 }
 
-// OnChange sets what is told of servers that were ejected or are presumed cold. It must not block. It is called before
-// Run.
-func (d *Directory) OnChange(changed func(service string, c balance.Change)) *Directory {
-	d.changed = changed
-	return d
-}
-
 // WithoutKeepers makes the services run without slot leases. It is called before Run.
 func (d *Directory) WithoutKeepers() *Directory {
 	d.noKeepers = true
@@ -155,7 +146,6 @@
 		d.log.Error("service cannot be started", "service", view.Service.Name, "error", err)
 		return false
 	}
-	s.changed = d.changed
 	serviceCtx, stop := context.WithCancel(ctx)
 	d.running[view.Service.Name] = &runningService{entry: Entry{Doc: view.Service, Task: s}, stop: stop}
 	go func() {
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -44,8 +44,6 @@
 	pools map[string]*pool
 	// short has a signal when a request waits or when notices are to be sent, for the task that talks to the keepers.
 	short chan struct{}
-	// changed is told of servers that were ejected or are presumed cold. It does not block.
-	changed func(service string, c balance.Change)
 	// open counts the pools whose task has not ended.
 	open int
 }
@@ -138,7 +136,7 @@
 		name: name, inbox: task.NewMailbox[any]("service "+name, serviceCapacity), dial: dial, log: log, rnd: rnd,
 		ended: make(chan struct{}), view: view, fleet: fleet,
 		queue: admit.NewQueue[acquire](view.Service.Queue), extra: newExtras(view.Service), pools: map[string]*pool{},
-		short: make(chan struct{}, 1), changed: func(string, balance.Change) {},
+		short: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -239,9 +237,6 @@
 		}
 		s.serveWaiting()
 		s.signalShort()
-		for _, c := range s.fleet.TakeChanges() {
-			s.changed(s.name, c)
-		}
 	}
 	return nil
 }
