--- a/internal/lab/keeper.go
+++ b/internal/lab/keeper.go
@@ -208,14 +208,14 @@
 
 // grow doubles the allowance of a cold server when the answers of a step came in time on average.
 func (k *keeper) grow(s *kept) {
-	enough := warmAnswers
+	enough, factor := warmAnswers, 1.5
 	if k.w.policy.LooseRamp {
-		enough = 1
+		factor = 2
 	}
 	if s.answers < enough || k.w.now.Sub(s.grownAt) < k.w.doc.Servers.WarmUpStep {
 		return
 	}
-	inTime := s.usual == 0 || s.spent/time.Duration(s.answers) <= 2*s.usual
+	inTime := s.usual == 0 || float64(s.spent)/float64(s.answers) <= factor*float64(s.usual)
 	s.answers, s.spent = 0, 0
 	s.grownAt = k.w.now
 	if inTime {
--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -18,7 +18,8 @@
 	Hedge bool
 	// Evidence lets a new keeper take servers for warm that answered well shortly before.
 	Evidence bool
-	// LooseRamp lets one answer in time grow the allowance of a cold server.
+	// LooseRamp takes answers of up to twice the usual time, instead of one and a half times, for those of a warm
+	// server.
 	LooseRamp bool
 	// StaleReports lets a keeper count answers of the start of a server that has ended.
 	StaleReports bool
