--- /dev/null
+++ b/internal/decide/balance/zone_test.go
@@ -0,0 +1,145 @@
+package balance_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+	"fuchsiahub.example/fuchsiahub/internal/document"
+)
+
+const zoneSeed = 61
+
+var zoneStart = time.Unix(1000, 0)
+
+// zones is a fleet with one server in each of four zones of two regions, at an instance in permian-a.
+type zones struct {
+	*balance.Fleet
+	t    *testing.T
+	rnd  *rand.Rand
+	view balance.View
+}
+
+func newZones(t *testing.T, out ...string) *zones {
+	t.Helper()
+	var ch balance.Charts
+	var err error
+	if ch.Backend, err = charts.Load("backend", nil); err != nil {
+		t.Fatal(err)
+	}
+	if ch.Zone, err = charts.Load("zone", nil); err != nil {
+		t.Fatal(err)
+	}
+	z := &zones{t: t, rnd: rand.New(rand.NewPCG(zoneSeed, 0)), view: balance.View{
+		Service: &document.Service{Name: "intake", Servers: document.Servers{Slots: 6, ColdAllowance: 6}},
+		Servers: []document.Server{
+			{Name: "a", Address: "10.0.0.1:80", Zone: "permian-a"}, {Name: "b", Address: "10.0.0.2:80", Zone: "permian-b"},
+			{Name: "c", Address: "10.0.1.1:80", Zone: "gulf-a"}, {Name: "d", Address: "10.0.1.2:80", Zone: "gulf-b"},
+		},
+		Self: balance.Place{Region: "permian", Zone: "permian-a"}, NoKeepers: true,
+	}}
+	z.view.Zones = fleetDocument(out)
+	if z.Fleet, err = balance.New(ch, zoneStart, z.view); err != nil {
+		t.Fatal(err)
+	}
+	return z
+}
+
+func fleetDocument(out []string) *document.Fleet {
+	return &document.Fleet{Out: out, Regions: []document.Region{
+		{Name: "permian", Zones: []string{"permian-a", "permian-b"}}, {Name: "gulf", Zones: []string{"gulf-a", "gulf-b"}},
+	}}
+}
+
+// out brings a fleet document into force.
+func (z *zones) out(now time.Time, zones ...string) {
+	z.view.Zones = fleetDocument(zones)
+	z.Update(now, z.view)
+}
+
+// served picks servers for 200 requests that are answered at once and returns how many each server got.
+func (z *zones) served(now time.Time, want balance.Want) map[string]int {
+	counts := map[string]int{}
+	for range 200 {
+		if g, ok := z.Pick(now, z.rnd, want); ok {
+			counts[g.Server]++
+			z.Done(now, g, balance.Result{Fate: call.Answered, Latency: 5 * time.Millisecond})
+		}
+	}
+	return counts
+}
+
+func after(d time.Duration) time.Time { return zoneStart.Add(d) }
+
+// Guards against a zone that gets new work 3 s after it was taken out, also when the timeout of its chart is raised
+// late, when every other zone is out, or when the instance starts meanwhile.
+func TestZoneThatIsOutGetsNoWork(t *testing.T) {
+	z := newZones(t)
+	if n := z.served(after(0), balance.Want{})["a"]; n == 0 {
+		t.Fatal("the own zone gets no work before it is out")
+	}
+	z.out(after(time.Second), "permian-a")
+	for _, d := range []time.Duration{4 * time.Second, time.Minute} {
+		if got := z.served(after(d), balance.Want{}); got["a"] != 0 || got["b"] == 0 {
+			t.Errorf("%v after the start: %v", d, got)
+		}
+		z.Tick(after(d))
+	}
+	z.out(after(time.Minute), "permian-a", "permian-b")
+	if got := z.served(after(time.Minute+3*time.Second), balance.Want{}); len(got) != 0 {
+		t.Errorf("both zones are out: %v", got)
+	}
+	if got := newZones(t, "permian-a").served(zoneStart, balance.Want{}); got["a"] != 0 || got["b"] == 0 {
+		t.Errorf("out at the start of the instance: %v", got)
+	}
+}
+
+// Guards against a zone that returns with its whole share at once, or never.
+func TestZoneReturnsByRamp(t *testing.T) {
+	z := newZones(t, "permian-a")
+	z.out(after(time.Second), "permian-a", "permian-b")
+	z.out(after(time.Minute), "permian-b")
+	early := z.served(after(time.Minute), balance.Want{})["a"]
+	late := z.served(after(time.Minute+10*time.Second), balance.Want{})["a"]
+	if early == 0 || early > 30 || late != 200 {
+		t.Errorf("%d of 200 requests at once, %d after 10 s; want about 10 and all", early, late)
+	}
+}
+
+// Guards against a request that is sent to a server outside its home regions, although that server has room and the
+// request may leave its region.
+func TestServersOutsideHomeRegionsAreNotUsed(t *testing.T) {
+	z := newZones(t, "permian-a", "permian-b")
+	want := balance.Want{CrossRegion: true, Wait: time.Second}
+	if got := z.served(after(0), want); got["c"]+got["d"] == 0 {
+		t.Fatalf("no server of another region is used without home regions: %v", got)
+	}
+	want.Regions = []string{"permian"}
+	if got := z.served(after(0), want); len(got) != 0 || z.Possible(after(0), want) {
+		t.Errorf("home region permian is out, and yet %v", got)
+	}
+}
+
+// Guards against new work for a server that said that it is leaving, at the instance that heard it and at others, and
+// against a drain that peers never hear of.
+func TestLeavingServerGetsNoWork(t *testing.T) {
+	z := newZones(t, "permian-b")
+	g, _ := z.Pick(zoneStart, z.rnd, balance.Want{})
+	z.Done(zoneStart, g, balance.Result{Fate: call.Answered, Draining: true, Incarnation: "i1", Latency: time.Millisecond})
+	if got := z.served(after(0), balance.Want{}); len(got) != 0 {
+		t.Errorf("work for the leaving server at the instance that heard it: %v", got)
+	}
+	notices := z.Notices()
+	if !slices.Equal(notices, []balance.Notice{{Server: "a", Incarnation: "i1", State: balance.Draining}}) {
+		t.Fatalf("notices %+v", notices)
+	}
+	other := newZones(t, "permian-b")
+	other.Notice(zoneStart, balance.Notice{Server: "a", State: balance.Draining})
+	if got := other.served(after(0), balance.Want{}); len(got) != 0 {
+		t.Errorf("work for the leaving server at another instance: %v", got)
+	}
+}
