Test that a server is probed at most once a second within a larger budget

The test of the budget has fewer probes a second than servers, so it passed without the check of the time since the last probe.

--- a/internal/decide/keeper/keeper_test.go
+++ b/internal/decide/keeper/keeper_test.go
@@ -435,3 +435,16 @@
 		t.Errorf("%d probes in 60 s of 3 a second: %v", sum, probes)
 	}
 }
+
+// Guards against more than one probe a second for a server when the budget would allow more.
+func TestBudgetIsNotSpentOnFewServers(t *testing.T) {
+	p := keeper.NewProber(start, 30)
+	targets := []keeper.Target{{Key: key, Server: "1"}, {Key: key, Server: "2"}}
+	sum := 0
+	for s := 0.0; s < 60; s += 0.125 {
+		sum += len(p.Due(at(s), targets))
+	}
+	if sum > 120 || sum < 110 {
+		t.Errorf("%d probes of 2 servers in 60 s, want one a second for each", sum)
+	}
+}
