--- a/internal/decide/route/match_test.go
+++ b/internal/decide/route/match_test.go
@@ -47,3 +47,36 @@
 		}
 	}
 }
+
+// Guards against a request that evades the policy of its route by writing its path in another way, which a backend
+// server decodes: a later route matches every path.
+func TestWrittenPathDoesNotEvadeRoute(t *testing.T) {
+	doc := &document.Service{Routes: []document.Route{{Name: "dispatch", Path: "/dispatches/{id}"}, {Name: "all", Path: "/*"}}}
+	for path, want := range map[string]string{
+		"/dispatches/7":          "dispatch",
+		"/dispatche%73/7":        "dispatch",
+		"/%64ispatches/%37":      "dispatch",
+		"/dispatches%2F7":        "",
+		"/dispatches/7%2f8":      "",
+		"//dispatches/7":         "",
+		"/dispatches//7":         "",
+		"/dispatches/%00":        "dispatch",
+		"/crews/a%2Fb//c%20d/":   "all",
+		"/x/../dispatches/7":     "",
+		"/x/%2e%2E/dispatches/7": "",
+		"/x/..%2Fdispatches/7":   "",
+		"/./dispatches/7":        "",
+		"/dispatches/%zz":        "",
+		"/x/..y/.z":              "all",
+		"/":                      "all",
+		"//":                     "all",
+	} {
+		got := ""
+		if r, ok := route.Match(doc, "POST", path); ok {
+			got = r.Name
+		}
+		if got != want {
+			t.Errorf("%q takes route %q, want %q", path, got, want)
+		}
+	}
+}
