--- /dev/null
+++ b/internal/daemon/drain_test.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"fuchsiahub.example/fuchsiahub/internal/standin/memnet"
+)
+
+// Guards against a stop that ends requests in progress instead of waiting for them, and against one that takes new
+// connections meanwhile. Callers of TestStopUnderLoadCutsNoRequest send nothing more when the drain begins.
+func TestDrainWaitsForRequestInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener, finish := memnet.Listen(), make(chan struct{})
+		slow := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { <-finish; w.WriteHeader(http.StatusAccepted) })
+		w := &web{callers: newHTTPServer(slow, slog.New(slog.DiscardHandler))}
+		w.listeners.callers = listener
+		client := &http.Client{Transport: &http.Transport{DialContext: listener.Dial, DisableKeepAlives: true}}
+		served, answered, drained := make(chan error, 1), make(chan int, 1), make(chan error, 1)
+		go func() { served <- w.serveCallers(t.Context()) }()
+		go func() {
+			resp, err := client.Get("http://entry/")
+			if err != nil {
+				t.Errorf("request in progress: %v", err)
+				answered <- 0
+				return
+			}
+			_ = resp.Body.Close()
+			answered <- resp.StatusCode
+		}()
+		synctest.Wait()
+		go func() { drained <- w.drain(context.Background()) }()
+		synctest.Wait()
+		select {
+		case err := <-drained:
+			t.Errorf("the drain ended during a request, with %v", err)
+			drained <- err
+		default:
+		}
+		if _, err := client.Get("http://entry/"); err == nil {
+			t.Error("a new connection was taken during the drain")
+		}
+		close(finish)
+		if status := <-answered; status != http.StatusAccepted {
+			t.Errorf("status %d", status)
+		}
+		if err := <-drained; err != nil {
+			t.Errorf("drain: %v", err)
+		}
+		if err := <-served; err != nil {
+			t.Errorf("serve: %v", err)
+		}
+	})
+}
