--- a/internal/decide/balance/shard.go
+++ b/internal/decide/balance/shard.go
@@ -109,12 +109,14 @@
 	}
 	since := now.Sub(f.shard(zone).askedAt)
 	spare := f.idle(now, zone) - f.reserve(zone)
+	far := f.view.Zones.RegionOf(zone) != f.view.Self.Region
 	switch {
+	case far && since < f.tuning.FarInterval:
+		return false
 	case spare > 0 && since >= f.tuning.ReturnInterval:
 		return true
-	case f.view.Zones.RegionOf(zone) != f.view.Self.Region:
-		wait := time.Duration(f.backlog) * f.Pace(now)
-		return wait > farWait && since >= f.tuning.ReturnInterval
+	case far:
+		return time.Duration(f.backlog)*f.Pace(now) > farWait
 	case f.backlog > 0 || spare < 0:
 		return since >= f.tuning.AskInterval
 	}
--- a/internal/decide/balance/tuning.go
+++ b/internal/decide/balance/tuning.go
@@ -29,6 +29,8 @@
 	// AskInterval is the least time between two demands of one shard while requests wait or the reserve is short,
 	// ReturnInterval the least time between two that only give slots back.
 	AskInterval, ReturnInterval time.Duration
+	// FarInterval is the least time between two demands of a shard in another region.
+	FarInterval time.Duration
 	// Patient makes a request wait for a server near the best one instead of taking a much slower one.
 	Patient bool
 	// Late presumes a server cold after several late answers in a row.
@@ -40,7 +42,7 @@
 // DefaultTuning returns the tuning that docs/measurements.md arrives at.
 func DefaultTuning() Tuning {
 	return Tuning{Order: ByDelay, Reserve: 1, Overflow: 1, RegionShare: true, Patient: true, Adapt: true,
-		AskInterval: 100 * time.Millisecond, ReturnInterval: 100 * time.Millisecond}
+		AskInterval: 100 * time.Millisecond, ReturnInterval: 100 * time.Millisecond, FarInterval: 500 * time.Millisecond}
 }
 
 const (
--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -59,6 +59,7 @@
 		{Name: "stale-reports", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, StaleReports: true},
 		{Name: "region-notices", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, RegionNotices: true},
 		{Name: "ask-at-once", Tuning: with(func(t *balance.Tuning) { t.AskInterval, t.ReturnInterval = 0, 10*time.Millisecond }), Keepers: true, Evidence: true},
+		{Name: "far-100", Tuning: with(func(t *balance.Tuning) { t.FarInterval = 100 * time.Millisecond }), Keepers: true, Evidence: true},
 		{Name: "default+hedge", Tuning: balance.DefaultTuning(), Keepers: true, Evidence: true, Hedge: true},
 	}
 }
