--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -25,6 +25,8 @@
 	limit = 30 * time.Second
 	// phase is how long the load runs between two events.
 	phase = 2 * time.Second
+	// warmUpTime is how long the load runs before latency is measured, since cold servers bear one request at a time.
+	warmUpTime = 5 * time.Second
 	// median is the service time of half of the requests at a stand-in backend server.
 	median = 5 * time.Millisecond
 	// zoneTaken is the availability zone that the demo takes out and back.
@@ -77,7 +79,14 @@
 	if err := d.startFleet(ctx); err != nil {
 		return err
 	}
-	load := startLoad(ctx, d.callerAddresses())
+	warmUp := startLoad(ctx, "warm-up", d.callerAddresses())
+	err := pauseFor(warmUpTime)(ctx)
+	d.result.warmUp = warmUp.stop()
+	if err != nil {
+		return err
+	}
+	d.say("all backend servers started cold; %d requests warmed them up", d.result.warmUp.answered)
+	load := startLoad(ctx, "load", d.callerAddresses())
 	for _, step := range []func(context.Context) error{
 		pauseFor(phase), d.takeZoneOut, pauseFor(phase), d.bringZoneIn, pauseFor(phase), d.stopServer, pauseFor(phase),
 		func(ctx context.Context) error { return d.stopInstance(ctx) }, pauseFor(phase),
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -50,11 +50,12 @@
 	ended  chan *tally
 }
 
-func startLoad(ctx context.Context, addresses []string) *load {
+// startLoad starts the callers. The name makes their idempotency keys differ from those of other loads.
+func startLoad(ctx context.Context, name string, addresses []string) *load {
 	ctx, cancel := context.WithCancel(ctx)
 	l := &load{cancel: cancel, ended: make(chan *tally, callers)}
 	for c := range callers {
-		caller := &caller{number: c, addresses: addresses, client: &http.Client{Transport: &http.Transport{}}, seen: newTally()}
+		caller := &caller{load: name, number: c, addresses: addresses, client: &http.Client{Transport: &http.Transport{}}, seen: newTally()}
 		go func() { l.ended <- caller.run(ctx) }()
 	}
 	return l
@@ -72,6 +73,7 @@
 
 // caller sends one request at a time.
 type caller struct {
+	load      string
 	number    int
 	addresses []string
 	client    *http.Client
@@ -97,7 +99,7 @@
 // balancer does the same.
 func (c *caller) send() {
 	c.sent++
-	key := fmt.Sprintf("demo-%d-%d", c.number, c.sent)
+	key := fmt.Sprintf("%s-%d-%d", c.load, c.number, c.sent)
 	for try := range c.addresses {
 		address := c.addresses[(c.number+c.sent+try)%len(c.addresses)]
 		again := c.attempt(address, key)
--- a/internal/demo/result.go
+++ b/internal/demo/result.go
@@ -11,7 +11,8 @@
 
 // Result is what the demo measured.
 type Result struct {
-	load *tally
+	// warmUp and load are what callers saw before and after the servers were warm.
+	warmUp, load *tally
 	// twice counts once-only requests that ran more than once.
 	twice int
 	// coldOverloads counts requests that failed because a backend server was cold.
@@ -27,13 +28,13 @@
 	row := func(name, format string, args ...any) {
 		_, _ = fmt.Fprintf(w, name+"\t"+format+"\n", args...) // a broken output ends with the program
 	}
-	row("answered", "%d", r.load.answered)
-	row("refused as not run", "%d", r.load.notRun)
-	row("outcome unknown", "%d", r.load.unknown)
+	row("answered", "%d", r.warmUp.answered+r.load.answered)
+	row("refused as not run", "%d", r.warmUp.notRun+r.load.notRun)
+	row("outcome unknown", "%d", r.warmUp.unknown+r.load.unknown)
 	row("run twice", "%d", r.twice)
 	row("overloads of cold servers", "%d", r.coldOverloads)
-	row("p50", "%.2f ms", millis(r.load.elapsed.ValueAtPercentile(50)))
-	row("p99", "%.2f ms", millis(r.load.elapsed.ValueAtPercentile(99)))
+	row("p50, servers warm", "%.2f ms", millis(r.load.elapsed.ValueAtPercentile(50)))
+	row("p99, servers warm", "%.2f ms", millis(r.load.elapsed.ValueAtPercentile(99)))
 	row("added latency p50", "%.2f ms", millis(r.load.added.ValueAtPercentile(50)))
 	row("added latency p99", "%.2f ms", millis(r.load.added.ValueAtPercentile(99)))
 	row("zone quiet after", "%.1f s", r.quiet.Seconds())
