Let probe.per_second bound the probes of each server

The setting names the most probes a second that one backend server gets, but only the budget of an instance followed it: with 0.1, an instance that keeps two servers sent 120 probes in 60 s instead of 12, within its budget of 5 a second. The setting now gives the least time between two probes of a server. The test fails with the fixed interval of one second.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -162,7 +162,7 @@
 	}
 	d.keeper = node.NewKeeper(node.KeeperConfig{
 		Self: d.self, API: d.api, View: d.view, Docs: d.documents, Standing: d.session, Dial: backend.NetDialer,
-		ProbesPerSecond: d.probes(), Taken: d.shardTaken, Log: d.log,
+		ProbesPerSecond: d.probes(), ProbeEvery: d.probeEvery(), Taken: d.shardTaken, Log: d.log,
 	})
 	d.holder = node.NewHolder(node.HolderConfig{
 		Self: d.self, Peers: d.client, Own: d.keeper.Lease, Owners: d.keeper.Owners, View: d.view, Docs: d.documents,
@@ -214,6 +214,14 @@
 	return int(math.Ceil(d.settings.Probe.PerSecond * maxProbedServers))
 }
 
+// probeEvery is the time between two probes of one backend server. Without probes it means nothing.
+func (d *Daemon) probeEvery() time.Duration {
+	if d.settings.Probe.PerSecond == 0 {
+		return 0
+	}
+	return time.Duration(min(float64(time.Second)/d.settings.Probe.PerSecond, float64(math.MaxInt64/2)))
+}
+
 func (d *Daemon) regionOf(zone string) string {
 	if docs := d.documents(); docs != nil {
 		return docs.Fleet.RegionOf(zone)
--- /dev/null
+++ b/internal/daemon/probe_test.go
@@ -0,0 +1,23 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/settings"
+)
+
+// Guards against a setting that lowers the budget of an instance but not the rate of a server, which is what it names:
+// an instance with few servers then probes each of them once a second.
+func TestProbeSettingBoundsRateOfServer(t *testing.T) {
+	for perSecond, want := range map[float64]time.Duration{1: time.Second, 0.1: 10 * time.Second, 0: 0} {
+		d := &Daemon{settings: &settings.Daemon{Probe: settings.Probe{PerSecond: perSecond}}}
+		if got := d.probeEvery(); got != want {
+			t.Errorf("%v a second: %v between probes, want %v", perSecond, got, want)
+		}
+	}
+	tiny := &Daemon{settings: &settings.Daemon{Probe: settings.Probe{PerSecond: 1e-300}}}
+	if got := tiny.probeEvery(); got < 24*time.Hour {
+		t.Errorf("hardly any probes: %v between them", got)
+	}
+}
--- a/internal/decide/keeper/keeper_test.go
+++ b/internal/decide/keeper/keeper_test.go
@@ -417,7 +417,7 @@
 
 // Guards against probes above the budget, more than one a second for one server, and servers that are never probed.
 func TestProbesStayWithinBudget(t *testing.T) {
-	p := keeper.NewProber(start, 3)
+	p := keeper.NewProber(start, 3, 0)
 	targets := []keeper.Target{{Key: key, Server: "1"}, {Key: key, Server: "2"}, {Key: key, Server: "3"}, {Key: key, Server: "4"}}
 	probes, last := map[string]int{}, map[string]time.Time{}
 	sum := 0
@@ -436,15 +436,18 @@
 	}
 }
 
-// Guards against more than one probe a second for a server when the budget would allow more.
+// Guards against more probes of a server than its interval allows when the budget would allow more: one a second at
+// most, and fewer when the setting says so.
 func TestBudgetIsNotSpentOnFewServers(t *testing.T) {
-	p := keeper.NewProber(start, 30)
-	targets := []keeper.Target{{Key: key, Server: "1"}, {Key: key, Server: "2"}}
-	sum := 0
-	for s := 0.0; s < 60; s += 0.125 {
-		sum += len(p.Due(at(s), targets))
-	}
-	if sum > 120 || sum < 110 {
-		t.Errorf("%d probes of 2 servers in 60 s, want one a second for each", sum)
+	for every, most := range map[time.Duration]int{0: 120, time.Second: 120, 10 * time.Second: 12} {
+		p := keeper.NewProber(start, 30, every)
+		targets := []keeper.Target{{Key: key, Server: "1"}, {Key: key, Server: "2"}}
+		sum := 0
+		for s := 0.0; s < 60; s += 0.125 {
+			sum += len(p.Due(at(s), targets))
+		}
+		if sum > most || sum < most*9/10 {
+			t.Errorf("interval %v: %d probes of 2 servers in 60 s, want %d", every, sum, most)
+		}
 	}
 }
--- a/internal/decide/keeper/prober.go
+++ b/internal/decide/keeper/prober.go
@@ -6,12 +6,14 @@
 	"time"
 )
 
-// ProbeEvery is the least time between two probes of one server.
+// ProbeEvery is the least time between two probes of one server, whatever the settings.
 const ProbeEvery = time.Second
 
 // Prober decides which servers are probed now. It is owned by one task.
 type Prober struct {
 	perSecond int
+	// every is the least time between two probes of one server.
+	every time.Duration
 	// tokens are probes that may be sent now, at most those of one second.
 	tokens float64
 	filled time.Time
@@ -24,9 +26,10 @@
 	Server string
 }
 
-// NewProber returns a prober with a budget for the whole instance.
-func NewProber(now time.Time, perSecond int) *Prober {
-	return &Prober{perSecond: perSecond, filled: now, last: map[Target]time.Time{}}
+// NewProber returns a prober with a budget for the whole instance and the least time between two probes of one server,
+// which is at least ProbeEvery.
+func NewProber(now time.Time, perSecond int, every time.Duration) *Prober {
+	return &Prober{perSecond: perSecond, every: max(every, ProbeEvery), filled: now, last: map[Target]time.Time{}}
 }
 
 // Due returns the targets to probe now, those that have waited longest first. Others are forgotten.
@@ -36,7 +39,7 @@
 	var due []Target
 	for _, t := range targets {
 		last[t] = p.last[t]
-		if now.Sub(last[t]) >= ProbeEvery {
+		if now.Sub(last[t]) >= p.every {
 			due = append(due, t)
 		}
 	}
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -47,6 +47,8 @@
 	Dial     backend.Dialer
 	// ProbesPerSecond is the budget of this instance for probes. Zero means no probes.
 	ProbesPerSecond int
+	// ProbeEvery is the least time between two probes of one server. Values below keeper.ProbeEvery stand for it.
+	ProbeEvery time.Duration
 	// Taken gets each shard that this instance has begun to keep. It must not block; nil takes none.
 	Taken func(key keeper.Key, epoch uint64)
 	Log   *slog.Logger
@@ -100,7 +102,7 @@
 		KeeperConfig: config, id: session.Identity{Instance: config.Self.Name, Incarnation: config.Self.Incarnation},
 		inbox: task.NewMailbox[any]("keeper", keeperCapacity), ended: make(chan struct{}),
 		specs: map[keeper.Key]shardSpec{}, shards: map[keeper.Key]*keeper.Shard{}, tables: newTables(),
-		prober: keeper.NewProber(time.Now(), config.ProbesPerSecond), probes: map[keeper.Target]*probePool{},
+		prober: keeper.NewProber(time.Now(), config.ProbesPerSecond, config.ProbeEvery), probes: map[keeper.Target]*probePool{},
 	}
 	k.pendingCalls.inbox = k.inbox
 	k.owners.Store(&map[keeper.Key]string{})
