--- a/internal/decide/once/bench_test.go
+++ b/internal/decide/once/bench_test.go
@@ -37,14 +37,17 @@
 
 const storeLatency = 2 * time.Millisecond
 
-func newTraffic(b *testing.B, seed uint64) *traffic {
+func newTraffic(b *testing.B, seed uint64, burst int) *traffic {
 	b.Helper()
-	return &traffic{owner: newOwnerFor(b, newStore()), rnd: rand.New(rand.NewPCG(seed, 1)), asked: map[uint64]time.Time{}}
+	return &traffic{owner: newOwnerFor(b, newStore(), burst), rnd: rand.New(rand.NewPCG(seed, 1)), asked: map[uint64]time.Time{}}
 }
 
-func newOwnerFor(b *testing.B, s *store) *owner {
+// newOwnerFor returns an owner whose budget is 50 writes a second; no burst is the former rule.
+func newOwnerFor(b *testing.B, s *store, burst int) *owner {
 	b.Helper()
-	return newOwner(b, "entry-1", s, once.Limits{SealEntries: 2000, Pending: 4096, KeptBytes: 4 << 20})
+	return newOwner(b, "entry-1", s, once.Limits{
+		SealEntries: 2000, Pending: 4096, KeptBytes: 4 << 20, CommitInterval: 20 * time.Millisecond, Burst: burst,
+	})
 }
 
 // run lets a time pass with claims at random times, each settled 50 ms after it was granted.
@@ -122,24 +125,29 @@
 
 // BenchmarkLoad reports, for one partition of four, what claims at a rate cost. The figures are in virtual time.
 func BenchmarkLoad(b *testing.B) {
-	for _, load := range []struct{ perSecond, seconds float64 }{{1, 60}, {10, 60}, {100, 60}, {1000, 60}, {4000, 60}, {100, 4000}} {
-		b.Run(fmt.Sprintf("claims=%g/seconds=%g", load.perSecond, load.seconds), func(b *testing.B) {
-			for b.Loop() {
-				t := newTraffic(b, 1)
-				t.run(time.Duration(load.seconds)*time.Second, load.perSecond)
-				b.ReportMetric(float64(t.writes)/load.seconds, "writes/s")
-				b.ReportMetric(float64(t.bytes)/float64(t.granted), "B-written/claim")
-				b.ReportMetric(float64(t.wait.Microseconds())/float64(t.granted)/1000, "ms-wait/claim")
-				b.ReportMetric(float64(t.refused), "refused")
-			}
-		})
+	for _, load := range []struct{ perSecond, seconds float64 }{{1, 60}, {10, 60}, {30, 60}, {100, 60}, {1000, 60}, {4000, 60}, {100, 4000}} {
+		for _, burst := range []int{0, usualBurst} {
+			b.Run(fmt.Sprintf("claims=%g/seconds=%g/burst=%d", load.perSecond, load.seconds, burst), func(b *testing.B) {
+				for b.Loop() {
+					t := newTraffic(b, 1, burst)
+					t.run(time.Duration(load.seconds)*time.Second, load.perSecond)
+					b.ReportMetric(float64(t.writes)/load.seconds, "writes/s")
+					b.ReportMetric(float64(t.bytes)/float64(t.granted), "B-written/claim")
+					b.ReportMetric(float64(t.wait.Microseconds())/float64(t.granted)/1000, "ms-wait/claim")
+					b.ReportMetric(float64(t.refused), "refused")
+				}
+			})
+		}
 	}
 }
 
+// usualBurst is that of the daemon.
+const usualBurst = 10
+
 // BenchmarkOutage reports how many claims are refused when the object API is down for 10 s.
 func BenchmarkOutage(b *testing.B) {
 	for b.Loop() {
-		t := newTraffic(b, 1)
+		t := newTraffic(b, 1, usualBurst)
 		t.run(10*time.Second, 100)
 		before := t.refused
 		t.store.down = true
@@ -159,7 +167,7 @@
 func BenchmarkClaim(b *testing.B) {
 	for _, kept := range []int{0, 300_000} {
 		b.Run(fmt.Sprintf("kept=%d", kept), func(b *testing.B) {
-			t := newTraffic(b, 1)
+			t := newTraffic(b, 1, usualBurst)
 			for t.claims < kept {
 				t.batch(1000)
 			}
@@ -188,12 +196,12 @@
 // BenchmarkTakeover reports how long a new owner takes to load a window of 360,000 claims, in virtual time with 8 reads
 // at a time, and as time of the processor.
 func BenchmarkTakeover(b *testing.B) {
-	before := newTraffic(b, 1)
+	before := newTraffic(b, 1, usualBurst)
 	for before.claims < 360_000 {
 		before.batch(300)
 	}
 	for claims := before.claims; b.Loop(); claims++ {
-		t := &traffic{owner: newOwnerFor(b, before.store), asked: map[uint64]time.Time{}, claims: claims}
+		t := &traffic{owner: newOwnerFor(b, before.store, usualBurst), asked: map[uint64]time.Time{}, claims: claims}
 		t.ask()
 		for range 10_000 { // 10 s of virtual time
 			t.now = t.now.Add(time.Millisecond)
@@ -216,7 +224,7 @@
 func BenchmarkMemory(b *testing.B) {
 	const kept = 400_000
 	for b.Loop() {
-		t := newTraffic(b, 1)
+		t := newTraffic(b, 1, usualBurst)
 		before := heap()
 		for t.claims < kept {
 			t.batch(1000)
--- a/internal/decide/once/commit.go
+++ b/internal/decide/once/commit.go
@@ -83,10 +83,14 @@
 }
 
 func (p *Partition) writeSegment() {
+	p.budget.spend(p.now)
 	p.emit(WriteSegment{Number: p.commit.number, Entries: p.commit.sealed})
 }
 
-func (p *Partition) writeHead() { p.emit(WriteHead{Version: p.version, Head: &p.commit.head}) }
+func (p *Partition) writeHead() {
+	p.budget.spend(p.now)
+	p.emit(WriteHead{Version: p.version, Head: &p.commit.head})
+}
 
 // writtenVersion returns the version of the head after a write; a segment does not change it.
 func (p *Partition) writtenVersion(w Written) uint64 {
--- a/internal/decide/once/partition.go
+++ b/internal/decide/once/partition.go
@@ -16,6 +16,10 @@
 	Pending int
 	// KeptBytes is the most memory for kept answers.
 	KeptBytes int
+	// CommitInterval is the mean time between writes that the budget allows, and Burst how many may follow each other at
+	// once. Without a burst each write waits for the interval.
+	CommitInterval time.Duration
+	Burst          int
 }
 
 // Charts are the bound charts that all partitions of a process share.
@@ -50,6 +54,7 @@
 	now     time.Time
 	view    *member.View
 	effects []Effect
+	budget  budget
 
 	// waiting holds Claim and Settle messages until the partition is owned.
 	waiting []any
@@ -94,7 +99,7 @@
 
 // New returns a partition of which nothing is known.
 func (c *Charts) New(now time.Time, self Holder, limits Limits, peers *Peers) *Partition {
-	p := &Partition{self: self, limits: limits, peers: peers, claims: c.claims, states: c.states, now: now}
+	p := &Partition{self: self, limits: limits, peers: peers, claims: c.claims, states: c.states, now: now, budget: newBudget(now, limits)}
 	p.clear()
 	p.machine = c.partition.New(now, p)
 	return p
@@ -141,6 +146,7 @@
 	p.claim(c)
 	if len(p.next) > 0 {
 		p.event("work")
+		p.useCredit()
 	}
 }
 
@@ -173,6 +179,14 @@
 	case SegmentDeleted:
 		p.segmentDeleted(a)
 	}
+	p.useCredit()
+}
+
+// useCredit raises the event for a write that need not wait for the interval.
+func (p *Partition) useCredit() {
+	if p.budget.allows(p.now) {
+		p.event("credit")
+	}
 }
 
 // Deadline returns when Tick is due, and false when it is not.
--- a/internal/node/partitions.go
+++ b/internal/node/partitions.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// commitBurst is how many writes of one partition may follow each other at once. At the default budget it is the
+	// allowance of 0.2 s.
+	commitBurst = 10
 	// partitionsCapacity bounds the claims and settlements that wait at the task. A full mailbox refuses claims.
 	partitionsCapacity = 1024
 	// sealEntries keeps the head below 100 KB of the 1 MB that an object may hold.
@@ -92,6 +95,7 @@
 		claims: map[uint64]chan<- claimReply{}, settles: map[uint64]chan<- bool{},
 		limits: once.Limits{
 			SealEntries: sealEntries, Pending: pendingPerPartition, KeptBytes: parts.Settings.KeptBytes / parts.Settings.Partitions,
+			Burst: commitBurst,
 		},
 	}
 }
@@ -274,16 +278,22 @@
 		s.log.Error("partition of once-only claims cannot be opened", "partition", name, "error", err)
 		return nil, ""
 	}
-	p := &openPartition{Partition: bound.New(time.Now(), s.self, s.limits, s.peers), store: claimStore{api: s.api, place: place}}
+	limits := s.limits
+	limits.CommitInterval = s.commitInterval()
+	p := &openPartition{Partition: bound.New(time.Now(), s.self, limits, s.peers), store: claimStore{api: s.api, place: place}}
 	s.open[name] = p
 	return p, ""
 }
 
-// bound returns the charts for the current write interval: the write budget is divided over the partitions of all sets
-// of allowed regions.
-func (s *partitions) bound() (*once.Charts, error) {
+// commitInterval divides the write budget over the partitions of all sets of allowed regions.
+func (s *partitions) commitInterval() time.Duration {
 	heads := s.settings.Partitions * max(1, s.sets())
-	interval := time.Second * time.Duration(heads) / time.Duration(s.settings.WritesPerSecond)
+	return time.Second * time.Duration(heads) / time.Duration(s.settings.WritesPerSecond)
+}
+
+// bound returns the charts for the current write interval.
+func (s *partitions) bound() (*once.Charts, error) {
+	interval := s.commitInterval()
 	if known := s.charts[interval]; known != nil {
 		return known, nil
 	}
