--- a/internal/daemon/cost_test.go
+++ b/internal/daemon/cost_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -97,7 +98,8 @@
 		if err != nil {
 			continue
 		}
-		if resp.StatusCode == http.StatusOK {
+		// A body that is not read to its end costs the connection.
+		if _, err := io.Copy(io.Discard, resp.Body); err == nil && resp.StatusCode == http.StatusOK {
 			answered++
 		}
 		_ = resp.Body.Close()
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime/pprof"
 	"strings"
 	"syscall"
 	"testing"
@@ -26,13 +27,26 @@
 // asDaemon makes the test program run as the daemon, so that tests have real processes without building one.
 const asDaemon = "FUCHSIAHUB_TEST_AS_DAEMON"
 
+// profileTo names a file for the processor profile of the last daemon that was started.
+const profileTo = "FUCHSIAHUB_TEST_PROFILE"
+
 func TestMain(m *testing.M) {
 	if os.Getenv(asDaemon) == "" {
 		os.Exit(m.Run())
 	}
+	if path := os.Getenv(profileTo); path != "" {
+		file, err := os.Create(path)
+		if err != nil {
+			panic(err)
+		}
+		if err := pprof.StartCPUProfile(file); err != nil {
+			panic(err)
+		}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := Main(ctx, os.Args, os.Stdout, os.Stderr)
 	stop()
+	pprof.StopCPUProfile()
 	os.Exit(code)
 }
 
