Test that the keeper task sends only the probes that are due

With all servers probed at each turn, 646 probes of 8 servers were sent in 20 s instead of at most 160, and no other test of the package failed.

--- /dev/null
+++ b/internal/node/keeperprobes_test.go
@@ -0,0 +1,49 @@
+package node_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+)
+
+// countedConn counts writes. A probe is written at once.
+type countedConn struct {
+	net.Conn
+	writes *atomic.Int64
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(p)
+}
+
+// Guards against a keeper task that sends probes although the prober withholds them, and against one that sends none.
+func TestKeepersProbeEachServerOnceASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var probes atomic.Int64
+		f := newFleet(t, 1, none, fleetSize, fleetServices)
+		f.good = true
+		f.dial = backend.Dialer(func(ctx context.Context, address string) (net.Conn, error) {
+			c, err := readyServer(ctx, address)
+			return countedConn{Conn: c, writes: &probes}, err
+		})
+		f.startAll()
+		f.run(20 * time.Second)
+		servers := 0
+		for _, doc := range f.docs.Services {
+			servers += len(doc.Servers.List)
+		}
+		before := probes.Load()
+		f.run(20 * time.Second)
+		sent := probes.Load() - before
+		if most := int64(20 * servers); sent > most || sent < most/2 {
+			t.Errorf("%d probes of %d servers in 20 s, want %d", sent, servers, most)
+		}
+		f.stopAll()
+	})
+}
