Split the service task's file by what each part does

Its messages and loop stay; questions of other tasks, the queue, the pools and the requests' side have files of their own. No behaviour changed.

--- /dev/null
+++ b/internal/node/servicepools.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/decide/balance"
+)
+
+type pool struct {
+	*backend.Pool
+	address string
+	size    backend.Resize
+	stop    context.CancelFunc
+}
+
+// syncPools starts a pool for each server and stops the pools of servers that are gone.
+func (s *Service) syncPools(ctx context.Context) {
+	named := map[string]bool{}
+	for _, server := range s.view.Servers {
+		named[server.Name] = true
+		if known, ok := s.pools[server.Name]; ok && known.address == server.Address {
+			continue
+		} else if ok {
+			known.stop()
+		}
+		s.startPool(ctx, server.Name, server.Address)
+	}
+	for name, p := range s.pools {
+		if !named[name] {
+			p.stop()
+			delete(s.pools, name)
+		}
+	}
+}
+
+func (s *Service) startPool(ctx context.Context, name, address string) {
+	size := s.poolSize(balance.Room{Server: name})
+	p, err := backend.NewPool(address, s.dial, size)
+	if err != nil {
+		s.log.Error("backend server has no pool", "service", s.name, "server", name, "error", err)
+		return
+	}
+	poolCtx, stop := context.WithCancel(ctx)
+	s.pools[name] = &pool{Pool: p, address: address, size: size, stop: stop}
+	s.open++
+	go func() {
+		_ = p.Run(poolCtx) // Run has no error to report
+		_ = s.inbox.Send(context.Background(), poolEnded{})
+	}()
+}
+
+// poolSize returns this instance's share of the connections that a server bears from all instances, and how many are
+// opened ahead of need: one for each request that may be sent at once. A server that may get no work keeps what is
+// open and opens nothing.
+func (s *Service) poolSize(room balance.Room) backend.Resize {
+	share := max(1, s.view.Service.Servers.Connections/max(1, s.view.Instances))
+	return backend.Resize{Limit: share, Spare: min(share, room.Allowance)}
+}
+
+// resizePools follows changes of leases, states and live instances.
+func (s *Service) resizePools(ctx context.Context) {
+	for _, room := range s.fleet.Rooms(time.Now()) {
+		p, ok := s.pools[room.Server]
+		if !ok {
+			continue
+		}
+		if size := s.poolSize(room); size != p.size {
+			p.size = size
+			_ = p.Resize(ctx, size) // fails only when the service stops, and its pools with it
+		}
+	}
+}
+
+func (s *Service) stopPools() {
+	for _, p := range s.pools {
+		p.stop()
+	}
+}
