Check documents against the fleet document beside them, and whole folders

Cause: with the files of two deployments in one call, all services were checked against the last fleet document, so the valid documents of one deployment were refused.

--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -3,17 +3,23 @@
 import (
 	"context"
 	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
 	"fuchsiahub.example/fuchsiahub/internal/document"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
 )
 
 func (t *tool) check() *cli.Command {
 	return &cli.Command{
-		Name: "check", Usage: "check documents and settings files without any connection", ArgsUsage: "FILE...",
+		Name: "check", Usage: "check documents and settings files without any connection", ArgsUsage: "FILE|FOLDER...",
 		Description: "Service documents, fleet documents, lists of backend servers and settings files are told apart by their\n" +
-			"content. When a fleet document is among the files, the zones and regions of the others are checked against it.",
+			"content. The zones and regions of a file are checked against the fleet document of the same folder, or else against\n" +
+			"the only one among the files. Of a folder, all files that end in .toml are checked.",
 		Flags:  []cli.Flag{t.jsonFlag()},
 		Action: t.runCheck,
 	}
@@ -31,10 +37,14 @@
 	if c.NArg() == 0 {
 		return usage("name one or more files", "no file is given")
 	}
-	texts, errs := t.readAll(c.Args().Slice())
+	paths, err := tomlFiles(c.Args().Slice())
+	if err != nil {
+		return err
+	}
+	texts, errs := t.readAll(paths)
 	results := make([]checked, len(texts))
 	for i, x := range texts {
-		results[i] = checked{File: c.Args().Get(i)}
+		results[i] = checked{File: paths[i]}
 		if x != nil {
 			results[i].Kind = string(x.kind)
 		}
@@ -59,19 +69,47 @@
 	return silent(errors.Join(errs...))
 }
 
-// readAll reads files and checks service documents against a fleet document among them.
+// tomlFiles replaces each folder by the files in it and below it that end in ".toml". "FOLDER/..." is read as FOLDER.
+func tomlFiles(paths []string) ([]string, error) {
+	var files []string
+	for _, path := range paths {
+		path = strings.TrimSuffix(path, "/...")
+		if info, err := os.Stat(path); err != nil || !info.IsDir() {
+			files = append(files, path)
+			continue
+		}
+		err := filepath.WalkDir(path, func(file string, entry fs.DirEntry, err error) error {
+			if err == nil && !entry.IsDir() && filepath.Ext(file) == ".toml" {
+				files = append(files, file)
+			}
+			return err
+		})
+		if err != nil {
+			return nil, fault.Wrap(err, fault.NotFound, "name a folder that can be read", "folder %s", path)
+		}
+	}
+	return files, nil
+}
+
+// readAll reads files and checks those that name zones and regions against a fleet document among them.
 func (t *tool) readAll(paths []string) ([]*text, []error) {
 	texts, errs := make([]*text, len(paths)), make([]error, len(paths))
-	var fleet *document.Fleet
+	fleets := map[string]*document.Fleet{}
+	var last *document.Fleet
 	for i, path := range paths {
 		texts[i], errs[i] = t.readText(path)
 		if errs[i] == nil && texts[i].fleet != nil {
-			fleet = texts[i].fleet
+			last = texts[i].fleet
+			fleets[filepath.Dir(path)] = last
 		}
 	}
-	for i, x := range texts {
+	for i, path := range paths {
+		fleet := fleets[filepath.Dir(path)]
+		if fleet == nil && len(fleets) == 1 {
+			fleet = last
+		}
 		if errs[i] == nil && fleet != nil {
-			errs[i] = x.checkPlaces(fleet)
+			errs[i] = texts[i].checkPlaces(fleet)
 		}
 	}
 	return texts, errs
