--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -78,6 +78,7 @@
 			files = append(files, path)
 			continue
 		}
+		before := len(files)
 		err := filepath.WalkDir(path, func(file string, entry fs.DirEntry, err error) error {
 			if err == nil && !entry.IsDir() && filepath.Ext(file) == ".toml" {
 				files = append(files, file)
@@ -87,6 +88,9 @@
 		if err != nil {
 			return nil, fault.Wrap(err, fault.NotFound, "name a folder that can be read", "folder %s", path)
 		}
+		if len(files) == before {
+			return nil, fault.New(fault.NotFound, "name a folder with documents", "folder %s holds no file that ends in .toml", path)
+		}
 	}
 	return files, nil
 }
