--- a/internal/daemon/changes.go
+++ b/internal/daemon/changes.go
@@ -34,6 +34,9 @@
 		return
 	}
 	action, recorded := serverActions[c.To]
+	if c.From == "unknown" {
+		recorded = false // a server that is seen for the first time is no news
+	}
 	if c.Server == "" {
 		action, recorded = audit.ZoneShifted, true
 	}
