--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -161,7 +161,7 @@
 		return err
 	}
 	d.keeper = node.NewKeeper(node.KeeperConfig{
-		Self: d.self, API: d.api, View: d.view, Docs: d.documents, Standing: d.session, Dial: backend.NetDialer,
+		Self: d.self, API: d.api, View: d.view, Docs: d.documents, Sessions: d.session, Dial: backend.NetDialer,
 		ProbesPerSecond: d.probes(), ProbeEvery: d.probeEvery(), Taken: d.shardTaken, Log: d.log,
 	})
 	d.holder = node.NewHolder(node.HolderConfig{
--- a/internal/node/keeper.go
+++ b/internal/node/keeper.go
@@ -29,8 +29,8 @@
 	handoverAge = 10 * time.Second
 )
 
-// Standing says what the own session allows and what is known of the sessions of others. Session implements it.
-type Standing interface {
+// SessionView says what the own session allows and what is known of the sessions of others. Session implements it.
+type SessionView interface {
 	Authority() session.Authority
 	Seen() map[string]session.Record
 	Look(owners []session.Identity)
@@ -43,7 +43,7 @@
 	View func() *member.View
 	// Docs returns the documents in force; nil while there are none.
 	Docs     func() *Documents
-	Standing Standing
+	Sessions SessionView
 	Dial     backend.Dialer
 	// ProbesPerSecond is the budget of this instance for probes. Zero means no probes.
 	ProbesPerSecond int
@@ -177,7 +177,7 @@
 	k.dropLost()
 	k.claim(ctx, now)
 	k.probe(ctx, now)
-	k.Standing.Look(k.tables.owners())
+	k.Sessions.Look(k.tables.owners())
 }
 
 // syncDocuments brings the servers of documents into force.
@@ -220,7 +220,7 @@
 
 // dropLost forgets shards that were taken under a session that has ended.
 func (k *Keeper) dropLost() {
-	generation := k.Standing.Authority().Generation
+	generation := k.Sessions.Authority().Generation
 	for key, shard := range k.shards {
 		if shard.Entry().Generation != generation {
 			delete(k.shards, key)
@@ -261,7 +261,7 @@
 	if !ok {
 		return k.notKeeper(key), nil
 	}
-	reply, err := shard.Lease(now, k.Standing.Authority(), req)
+	reply, err := shard.Lease(now, k.Sessions.Authority(), req)
 	if fault.Is(err, fault.Stopping) {
 		return k.notKeeper(key), nil
 	}
--- a/internal/node/keeperhistory_test.go
+++ b/internal/node/keeperhistory_test.go
@@ -131,7 +131,7 @@
 		f.t.Fatal(err)
 	}
 	i.keeper = node.NewKeeper(node.KeeperConfig{
-		Self: i.self, API: i.line, View: i.view, Docs: docs, Standing: standing{i.session, f.flaw}, Dial: f.dial, ProbesPerSecond: 2, Log: log,
+		Self: i.self, API: i.line, View: i.view, Docs: docs, Sessions: standing{i.session, f.flaw}, Dial: f.dial, ProbesPerSecond: 2, Log: log,
 	})
 	i.holder = node.NewHolder(node.HolderConfig{
 		Self: i.self, Peers: netLine{net: f.net, self: name}, Own: i.lease, Owners: i.keeper.Owners, View: i.view, Docs: docs, Log: log,
--- a/internal/node/keepertables.go
+++ b/internal/node/keepertables.go
@@ -185,7 +185,7 @@
 		k.release(ctx, now)
 		return
 	}
-	authority := k.Standing.Authority()
+	authority := k.Sessions.Authority()
 	if !authority.Valid(now) {
 		return
 	}
@@ -197,7 +197,7 @@
 		if !k.mayWrite(now, zone) {
 			continue
 		}
-		taken := before.Claims(self, owned[zone], list, live, k.Standing.Seen())
+		taken := before.Claims(self, owned[zone], list, live, k.Sessions.Seen())
 		if len(taken) > 0 {
 			k.write(ctx, tableWritten{before: before, next: before.Take(self, taken), taken: taken})
 		}
@@ -232,7 +232,7 @@
 
 // release writes the tables of zones whose shards are handed over and tells those who wait when none is left.
 func (k *Keeper) release(ctx context.Context, now time.Time) {
-	self := keeper.Owner{Identity: k.id, Generation: k.Standing.Authority().Generation}
+	self := keeper.Owner{Identity: k.id, Generation: k.Sessions.Authority().Generation}
 	left := 0
 	for zone, warm := range k.warm {
 		before := k.table(zone)
