Wait for messages under way before a test's bubble ends

Cause: one of about 80 runs of TestOnceOnlyHistories ended with a deadlock panic although its history was accepted: a message of the fake network still slept when the main goroutine of the bubble had returned. Instances now wait for the deliveries of the network when they end. The checks are unchanged.

--- a/internal/node/claims_test.go
+++ b/internal/node/claims_test.go
@@ -32,9 +32,11 @@
 	return c, i
 }
 
+// end stops the instance and waits for its tasks and for all messages under way.
 func (i *instance) end() {
 	i.stop()
 	<-i.ended
+	i.net.deliveries.Wait()
 }
 
 // Guards against a resend that runs again, that gets no answer, or that gets the answer of another request.
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -183,10 +183,12 @@
 
 // network carries messages between instances by name.
 type network struct {
-	mu       sync.Mutex
-	handlers map[string]peer.Handlers
-	gates    map[string]*gate
-	lose     func() bool // a message or its reply is lost
+	// deliveries are messages under way. A test waits for them, because a bubble must not end before its goroutines.
+	deliveries sync.WaitGroup
+	mu         sync.Mutex
+	handlers   map[string]peer.Handlers
+	gates      map[string]*gate
+	lose       func() bool // a message or its reply is lost
 }
 
 func (n *network) join(name string, g *gate, h peer.Handlers) {
@@ -210,7 +212,7 @@
 		err error
 	}
 	done := make(chan reply, 1)
-	go func() {
+	l.net.deliveries.Go(func() {
 		err := l.gate.pass()
 		l.net.mu.Lock()
 		h, g := l.net.handlers[to], l.net.gates[to]
@@ -226,7 +228,7 @@
 		if g.pass() == nil && !loseReply {
 			done <- reply{out, err}
 		}
-	}()
+	})
 	select {
 	case r := <-done:
 		return r.out, r.err
--- a/internal/node/once_test.go
+++ b/internal/node/once_test.go
@@ -31,6 +31,7 @@
 
 // instance is one running instance of the test: the tasks of claims and quarantine and the path of requests.
 type instance struct {
+	net    *network
 	self   member.Instance
 	gate   *gate
 	view   atomic.Pointer[member.View]
@@ -54,7 +55,7 @@
 
 func (c *cluster) start(t *testing.T, self member.Instance) *instance {
 	t.Helper()
-	i := &instance{self: self, gate: newGate(), ended: make(chan struct{})}
+	i := &instance{net: c.net, self: self, gate: newGate(), ended: make(chan struct{})}
 	i.view.Store(&member.View{Self: self, Live: []member.Instance{self}})
 	place := balance.Place{Region: self.Region, Zone: self.Zone}
 	log := slog.New(slog.DiscardHandler)
@@ -412,8 +413,7 @@
 	h.resendUnfinished(x.instances[0].Load())
 	for n := range x.instances {
 		i := x.instances[n].Load()
-		i.stop()
-		<-i.ended
+		i.end()
 	}
 	return h, h.finish(), x.faults
 }
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -105,8 +105,7 @@
 	close(stop)
 	callers.Wait()
 	for _, i := range instances {
-		i.stop()
-		<-i.ended
+		i.end()
 	}
 	run.crashes, run.quarantined, run.unanswered = crashes.Load(), quarantined.Load(), unanswered.Load()
 	return run
@@ -165,8 +164,7 @@
 			}
 		}
 		for _, i := range instances {
-			i.stop()
-			<-i.ended
+			i.end()
 		}
 	})
 }
