--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/call"
@@ -24,6 +26,7 @@
 type connection struct {
 	address string
 	dial    Dialer
+	codec   Codec
 	pool    *task.Mailbox[any]
 	jobs    chan Exchange
 	machine *chart.Machine[*connection]
@@ -31,6 +34,10 @@
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	reuse   bool
+	// keepAlive is how long the server said that it keeps the connection idle; zero when it did not.
+	keepAlive time.Duration
+	// offered is true after the connection was offered for retirement since its last exchange.
+	offered bool
 }
 
 func bindConnection(ch *chart.Chart) (*chart.Bound[*connection], error) {
@@ -40,7 +47,7 @@
 		},
 		Actions: map[string]func(*connection){
 			"close_socket":     (*connection).closeSocket,
-			"offer_retirement": func(c *connection) { c.tell(connectionExpired{c: c}) },
+			"offer_retirement": func(c *connection) { c.offered = true; c.tell(connectionExpired{c: c}) },
 		},
 	})
 }
@@ -113,7 +120,7 @@
 		job, ok, expired := c.next()
 		switch {
 		case expired:
-			c.machine.Tick(time.Now())
+			c.fire("expired")
 		case !ok:
 			c.fire("retire")
 			return
@@ -125,12 +132,11 @@
 }
 
 func (c *connection) next() (job Exchange, ok, expired bool) {
-	due, limited := c.machine.Deadline()
-	if !limited {
+	if c.offered {
 		job, ok = <-c.jobs
 		return job, ok, false
 	}
-	timer := time.NewTimer(time.Until(due))
+	timer := time.NewTimer(time.Until(c.idleEnd()))
 	defer timer.Stop()
 	select {
 	case job, ok = <-c.jobs:
@@ -140,8 +146,24 @@
 	}
 }
 
+// keepAliveUse is the part of the server's idle time that is used; the rest covers the way to the server.
+const keepAliveUse = 0.8
+
+// idleEnd is when an idle connection is offered for retirement: before the server closes it.
+func (c *connection) idleEnd() time.Time {
+	end, limited := c.machine.Deadline()
+	if c.keepAlive > 0 {
+		stated := c.machine.Since().Add(time.Duration(keepAliveUse * float64(c.keepAlive)))
+		if !limited || stated.Before(end) {
+			return stated
+		}
+	}
+	return end
+}
+
 func (c *connection) exchange(job Exchange) {
 	c.fire("exchange")
+	c.offered = false
 	if stale(c.socket.Conn) || c.reader.Buffered() > 0 {
 		c.fire("broken")
 		job.Reply <- Result{Fate: call.NotSent, Err: errClosedWhileIdle}
@@ -164,6 +186,7 @@
 var (
 	errClosedWhileIdle = errors.New("backend server closed the connection while it was idle")
 	errTruncated       = errors.New("answer of the backend server is truncated")
+	errUnproven        = errors.New("answer of the backend server does not show that it belongs to the request")
 )
 
 // roundTrip writes the request and reads the answer. The body is what remains to be streamed after the reply.
@@ -172,35 +195,71 @@
 	if err := c.write(job.Request, start); err != nil {
 		return c.lost(err), body{}
 	}
-	response, err := c.readHead()
+	response, err := c.readOwn(job.Request)
 	if err != nil {
 		return c.lost(err), body{}
 	}
-	result := Result{Fate: call.Answered, Elapsed: time.Since(start)}
-	readServerState(&result, response.Header)
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderNotRun) == "true" {
-		result.Fate = call.DeclaredNotRun
-	}
+	result := Result{Fate: call.Answered, Elapsed: time.Since(start), Leaving: response.Close}
+	c.codec.Decode(&result, response.StatusCode, response.Header)
+	c.keepAlive = keepAliveOf(response.Header)
 	return c.readBody(result, response)
 }
 
 func (c *connection) write(req *call.Request, now time.Time) error {
-	if err := encode(req, now).Write(c.writer); err != nil {
+	if err := encode(c.codec, req, now).Write(c.writer); err != nil {
 		return err
 	}
 	return c.writer.Flush()
 }
 
+// maxForeignAnswers bounds the answers to earlier requests that are passed over before the own one.
+const maxForeignAnswers = 4
+
+// readOwn reads the head of the answer to the request and passes over answers to earlier ones.
+func (c *connection) readOwn(req *call.Request) (*http.Response, error) {
+	for range maxForeignAnswers {
+		response, err := c.readHead(req.Method)
+		if err != nil {
+			return nil, err
+		}
+		switch c.codec.Judge(req, response.StatusCode, response.Header) {
+		case Own:
+			return response, nil
+		case Unproven:
+			return nil, errUnproven
+		case Foreign:
+			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return nil, errUnproven
+}
+
 // readHead reads the head of the answer and passes over interim answers.
-func (c *connection) readHead() (*http.Response, error) {
+func (c *connection) readHead(method string) (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(c.reader, nil)
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
 	}
 }
 
+// keepAliveOf returns the idle time that a server states in whole seconds; zero when it states none.
+func keepAliveOf(header http.Header) time.Duration {
+	_, after, found := strings.Cut(header.Get("Keep-Alive"), "timeout=")
+	if !found {
+		return 0
+	}
+	text, _, _ := strings.Cut(after, ",")
+	seconds, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil || seconds < 0 {
+		return 0 // a field that cannot be read states nothing
+	}
+	return time.Duration(seconds) * time.Second
+}
+
 func (c *connection) lost(err error) Result {
 	fate := call.MaybeRun
 	if c.socket.written == 0 {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -52,6 +52,18 @@
 	Incarnation string
 	Running     int
 	Slots       int
+	// LoadKnown is true when the server told its load; Waiting and Slowdown are then set as well.
+	LoadKnown bool
+	// Waiting counts the requests in the server's queue.
+	Waiting int
+	// Slowdown is how long work takes on the server at the moment, 1 being usual.
+	Slowdown float64
+	// ColdFor is how long the server stays cold; zero when it did not say so.
+	ColdFor time.Duration
+	// Identity is the id that the server gave itself; empty when it gave none.
+	Identity string
+	// Leaving is true when the server closes the connection after the answer.
+	Leaving bool
 	// Elapsed is the time from the first byte written to the head of the answer.
 	Elapsed time.Duration
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -21,6 +21,7 @@
 	dial    Dialer
 	inbox   *task.Mailbox[any]
 	bound   *chart.Bound[*connection]
+	codec   Codec
 
 	limit   int
 	spare   int
@@ -37,9 +38,25 @@
 // Resize changes how many connections the pool may open and how many idle ones it keeps ahead of need.
 type Resize struct{ Limit, Spare int }
 
-// NewPool returns a pool for one server. Run starts it.
+// NewPool returns a pool for one server that speaks the product's own header fields. Run starts it.
 func NewPool(address string, dial Dialer, size Resize) (*Pool, error) {
-	ch, err := charts.Load("connection", nil)
+	kind, err := NewKind(dial, ownCodec{}, nil)
+	if err != nil {
+		return nil, err
+	}
+	return kind.NewPool(address, size), nil
+}
+
+// Kind is what the pools of one kind of backend servers share. It is immutable.
+type Kind struct {
+	dial  Dialer
+	codec Codec
+	bound *chart.Bound[*connection]
+}
+
+// NewKind returns a kind of backend servers. Params set the delays of charts/connection.toml; nil takes the defaults.
+func NewKind(dial Dialer, codec Codec, params charts.Params) (*Kind, error) {
+	ch, err := charts.Load("connection", params)
 	if err != nil {
 		return nil, err
 	}
@@ -47,10 +64,15 @@
 	if err != nil {
 		return nil, err
 	}
+	return &Kind{dial: dial, codec: codec, bound: bound}, nil
+}
+
+// NewPool returns a pool for one server. Run starts it.
+func (k *Kind) NewPool(address string, size Resize) *Pool {
 	return &Pool{
-		address: address, dial: dial, bound: bound, limit: size.Limit, spare: size.Spare,
+		address: address, dial: k.dial, bound: k.bound, codec: k.codec, limit: size.Limit, spare: size.Spare,
 		inbox: task.NewMailbox[any]("backend "+address, poolCapacity), ended: make(chan struct{}),
-	}, nil
+	}
 }
 
 // NetDialer opens TCP connections.
@@ -151,7 +173,7 @@
 }
 
 func (p *Pool) start(ctx context.Context) {
-	c := &connection{address: p.address, dial: p.dial, pool: p.inbox, jobs: make(chan Exchange, 1)}
+	c := &connection{address: p.address, dial: p.dial, codec: p.codec, pool: p.inbox, jobs: make(chan Exchange, 1)}
 	p.open++
 	p.dialing++
 	go c.run(ctx, p.bound)
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -31,6 +31,8 @@
 	Hops int
 	// RetriesLeft is how many resends this call and the calls below it may still make.
 	RetriesLeft int
+	// Expect is the id of the only backend server that may run the request; empty when its address is enough.
+	Expect string
 }
 
 // Answer is the answer of a backend server.
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -28,10 +28,14 @@
 		Name: "fuchsiahubd", Usage: "load balancer for backend servers whose load changes within milliseconds",
 		Writer: out, ErrWriter: errOut,
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Usage: "read the settings from `FILE`", Required: true},
+			&cli.StringFlag{Name: "config", Usage: "read the settings from `FILE`"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
+		Commands: []*cli.Command{gatewayCommand(out)},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.String("config") == "" {
+				return errors.WithHint(errors.New("no settings are named"), "name the settings with --config FILE")
+			}
 			var err error
 			code, err = run(ctx, c.String("config"), c.Bool("check"), errOut)
 			return err
--- /dev/null
+++ b/internal/decide/dispatch/dispatch.go
@@ -0,0 +1,56 @@
+// Package dispatch decides which route and which service a request belongs to.
+package dispatch
+
+import (
+	"slices"
+	"strings"
+
+	"fuchsiahub.example/fuchsiahub/internal/fleet"
+)
+
+// Table finds the route of a request. It is immutable.
+type Table struct {
+	// hosts holds the routes of each host, the longest prefix first.
+	hosts map[string][]*fleet.Route
+}
+
+// NewTable returns the table of a configuration.
+func NewTable(config *fleet.Config) *Table {
+	t := &Table{hosts: map[string][]*fleet.Route{}}
+	for i := range config.Routes {
+		r := &config.Routes[i]
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *fleet.Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix of the path among the routes of a host.
+func (t *Table) Match(host, path string) (*fleet.Route, bool) {
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// PickPart returns the service that serves a request, in proportion to the weights. Draw is uniform in [0, 1).
+func PickPart(r *fleet.Route, draw float64) string {
+	sum := 0.0
+	for _, p := range r.Parts {
+		sum += max(p.Weight, 0)
+	}
+	left := draw * sum
+	for _, p := range r.Parts {
+		if left -= max(p.Weight, 0); left < 0 {
+			return p.Service
+		}
+	}
+	if len(r.Parts) == 0 {
+		return ""
+	}
+	return r.Parts[len(r.Parts)-1].Service
+}
--- a/internal/decide/imports_test.go
+++ b/internal/decide/imports_test.go
@@ -19,7 +19,7 @@
 }
 
 // allowedInside are the packages outside decide that decisions may build on.
-var allowedInside = []string{"internal/chart", "internal/fault", "internal/document", "internal/call", "internal/decide/"}
+var allowedInside = []string{"internal/chart", "internal/fault", "internal/document", "internal/call", "internal/fleet", "internal/decide/"}
 
 // Guards against a decision that depends on HTTP, RPC, TOML or the operating system: a second front end could then
 // not use it. Packages of this module are followed; net/netip is allowed, since it only parses addresses.
--- /dev/null
+++ b/internal/gateway/director.go
@@ -0,0 +1,458 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/decide/coldstart"
+	"fuchsiahub.example/fuchsiahub/internal/decide/outlier"
+	"fuchsiahub.example/fuchsiahub/internal/decide/placement"
+	"fuchsiahub.example/fuchsiahub/internal/decide/resend"
+	"fuchsiahub.example/fuchsiahub/internal/fleet"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+const (
+	// directorCapacity bounds the messages that wait at the director.
+	directorCapacity = 1024
+	// nearWait is how long a placement waits for the reports of near servers: several round trips within a region.
+	nearWait = 8 * time.Millisecond
+	// farWait is the same when servers of other regions are asked: a dial and a round trip of 16 ms.
+	farWait = 45 * time.Millisecond
+	// mostWait is how long a placement waits when no server has reported at all.
+	mostWait = 120 * time.Millisecond
+	// nearAsked and farAsked bound the servers that are asked for one placement.
+	nearAsked = 6
+	farAsked  = 3
+	// firstWork is the part of a route's objective that its requests are assumed to take before one was measured.
+	firstWork = 0.35
+	// assumedObjective stands in for an objective that the operator does not name.
+	assumedObjective = time.Second
+	// workWeight is the weight of a new measurement of a route's work.
+	workWeight = 0.05
+)
+
+// Messages to the director.
+type (
+	// place asks for a backend server for one copy of a request.
+	place struct {
+		id      string
+		route   *fleet.Route
+		service string
+		// tried are the backend servers that had a copy.
+		tried []string
+		// first is true for the first copy of a request; others are taken from the budget.
+		first bool
+		// until is when the request is given up, objective when its answer loses most of its worth.
+		until, objective time.Time
+		reply            func(any)
+	}
+	// released tells how a copy ended.
+	released struct {
+		grant  *grant
+		result backend.Result
+		// cancelled is true when this instance ended the copy.
+		cancelled bool
+		// worked is true when the server gave an answer that is not a failure of its own.
+		worked bool
+	}
+	// checked tells the outcome of a health check.
+	checked struct {
+		server *server
+		result backend.Result
+	}
+	// believed tells of a new belief.
+	believed struct{ belief *Belief }
+)
+
+// grant names the backend server for one copy. It is the answer to place.
+type grant struct {
+	server  *server
+	entry   *fleet.Backend
+	pool    *backend.Pool
+	sentAt  time.Time
+	routeID string
+	// expected is the time in which the answer is expected.
+	expected time.Duration
+	// plain is true when the server was warm, unhurried and had room, so that the time of the copy shows the work.
+	plain bool
+	// reportAge is the age of the report behind the choice.
+	reportAge time.Duration
+	asked     int
+}
+
+// unplaced is the answer to place when no server is chosen.
+type unplaced struct {
+	reason     string
+	retryAfter time.Duration
+	asked      int
+}
+
+// pending is a placement that waits for reports.
+type pending struct {
+	place
+	began    time.Time
+	decideBy time.Time
+	far      bool
+	servers  []*server
+}
+
+// director is the task that places requests. It owns the pools of backend servers and what is known of them.
+type director struct {
+	inbox    *task.Mailbox[any]
+	self     fleet.Instance
+	bounds   Bounds
+	tuning   placement.Tuning
+	kind     *backend.Kind
+	log      *slog.Logger
+	counters *counters
+
+	belief  *Belief
+	servers map[string]*server
+	pending []*pending
+	// work is the usual time of the requests of a route.
+	work    map[string]time.Duration
+	budgets map[string]*resend.Budget
+	// pools ends with the task and ends all pools.
+	pools context.Context
+}
+
+func newDirector(self fleet.Instance, bounds Bounds, kind *backend.Kind, log *slog.Logger, counters *counters) *director {
+	return &director{
+		inbox: task.NewMailbox[any]("director", directorCapacity), self: self, bounds: bounds, tuning: placement.DefaultTuning(),
+		kind: kind, log: log, counters: counters, belief: &Belief{View: &fleet.View{}}, servers: map[string]*server{},
+		work: map[string]time.Duration{}, budgets: map[string]*resend.Budget{},
+	}
+}
+
+// run is the body of the task. It ends after the context has ended.
+func (d *director) run(ctx context.Context) error {
+	d.pools = ctx
+	timer := time.NewTimer(idleWait)
+	defer timer.Stop()
+	for {
+		timer.Reset(d.untilDecision())
+		select {
+		case m := <-d.inbox.C():
+			d.handle(ctx, time.Now(), m)
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil
+		}
+		d.decideDue(ctx, time.Now())
+	}
+}
+
+func (d *director) untilDecision() time.Duration {
+	wait := idleWait
+	for _, p := range d.pending {
+		wait = min(wait, time.Until(p.decideBy))
+	}
+	return max(wait, 0)
+}
+
+func (d *director) handle(ctx context.Context, now time.Time, m any) {
+	switch m := m.(type) {
+	case place:
+		d.begin(ctx, now, m)
+	case released:
+		d.release(now, m)
+	case checked:
+		d.takeCheck(now, m)
+	case believed:
+		d.believe(m.belief)
+	}
+}
+
+// believe takes a new belief and brings the pools in line with it.
+func (d *director) believe(belief *Belief) {
+	d.belief = belief
+	known := map[string]bool{}
+	for _, list := range belief.Backends {
+		for _, entry := range list {
+			known[entry.Incarnation()] = true
+			d.meet(entry)
+		}
+	}
+	for key, s := range d.servers {
+		if !known[key] {
+			s.stop()
+			delete(d.servers, key)
+		}
+	}
+}
+
+func (d *director) meet(entry *fleet.Backend) {
+	s := d.servers[entry.Incarnation()]
+	if s != nil && s.entry.Address == entry.Address {
+		s.entry = entry
+		return
+	}
+	if s != nil {
+		s.stop()
+	}
+	far := distance(d.self.Place, entry.Place)
+	s = &server{entry: entry, distance: far, roundTrip: assumedRoundTrip(far), score: outlier.NewScore()}
+	s.report.well = true
+	s.report.load = true // until a health check shows that the server does not tell its load
+	s.pool = d.kind.NewPool(entry.Address, backend.Resize{Limit: d.connectionLimit(entry.Service)})
+	ctx, stop := context.WithCancel(d.pools)
+	s.stop = stop
+	d.servers[entry.Incarnation()] = s
+	go func() { _ = s.pool.Run(ctx) }() // a pool ends without an error
+}
+
+// leastConnections is the number of connections to a server that an instance may open in any case: one for a request
+// and one for health checks.
+const leastConnections = 4
+
+// connectionLimit divides the connections that a server accepts among the instances.
+func (d *director) connectionLimit(service string) int {
+	all := d.belief.Config
+	if all == nil || all.Services[service].MaxConnections == 0 {
+		return leastConnections
+	}
+	return max(all.Services[service].MaxConnections/(len(d.belief.Instances)+1), leastConnections)
+}
+
+// begin takes a placement and asks servers whose reports are old.
+func (d *director) begin(ctx context.Context, now time.Time, m place) {
+	budget := d.budget(m.service)
+	if m.first {
+		budget.Request(now)
+	} else if !budget.Take(now, len(d.belief.Instances)) {
+		d.counters.resendRefused.Inc(1)
+		m.reply(unplaced{reason: "resend budget is used up", retryAfter: d.retryAfter(now, &m, 0)})
+		return
+	}
+	p := &pending{place: m, began: now, decideBy: now.Add(nearWait)}
+	p.servers = d.usable(now, &m, false)
+	if len(p.servers) == 0 {
+		d.extend(now, p)
+	}
+	d.ask(ctx, now, p.servers)
+	d.pending = append(d.pending, p)
+}
+
+func (d *director) budget(service string) *resend.Budget {
+	b := d.budgets[service]
+	if b == nil {
+		b = resend.NewBudget(resend.Terms{Ratio: d.bounds.ResendRatio, Slack: d.bounds.ResendSlack, Window: d.bounds.ResendWindow})
+		d.budgets[service] = b
+	}
+	return b
+}
+
+// extend adds servers of other regions to a placement.
+func (d *director) extend(now time.Time, p *pending) {
+	p.far = true
+	p.decideBy = now.Add(farWait)
+	p.servers = append(p.servers, d.usable(now, &p.place, true)...)
+}
+
+// usable returns the servers that a request may be sent to, near ones or far ones, those of the own zone first.
+func (d *director) usable(now time.Time, m *place, far bool) []*server {
+	var list []*server
+	for _, entry := range d.belief.Backends[m.service] {
+		s := d.servers[entry.Incarnation()]
+		if s == nil || (s.distance == placement.OtherRegion) != far || !d.isUsable(now, s, m) {
+			continue
+		}
+		list = append(list, s)
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b *server) int { return int(a.distance) - int(b.distance) })
+	limit := nearAsked
+	if far {
+		limit = farAsked
+	}
+	return list[:min(len(list), limit)]
+}
+
+func (d *director) isUsable(now time.Time, s *server, m *place) bool {
+	switch {
+	case s.entry.Draining, s.misplaced, d.belief.Evacuated[s.entry.Place.Zone], !m.route.AllowsRegion(s.entry.Place.Region),
+		slices.Contains(m.tried, s.entry.ID):
+		return false
+	case s.silent:
+		return now.Sub(s.asked) >= silencePause // worth another check
+	}
+	return true
+}
+
+// ask sends health checks to servers whose reports are old.
+func (d *director) ask(ctx context.Context, now time.Time, servers []*server) {
+	for _, s := range servers {
+		if s.probing || s.isFresh(now) {
+			continue
+		}
+		s.probing, s.asked = true, now
+		d.counters.checks.Inc(1)
+		s.check(ctx, d.belief.Config.Services[s.entry.Service], func(r backend.Result) {
+			_ = d.inbox.Send(ctx, checked{server: s, result: r}) // only the end of the context stops it
+		})
+	}
+}
+
+func (d *director) takeCheck(now time.Time, m checked) {
+	was := m.server.silent
+	m.server.checked(now, m.result)
+	if m.server.silent != was {
+		d.log.Info("reachability of a backend server changed", "backend", m.server.entry.ID, "service", m.server.entry.Service,
+			"reachable", !m.server.silent, "error", m.result.Err)
+	}
+}
+
+// decideDue decides placements whose reports are complete or whose wait is over.
+func (d *director) decideDue(ctx context.Context, now time.Time) {
+	waiting := d.pending[:0]
+	for _, p := range d.pending {
+		if !d.decide(ctx, now, p) {
+			waiting = append(waiting, p)
+		}
+	}
+	clear(d.pending[len(waiting):])
+	d.pending = waiting
+}
+
+// decide answers a placement and reports true, or reports false when it still waits.
+func (d *director) decide(ctx context.Context, now time.Time, p *pending) bool {
+	due := !now.Before(p.decideBy)
+	if !due && slices.ContainsFunc(p.servers, func(s *server) bool { return s.probing }) {
+		return false
+	}
+	demand := d.demand(now, &p.place)
+	servers, candidates := d.candidates(now, p)
+	choice := d.tuning.Choose(demand, candidates)
+	if choice.Index >= 0 && (p.far || choice.Expected <= demand.Objective) {
+		d.grant(now, p, servers[choice.Index], candidates[choice.Index], choice.Expected)
+		return true
+	}
+	if !p.far {
+		d.extend(now, p)
+		d.ask(ctx, now, p.servers)
+		return len(p.servers) == 0 && d.refuse(now, p, demand, choice)
+	}
+	if len(servers) == 0 && len(p.servers) > 0 && now.Sub(p.began) < mostWait {
+		p.decideBy = min2(p.began.Add(mostWait), now.Add(farWait))
+		if !due {
+			return d.refuse(now, p, demand, choice)
+		}
+		return false
+	}
+	return d.refuse(now, p, demand, choice)
+}
+
+func min2(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func (d *director) demand(now time.Time, m *place) placement.Demand {
+	return placement.Demand{Work: d.workOf(m.route), Left: m.until.Sub(now), Objective: m.objective.Sub(now)}
+}
+
+func (d *director) workOf(r *fleet.Route) time.Duration {
+	if work, ok := d.work[r.Name]; ok {
+		return work
+	}
+	objective := r.Objective
+	if objective == 0 {
+		objective = assumedObjective
+	}
+	return time.Duration(firstWork * float64(objective))
+}
+
+// candidates returns the servers that answered and may take the request now.
+func (d *director) candidates(now time.Time, p *pending) ([]*server, []placement.Candidate) {
+	var servers []*server
+	var candidates []placement.Candidate
+	for _, s := range p.servers {
+		if s.silent || s.report.at.IsZero() || !d.isUsable(now, s, &p.place) || d.servers[s.entry.Incarnation()] != s {
+			continue
+		}
+		if s.isCold(now) && !s.cold.Room(now, d.coldShare(s)) {
+			continue
+		}
+		servers = append(servers, s)
+		candidates = append(candidates, s.candidate(now))
+	}
+	return servers, candidates
+}
+
+// coldShare returns the requests a second that this instance may send to a cold server.
+func (d *director) coldShare(s *server) int {
+	service := d.belief.Config.Services[s.entry.Service]
+	names := []string{d.self.Name}
+	for _, i := range d.belief.Instances {
+		if i.Place.Region == s.entry.Place.Region && i.Name != d.self.Name {
+			names = append(names, i.Name)
+		}
+	}
+	if s.distance == placement.OtherRegion {
+		names = names[1:]
+	}
+	return coldstart.Share(coldstart.Bound(service.ColdPerSecond, d.bounds.ColdOvershoot, d.bounds.ColdSlack), s.entry.ID, d.self.Name, names)
+}
+
+func (d *director) grant(now time.Time, p *pending, s *server, c placement.Candidate, expected time.Duration) {
+	s.inFlight++
+	s.report.sent++
+	s.cold.Count(now)
+	p.reply(&grant{
+		server: s, entry: s.entry, pool: s.pool, sentAt: now, routeID: p.route.Name, expected: expected,
+		plain: c.Slowdown <= usualSlowdown && !c.Cold && c.Running+1 <= c.Slots, reportAge: now.Sub(s.report.at), asked: len(p.servers),
+	})
+}
+
+// usualSlowdown is the most slowdown at which the time of a copy is taken as its work.
+const usualSlowdown = 1.05
+
+// refuse answers that no server can take the request in time. It reports true.
+func (d *director) refuse(now time.Time, p *pending, demand placement.Demand, choice placement.Choice) bool {
+	reason := "no backend server can be reached"
+	switch {
+	case len(p.servers) == 0:
+		reason = "no backend server is known that may run the request"
+	case choice.Expected > demand.Left:
+		reason = "no backend server is expected to finish in time"
+	}
+	p.reply(unplaced{reason: reason, retryAfter: d.retryAfter(now, &p.place, choice.Expected), asked: len(p.servers)})
+	return true
+}
+
+func (d *director) retryAfter(now time.Time, m *place, shortest time.Duration) time.Duration {
+	return placement.RetryAfter(d.demand(now, m), shortest, m.route.Priority, rand.Float64())
+}
+
+// release takes the end of a copy.
+func (d *director) release(now time.Time, m released) {
+	s := m.grant.server
+	s.inFlight--
+	if m.cancelled {
+		return
+	}
+	switch {
+	case m.worked:
+		s.score.Success(now)
+	case !m.result.Fate.SurelyNotRun() || m.result.Refused:
+		s.score.Failure(now)
+	}
+	if m.result.LoadKnown {
+		s.observe(now, m.result)
+	}
+	if m.worked && m.grant.plain {
+		work := m.result.Elapsed - s.roundTrip
+		old := d.work[m.grant.routeID]
+		if old == 0 {
+			old = work
+		}
+		d.work[m.grant.routeID] = old + time.Duration(workWeight*float64(work-old))
+	}
+}
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,432 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+	"fuchsiahub.example/fuchsiahub/internal/decide/dispatch"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/fleet"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+const (
+	// assumedWait is how long a caller waits that did not say so.
+	assumedWait = 10 * time.Second
+	// answerSlack is how long an answer of the backend server may be late at the end of the route's time: a round trip
+	// between regions. The server gives up at the same moment and says so.
+	answerSlack = 20 * time.Millisecond
+	// mostSends bounds the copies of one request, those that did not run included.
+	mostSends = 4
+	// hedgeStretch is how many times the expected time passes before a second copy is sent, hedgeLeast the least time.
+	hedgeStretch = 1.7
+	hedgeLeast   = 30 * time.Millisecond
+	// staleConfig is the age of the configuration from which an unknown route may be one that was added since.
+	staleConfig = time.Second
+	// startReturn is when callers come back while the instance knows no configuration.
+	startReturn = 200 * time.Millisecond
+)
+
+// forwarding is what all requests share. It is immutable.
+type forwarding struct {
+	beliefs  *Beliefs
+	director *task.Mailbox[any]
+	dialect  Dialect
+	bound    *chart.Bound[*forward]
+	log      *slog.Logger
+	counters *counters
+}
+
+func newForwarding(beliefs *Beliefs, director *task.Mailbox[any], dialect Dialect, log *slog.Logger, counters *counters) (*forwarding, error) {
+	ch, err := charts.Load("forward", nil)
+	if err != nil {
+		return nil, err
+	}
+	bound, err := chart.Bind(ch, chart.Bindings[*forward]{
+		Guards: map[string]func(*forward) bool{
+			"has_answer":      func(f *forward) bool { return f.answer != nil },
+			"may_have_run":    func(f *forward) bool { return f.mayHaveRun },
+			"copies_left":     func(f *forward) bool { return f.copies > 0 },
+			"may_repeat":      (*forward).mayRepeat,
+			"may_place_again": (*forward).mayPlaceAgain,
+			"may_hedge":       (*forward).mayHedge,
+		},
+		Actions: map[string]func(*forward){
+			"ask_server":      (*forward).askServer,
+			"send":            (*forward).send,
+			"refuse_expired":  func(f *forward) { f.refusal = unplaced{reason: "time was over before a backend server was chosen"} },
+			"refuse_declined": (*forward).refuseDeclined,
+			"deliver_answer":  (*forward).deliverAnswer,
+			"deliver_refusal": (*forward).deliverRefusal,
+			"deliver_failure": (*forward).deliverFailure,
+			"deliver_timeout": (*forward).deliverTimeout,
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &forwarding{beliefs: beliefs, director: director, dialect: dialect, bound: bound, log: log, counters: counters}, nil
+}
+
+// forward is the task of one request of a caller. It is the context of charts/forward.toml.
+type forward struct {
+	*forwarding
+	ctx     context.Context
+	request *call.Request
+	host    string
+	began   time.Time
+	wait    time.Duration
+	machine *chart.Machine[*forward]
+	events  chan any
+
+	route *fleet.Route
+	// draw picks the part of a route; it stays the same for all copies.
+	draw  float64
+	until time.Time
+	// slowAt is when a second copy is sent; zero when none is.
+	slowAt time.Time
+
+	grant  *grant
+	tried  []string
+	sends  int
+	runs   int
+	copies int
+	// asking is true while the director chooses a server.
+	asking     bool
+	mayHaveRun bool
+	answer     *backend.Result
+	lastError  error
+	refusal    unplaced
+	reply      reply
+}
+
+// copyEnded is the end of one copy.
+type copyEnded struct {
+	grant  *grant
+	result backend.Result
+}
+
+// run handles the request and returns what the caller gets. The context ends when the caller has gone.
+func (f *forward) run() reply {
+	f.counters.requests.Inc(1)
+	if rejection, ok := f.resolve(f.beliefs.Newest()); !ok {
+		return rejection
+	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	f.ctx = ctx
+	f.machine = f.bound.New(f.began, f)
+	f.fire("start")
+	expiry := time.NewTimer(time.Until(f.until))
+	defer expiry.Stop()
+	for !f.machine.Final() {
+		f.next(expiry)
+	}
+	f.reply.done = cancel
+	if f.reply.stream == nil {
+		cancel()
+	}
+	f.abandonCopies()
+	f.report()
+	return f.reply
+}
+
+// resolve finds the route by the newest belief and reports false with the answer when there is none.
+func (f *forward) resolve(belief *Belief) (reply, bool) {
+	if !belief.Ready() {
+		return f.refuseEarly("no configuration or no backend server is known yet", startReturn), false
+	}
+	route, ok := belief.Routes.Match(f.host, f.request.Path)
+	if !ok {
+		if age := time.Since(belief.ConfigAsOf); age > staleConfig+paces[objectapi.Configuration].wait {
+			return f.refuseEarly("no route is known and the configuration may be old", startReturn), false
+		}
+		f.log.Info("request has no route", "request", f.request.ID, "host", f.host, "path", f.request.Path, "version", uint64(belief.Config.Version))
+		return f.own(http.StatusNotFound, fault.New(fault.UnknownRoute, "use a host and path of the configuration", "no route matches"), 0), false
+	}
+	f.route = route
+	f.until = f.began.Add(f.wait)
+	if route.Timeout > 0 && route.Timeout < f.wait {
+		f.until = f.began.Add(route.Timeout)
+	}
+	return reply{}, true
+}
+
+func (f *forward) refuseEarly(reason string, retryAfter time.Duration) reply {
+	f.counters.refused.Inc(1)
+	f.log.Warn("request is refused", "request", f.request.ID, "reason", reason, "retry_after_ms", retryAfter.Milliseconds())
+	return f.own(http.StatusServiceUnavailable, fault.New(fault.NoServer, "send the request again", "%s", reason), retryAfter)
+}
+
+func (f *forward) fire(event string) {
+	if err := f.machine.Fire(time.Now(), event); err != nil {
+		panic(err) // events are constants of this package; a missing one is a programming error
+	}
+}
+
+// next waits for one event.
+func (f *forward) next(expiry *time.Timer) {
+	var slow <-chan time.Time
+	if !f.slowAt.IsZero() {
+		timer := time.NewTimer(time.Until(f.slowAt))
+		defer timer.Stop()
+		slow = timer.C
+	}
+	select {
+	case m := <-f.events:
+		f.handle(m)
+	case <-expiry.C:
+		if f.copies > 0 && time.Now().Before(f.until.Add(answerSlack)) {
+			expiry.Reset(time.Until(f.until.Add(answerSlack)))
+			return
+		}
+		f.fire("expired")
+	case <-slow:
+		f.slowAt = time.Time{}
+		f.fire("slow")
+	case <-f.ctx.Done():
+		f.fire("gone")
+	}
+}
+
+func (f *forward) handle(m any) {
+	switch m := m.(type) {
+	case *grant:
+		f.asking = false
+		f.grant = m
+		f.fire("placed")
+	case unplaced:
+		f.asking = false
+		f.refusal = m
+		f.fire("unplaced")
+	case copyEnded:
+		f.copies--
+		f.ended(m)
+	}
+}
+
+// ended takes the end of a copy.
+func (f *forward) ended(m copyEnded) {
+	event := f.eventOf(m.result)
+	f.tell(released{grant: m.grant, result: m.result, worked: event == "answered"})
+	switch event {
+	case "answered":
+		if f.answer != nil {
+			discard(*f.answer)
+		}
+		f.answer = &m.result
+	case "failed_answer":
+		if f.answer != nil {
+			discard(*f.answer)
+		}
+		f.answer = &m.result
+	case "lost":
+		f.mayHaveRun = true
+		f.lastError = m.result.Err
+	case "not_run":
+		f.runs--
+		f.lastError = m.result.Err
+	}
+	if event != "answered" {
+		f.log.Warn("copy of a request failed", "request", f.request.ID, "backend", m.grant.entry.ID, "event", event,
+			"fate", m.result.Fate.String(), "status", statusOf(m.result), "error", m.result.Err,
+			"elapsed_ms", time.Since(m.grant.sentAt).Milliseconds(), "copies_left", f.copies)
+	}
+	f.fire(event)
+}
+
+func (f *forward) eventOf(r backend.Result) string {
+	switch {
+	case r.Fate.SurelyNotRun():
+		return "not_run"
+	case r.Answer == nil:
+		return "lost"
+	case r.Answer.Status >= http.StatusInternalServerError:
+		return "failed_answer"
+	}
+	return "answered"
+}
+
+func statusOf(r backend.Result) int {
+	if r.Answer == nil {
+		return 0
+	}
+	return r.Answer.Status
+}
+
+// mayRepeat reports whether another copy may be sent after one that may have run.
+func (f *forward) mayRepeat() bool {
+	return f.route.Idempotent && f.runs < f.route.Attempts && f.sends < mostSends && time.Now().Before(f.until)
+}
+
+// mayPlaceAgain reports whether another copy may be sent after one that surely did not run.
+func (f *forward) mayPlaceAgain() bool {
+	return (f.route.Idempotent || !f.mayHaveRun) && f.runs < f.route.Attempts && f.sends < mostSends && time.Now().Before(f.until)
+}
+
+func (f *forward) mayHedge() bool { return !f.asking && f.copies == 1 && f.mayRepeat() }
+
+// askServer asks the director for a server, by the configuration in force at this moment.
+func (f *forward) askServer() {
+	belief := f.beliefs.Newest()
+	route, ok := belief.Routes.Match(f.host, f.request.Path)
+	f.asking = true
+	if !ok {
+		f.events <- unplaced{reason: "the route was removed while the request waited", retryAfter: startReturn}
+		return
+	}
+	f.route = route
+	m := place{
+		id: f.request.ID, route: route, service: dispatch.PickPart(route, f.draw), tried: f.tried, first: f.sends == 0, until: f.until,
+		objective: f.began.Add(route.Objective), reply: func(m any) { f.events <- m },
+	}
+	if err := f.director.Offer(m); err != nil {
+		f.events <- unplaced{reason: "too many requests wait for a backend server", retryAfter: startReturn}
+	}
+}
+
+// eventsCapacity has room for all answers that a request can wait for: one of the director and one for each copy.
+const eventsCapacity = mostSends + 2
+
+// send sends one copy to the server that was granted.
+func (f *forward) send() {
+	g := f.grant
+	f.grant = nil
+	f.sends++
+	f.runs++
+	f.copies++
+	if f.sends > 1 {
+		f.counters.resent.Inc(1)
+	}
+	if f.copies > 1 {
+		f.counters.hedged.Inc(1)
+	}
+	f.tried = append(f.tried, g.entry.ID)
+	f.slowAt = time.Time{}
+	if f.route.Idempotent {
+		f.slowAt = time.Now().Add(max(time.Duration(hedgeStretch*float64(g.expected)), hedgeLeast))
+	}
+	f.log.Info("request is sent", "request", f.request.ID, "route", f.route.Name, "backend", g.entry.ID, "zone", g.entry.Place.Zone,
+		"expected_ms", g.expected.Milliseconds(), "report_age_ms", g.reportAge.Milliseconds(), "asked", g.asked, "copy", f.sends,
+		"waited_ms", time.Since(f.began).Milliseconds())
+	request := *f.request
+	request.Expect = g.entry.ID
+	request.Deadline = f.until
+	ctx, events := f.ctx, f.events
+	go func() { events <- copyEnded{grant: g, result: g.pool.Do(ctx, &request)} }()
+}
+
+// abandonCopies takes care of what is still on its way after the caller's answer is settled.
+func (f *forward) abandonCopies() {
+	copies, asking := f.copies, f.asking
+	if copies == 0 && !asking {
+		return
+	}
+	events, director := f.events, f.director
+	go func() {
+		for copies > 0 || asking {
+			switch m := (<-events).(type) {
+			case *grant:
+				asking = false
+				_ = director.Send(context.Background(), released{grant: m, cancelled: true}) // the director outlives requests
+			case unplaced:
+				asking = false
+			case copyEnded:
+				copies--
+				discard(m.result)
+				_ = director.Send(context.Background(), released{grant: m.grant, result: m.result, cancelled: true}) // same
+			}
+		}
+	}()
+}
+
+// discard ends a streamed answer that nobody reads.
+func discard(r backend.Result) {
+	if r.Answer != nil && r.Answer.Stream != nil {
+		_ = r.Answer.Stream.Close() // closing ends the exchange; there is nothing to do about an error
+	}
+}
+
+func (f *forward) tell(m released) {
+	_ = f.director.Send(context.Background(), m) // losing the end of a copy would leak a slot; the director outlives requests
+}
+
+func (f *forward) refuseDeclined() {
+	f.refusal = unplaced{reason: "backend servers declined the request", retryAfter: startReturn}
+}
+
+func (f *forward) deliverAnswer() {
+	f.counters.answered.Inc(1)
+	f.counters.time.Update(time.Since(f.began).Microseconds())
+	a := f.answer.Answer
+	f.reply = reply{status: a.Status, header: headerOf(a.Header), body: a.Body, stream: a.Stream, length: a.Length}
+}
+
+func headerOf(fields []call.Field) http.Header {
+	h := make(http.Header, len(fields))
+	for _, field := range fields {
+		h.Add(field.Name, field.Value)
+	}
+	return h
+}
+
+func (f *forward) deliverRefusal() {
+	f.counters.refused.Inc(1)
+	f.reply = f.own(http.StatusServiceUnavailable, fault.New(fault.Overloaded, "send the request again after the given time", "%s", f.refusal.reason), f.refusal.retryAfter)
+}
+
+func (f *forward) deliverFailure() {
+	f.counters.failed.Inc(1)
+	f.reply = f.own(http.StatusBadGateway, fault.New(fault.OutcomeUnknown, "check whether the request took effect", "the answer of the backend server was lost"), 0)
+}
+
+func (f *forward) deliverTimeout() {
+	f.counters.expired.Inc(1)
+	f.reply = f.own(http.StatusGatewayTimeout, fault.New(fault.DeadlineExceeded, "check whether the request took effect", "no answer in the time of the route"), 0)
+}
+
+// own returns an answer of the instance itself.
+func (f *forward) own(status int, e *fault.Error, retryAfter time.Duration) reply {
+	return ownReply(f.dialect, f.request.ID, status, e, retryAfter)
+}
+
+// report logs how the request ended.
+func (f *forward) report() {
+	state := f.machine.State()
+	level := slog.LevelInfo
+	if state != "answered" || f.reply.status >= http.StatusInternalServerError {
+		level = slog.LevelWarn
+	}
+	if state == "abandoned" {
+		f.counters.abandoned.Inc(1)
+	}
+	f.log.Log(context.Background(), level, "request ended", "request", f.request.ID, "route", f.route.Name, "state", state,
+		"status", f.reply.status, "elapsed_ms", time.Since(f.began).Milliseconds(), "copies", f.sends, "tried", strings.Join(f.tried, " "),
+		"reason", f.refusal.reason, "retry_after_ms", f.refusal.retryAfter.Milliseconds(), "error", f.lastError)
+}
+
+// newForward returns the task of a request.
+func (s *forwarding) newForward(ctx context.Context, in *incoming) *forward {
+	wait := in.wait
+	if wait <= 0 {
+		wait = assumedWait
+	}
+	return &forward{
+		forwarding: s, ctx: ctx, request: in.request, host: in.host, began: in.at, wait: wait, draw: rand.Float64(),
+		events: make(chan any, eventsCapacity),
+	}
+}
+
+// retryAfterText returns the advice in seconds with fractions.
+func retryAfterText(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,323 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"fuchsiahub.example/fuchsiahub/charts"
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/chart"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/fleet"
+	"fuchsiahub.example/fuchsiahub/internal/metric"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+	"fuchsiahub.example/fuchsiahub/internal/tcp"
+)
+
+const (
+	// announceTime is how long new connections still arrive after the readiness was turned off: two questions of the
+	// balancer, one a second, and their timeouts.
+	announceTime = 2600 * time.Millisecond
+	// graceReserve is the part of the time to stop that is kept for the end of the process.
+	graceReserve = 300 * time.Millisecond
+	// connectionIdle retires an idle connection to a backend server before most servers close it.
+	connectionIdle = 8 * time.Second
+	// eventCapacity bounds the messages to the gateway task.
+	eventCapacity = 64
+	// acceptPause is the wait after a failed accept, such as one without a free file descriptor.
+	acceptPause = 20 * time.Millisecond
+	// registerTimeout bounds taking the entry of the instance out of the store at the end.
+	registerTimeout = 300 * time.Millisecond
+)
+
+// Gateway is the task that starts and stops all others. It is the context of charts/gateway.toml.
+type Gateway struct {
+	settings Settings
+	schema   Schema
+	store    Store
+	dialect  Dialect
+	log      *slog.Logger
+	metrics  *metric.Set
+	counters *counters
+	beliefs  *Beliefs
+	board    *board
+	director *director
+	callers  *callers
+	machine  *chart.Machine[*Gateway]
+	inbox    *task.Mailbox[any]
+	self     fleet.Instance
+
+	// leaving and quitting are closed when the connections of callers should end; see callers.
+	leaving, quitting chan struct{}
+	listener          net.Listener
+	// ready is closed when the instance is informed, and read by the readiness answers together with leaving.
+	ready chan struct{}
+	open  int
+}
+
+// Messages to the gateway task.
+type (
+	accepted struct{ conn net.Conn }
+	closed   struct{}
+	informed struct{}
+)
+
+// New returns a gateway.
+func New(settings Settings, store Store, schema Schema, dialect Dialect, log *slog.Logger) (*Gateway, error) {
+	if err := settings.Check(); err != nil {
+		return nil, err
+	}
+	set := metric.NewSet()
+	g := &Gateway{
+		settings: settings, schema: schema, store: store, dialect: dialect, log: log, metrics: set,
+		counters: newCounters(set.Registry()), beliefs: &Beliefs{}, inbox: task.NewMailbox[any]("gateway", eventCapacity),
+		leaving: make(chan struct{}), quitting: make(chan struct{}), ready: make(chan struct{}),
+		self: fleet.Instance{Name: settings.Name, Place: settings.Place, Share: settings.Share, Incarnation: uint64(time.Now().UnixNano())},
+	}
+	return g, g.build()
+}
+
+func (g *Gateway) build() error {
+	kind, err := backend.NewKind(tcp.Dial, g.dialect, charts.Params{"idle_limit": connectionIdle})
+	if err != nil {
+		return err
+	}
+	g.board = newBoard(g.schema, g.beliefs, g.log)
+	g.director = newDirector(g.self, g.settings.Bounds, kind, g.log, g.counters)
+	requests, err := newForwarding(g.beliefs, g.director.inbox, g.dialect, g.log, g.counters)
+	if err != nil {
+		return err
+	}
+	g.callers, err = newCallers(requests, g.dialect, g.beliefs, g.leaving, g.quitting)
+	if err != nil {
+		return err
+	}
+	return g.bind()
+}
+
+func (g *Gateway) bind() error {
+	ch, err := charts.Load("gateway", charts.Params{
+		"announce_time": announceTime, "drain_time": g.settings.Bounds.Grace - announceTime - graceReserve,
+	})
+	if err != nil {
+		return err
+	}
+	bound, err := chart.Bind(ch, chart.Bindings[*Gateway]{
+		Actions: map[string]func(*Gateway){
+			"report_ready":   func(g *Gateway) { close(g.ready); g.log.Info("instance is ready") },
+			"report_leaving": (*Gateway).reportLeaving,
+			"close_idle":     (*Gateway).closeIdle,
+			"report_open":    func(g *Gateway) { g.log.Warn("stop reached its bound", "open_connections", g.open) },
+		},
+	})
+	if err != nil {
+		return err
+	}
+	g.machine = bound.New(time.Now(), g)
+	return nil
+}
+
+func (g *Gateway) reportLeaving() {
+	if !isClosed(g.leaving) {
+		close(g.leaving)
+		g.log.Info("instance is leaving", "open_connections", g.open)
+	}
+}
+
+func (g *Gateway) closeIdle() {
+	_ = g.listener.Close() // closing twice gives an error that says nothing
+	close(g.quitting)
+}
+
+// Run serves until stop ends, then stops gracefully. It returns an error when an address cannot be used.
+func (g *Gateway) Run(stop context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	listener, err := tcp.Listen(ctx, g.settings.CallerAddress)
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "free the address or change it", "address for callers cannot be used")
+	}
+	g.listener = listener
+	tasks := task.NewGroup(ctx)
+	if err := g.start(tasks); err != nil {
+		return err
+	}
+	g.log.Info("instance starts", "name", g.settings.Name, "zone", g.settings.Place.Zone, "callers", g.settings.CallerAddress)
+	go g.accept(ctx)
+	g.loop(ctx, stop)
+	g.deregister()
+	tasks.Stop()
+	g.log.Info("instance stops", "open_connections", g.open)
+	return tasks.Wait()
+}
+
+// start starts the tasks that last as long as the instance.
+func (g *Gateway) start(tasks *task.Group) error {
+	g.board.published = []func(*Belief){
+		func(b *Belief) { _ = g.director.inbox.Send(tasks.Context(), believed{belief: b}) }, // only the end stops it
+		func(b *Belief) {
+			if b.Ready() && !isClosed(g.ready) {
+				_ = g.inbox.Offer(informed{}) // the next belief tells again
+			}
+		},
+	}
+	for kind := range paces {
+		f, err := newFeed(kind, g.store, g.board.inbox, g.log)
+		if err != nil {
+			return err
+		}
+		g.board.feeds[kind] = f
+	}
+	for kind, f := range g.board.feeds {
+		tasks.Go("feed "+string(kind), f.run)
+	}
+	tasks.Go("board", g.board.run)
+	tasks.Go("director", g.director.run)
+	tasks.Go("registrar", g.register)
+	if err := g.serveOperations(tasks, g.settings.ReadinessAddress, g.readiness()); err != nil {
+		return err
+	}
+	if g.settings.MetricsAddress != "" {
+		return g.serveOperations(tasks, g.settings.MetricsAddress, g.measurements())
+	}
+	return nil
+}
+
+// loop is the body of the gateway task until the instance has stopped.
+func (g *Gateway) loop(ctx context.Context, stop context.Context) {
+	stopped := stop.Done()
+	for !g.machine.Final() {
+		timer := time.NewTimer(g.untilTimeout())
+		select {
+		case m := <-g.inbox.C():
+			g.handle(ctx, m)
+		case <-stopped:
+			stopped = nil
+			g.fire("stop")
+		case <-timer.C:
+			g.machine.Tick(time.Now())
+		}
+		timer.Stop()
+		if g.open == 0 {
+			g.fire("finished")
+		}
+	}
+}
+
+func (g *Gateway) untilTimeout() time.Duration {
+	if due, ok := g.machine.Deadline(); ok {
+		return max(time.Until(due), 0)
+	}
+	return idleWait
+}
+
+func (g *Gateway) fire(event string) {
+	if err := g.machine.Fire(time.Now(), event); err != nil {
+		panic(err) // events are constants of this package; a missing one is a programming error
+	}
+}
+
+func (g *Gateway) handle(ctx context.Context, m any) {
+	switch m := m.(type) {
+	case accepted:
+		g.open++
+		g.counters.callers.Update(int64(g.open))
+		go func() {
+			g.callers.serve(ctx, m.conn)
+			_ = g.inbox.Send(ctx, closed{}) // only the end of the process stops it
+		}()
+	case closed:
+		g.open--
+		g.counters.callers.Update(int64(g.open))
+	case informed:
+		g.fire("informed")
+	}
+}
+
+// accept passes connections to the gateway task until the listener is closed.
+func (g *Gateway) accept(ctx context.Context) {
+	for {
+		conn, err := g.listener.Accept()
+		switch {
+		case err == nil:
+			if g.inbox.Send(ctx, accepted{conn: conn}) != nil {
+				_ = conn.Close() // the process ends
+			}
+		case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
+			return
+		default:
+			g.log.Warn("connection of a caller was not accepted", "error", err)
+			task.Pause(ctx, acceptPause)
+		}
+	}
+}
+
+// register writes the entry of this instance into the store, so that others find it.
+func (g *Gateway) register(ctx context.Context) error {
+	value, err := g.schema.EncodeInstance(g.self)
+	if err != nil {
+		return err
+	}
+	for pause := firstPause; ctx.Err() == nil; pause = min(2*pause, mostPause) {
+		err := g.store.Write(ctx, objectapi.Instances, g.self.Name, value)
+		if err == nil {
+			return nil
+		}
+		g.log.Warn("instance is not registered", "error", err)
+		task.Pause(ctx, pause)
+	}
+	return nil
+}
+
+func (g *Gateway) deregister() {
+	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
+	defer cancel()
+	if err := g.store.Remove(ctx, objectapi.Instances, g.self.Name); err != nil {
+		g.log.Warn("instance stays registered", "error", err)
+	}
+}
+
+func (g *Gateway) serveOperations(tasks *task.Group, address string, handler http.Handler) error {
+	listener, err := tcp.Listen(tasks.Context(), address)
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "free the address or change it", "address %s cannot be used", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdle}
+	tasks.Go("operations "+address, func(ctx context.Context) error {
+		context.AfterFunc(ctx, func() { _ = server.Close() }) // the process ends
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+// readiness answers the balancer.
+func (g *Gateway) readiness() http.Handler {
+	router := chi.NewRouter()
+	router.Get(g.settings.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !isClosed(g.ready) || isClosed(g.leaving) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return router
+}
+
+// measurements answers with counters and histograms as text.
+func (g *Gateway) measurements() http.Handler {
+	router := chi.NewRouter()
+	router.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		if err := g.metrics.WriteText(w); err != nil {
+			g.log.Info("metrics were not read to the end", "error", err)
+		}
+	})
+	return router
+}
--- /dev/null
+++ b/internal/gateway/read.go
@@ -0,0 +1,231 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/fleet"
+)
+
+const (
+	// readBuffer is the usual size of a head. A larger head gets a larger buffer.
+	readBuffer = 4 << 10
+	// defaultHeaderBytes and defaultBodyBytes hold before a configuration is known.
+	defaultHeaderBytes = 16 << 10
+	defaultBodyBytes   = 1 << 20
+	// defaultHeaderTimeout is the same for the time from the first byte of a head to its end.
+	defaultHeaderTimeout = 5 * time.Second
+	// bodyTimeout bounds the time in which a body arrives.
+	bodyTimeout = 30 * time.Second
+)
+
+// incoming is one request of a caller as it was read.
+type incoming struct {
+	request *call.Request
+	host    string
+	at      time.Time
+	wait    time.Duration
+	method  string
+	// closing is true when the caller wants the connection to end after the answer.
+	closing bool
+}
+
+// rejection is a request that cannot be read. Nothing that follows on the connection is read.
+type rejection struct {
+	status int
+	err    *fault.Error
+}
+
+// continueWanted tells that the caller waits for an interim answer before it sends a body.
+type continueWanted struct{}
+
+// requestReader reads the requests of one connection, one after the other. It belongs to the reading goroutine of a
+// caller's connection.
+type requestReader struct {
+	conn    net.Conn
+	buffer  *bufio.Reader
+	limits  func() fleet.Limits
+	dialect Dialect
+	// tell passes on an interim event.
+	tell func(any)
+}
+
+var errMalformed = errors.New("malformed head")
+
+// next returns an incoming request, a rejection, or an error when the connection has ended.
+func (r *requestReader) next() (any, error) {
+	if _, err := r.buffer.Peek(1); err != nil {
+		return nil, err
+	}
+	limits := r.limits()
+	if limits.HeaderTimeout <= 0 {
+		limits.HeaderTimeout = defaultHeaderTimeout
+	}
+	if err := r.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
+		return nil, err
+	}
+	head, err := r.head(limits)
+	if err != nil {
+		return rejectionOf(err)
+	}
+	if err := checkHead(head); err != nil {
+		return rejectionOf(err)
+	}
+	request, err := http.ReadRequest(r.buffer)
+	if err != nil {
+		return rejectionOf(errMalformed)
+	}
+	return r.body(request, limits)
+}
+
+func rejectionOf(err error) (any, error) {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, errMalformed):
+		return rejection{http.StatusBadRequest, fault.New(fault.BadRequest, "send HTTP/1.1 with one clear length", "request cannot be read")}, nil
+	case errors.Is(err, bufio.ErrBufferFull):
+		return rejection{http.StatusRequestHeaderFieldsTooLarge, fault.New(fault.TooLarge, "send a shorter header", "header is too long")}, nil
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return rejection{http.StatusRequestTimeout, fault.New(fault.BadRequest, "send the request in time", "request did not arrive in time")}, nil
+	}
+	return nil, err
+}
+
+// head returns the bytes of the next head without consuming them, up to the empty line.
+func (r *requestReader) head(limits fleet.Limits) ([]byte, error) {
+	most := limits.HeaderBytes
+	if most <= 0 {
+		most = defaultHeaderBytes
+	}
+	for {
+		seen, _ := r.buffer.Peek(r.buffer.Buffered()) // what is buffered can always be peeked
+		for len(seen) >= 2 && seen[0] == '\r' && seen[1] == '\n' {
+			if _, err := r.buffer.Discard(2); err != nil { // empty lines before a request are passed over
+				return nil, err
+			}
+			seen = seen[2:]
+		}
+		if end := bytes.Index(seen, []byte("\r\n\r\n")); end >= 0 {
+			if end > most {
+				return nil, bufio.ErrBufferFull
+			}
+			return seen[:end+2], nil
+		}
+		if bytes.Contains(seen, []byte("\n\n")) || bytes.Contains(seen, []byte("\n\r\n")) && !bytes.Contains(seen, []byte("\r\n\r\n")) {
+			return nil, errMalformed
+		}
+		if len(seen) > most {
+			return nil, bufio.ErrBufferFull
+		}
+		if len(seen) == r.buffer.Size() {
+			r.grow(seen, most)
+			continue
+		}
+		if _, err := r.buffer.Peek(len(seen) + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// grow replaces the buffer by one that holds the longest head.
+func (r *requestReader) grow(seen []byte, most int) {
+	kept := bytes.Clone(seen)
+	r.buffer = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(kept), r.conn), most+readBuffer)
+}
+
+// checkHead refuses heads that two readers could take for different requests: bare line feeds, folded lines, more than
+// one length, or a length beside chunks.
+func checkHead(head []byte) error {
+	lengths, codings := 0, 0
+	for number, line := range bytes.Split(bytes.TrimSuffix(head, []byte("\r\n")), []byte("\r\n")) {
+		if bytes.ContainsAny(line, "\r\n\x00") || number > 0 && (len(line) == 0 || line[0] == ' ' || line[0] == '\t') {
+			return errMalformed
+		}
+		if number == 0 {
+			continue
+		}
+		name, value, found := strings.Cut(string(line), ":")
+		if !found || strings.ContainsAny(name, " \t") {
+			return errMalformed
+		}
+		switch strings.ToLower(name) {
+		case "content-length":
+			lengths++
+		case "transfer-encoding":
+			if !strings.EqualFold(strings.TrimSpace(value), "chunked") {
+				return errMalformed
+			}
+			codings++
+		}
+	}
+	if lengths+codings > 1 {
+		return errMalformed
+	}
+	return nil
+}
+
+// body reads the body of a request whole.
+func (r *requestReader) body(request *http.Request, limits fleet.Limits) (any, error) {
+	most := limits.BodyBytes
+	if most <= 0 {
+		most = defaultBodyBytes
+	}
+	tooLarge := rejection{http.StatusRequestEntityTooLarge, fault.New(fault.TooLarge, "send a shorter body", "body is too long")}
+	if request.ContentLength > most {
+		return tooLarge, nil
+	}
+	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
+		request.Header.Del("Expect")
+		if request.ContentLength != 0 {
+			r.tell(continueWanted{})
+		}
+	}
+	if err := r.conn.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(request.Body, most+1))
+	switch {
+	case err != nil && errors.Is(err, io.ErrUnexpectedEOF):
+		return nil, err
+	case err != nil:
+		var network net.Error
+		if errors.As(err, &network) {
+			return rejectionOf(err)
+		}
+		return rejectionOf(errMalformed)
+	case int64(len(body)) > most:
+		return tooLarge, nil
+	}
+	if err := r.conn.SetReadDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+	return r.incoming(request, body), nil
+}
+
+func (r *requestReader) incoming(request *http.Request, body []byte) *incoming {
+	target := request.RequestURI
+	if !strings.HasPrefix(target, "/") {
+		target = request.URL.RequestURI() // the absolute form names the host as well, which net/http has taken
+	}
+	path, query, _ := strings.Cut(target, "?")
+	host, _, found := strings.Cut(request.Host, ":")
+	if !found {
+		host = request.Host
+	}
+	envelope := r.dialect.Envelope(request.Header)
+	header := backend.EndToEnd(request.Header)
+	header = append(header, call.Field{Name: "Host", Value: request.Host})
+	return &incoming{
+		request: &call.Request{ID: envelope.ID, Method: request.Method, Path: path, Query: query, Header: header, Body: body},
+		host:    strings.ToLower(host), at: time.Now(), wait: envelope.Wait, method: request.Method, closing: request.Close,
+	}
+}
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/decide/coldstart"
+	"fuchsiahub.example/fuchsiahub/internal/decide/outlier"
+	"fuchsiahub.example/fuchsiahub/internal/decide/placement"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/fleet"
+)
+
+const (
+	// freshNear and freshFar are how old a report may be for a placement: a fraction of the 300 ms for which the speed
+	// of a server lasts, and for far servers more than the round trip that a newer one takes.
+	freshNear = 25 * time.Millisecond
+	freshFar  = 120 * time.Millisecond
+	// freshPlain is the same for services whose servers do not report load: their health checks wait for a slot.
+	freshPlain = time.Second
+	// probeTimeout bounds a health check; with it, a server that does not answer is found before a request is sent.
+	probeTimeout = 250 * time.Millisecond
+	// silencePause is the pause between checks of a server that does not answer.
+	silencePause = 150 * time.Millisecond
+	// reportKept is how long a report counts at all.
+	reportKept = 2 * time.Second
+	// Round trips that are assumed until one was measured.
+	assumedZone, assumedRegion, assumedFar = time.Millisecond, 2 * time.Millisecond, 20 * time.Millisecond
+	// roundTripWeight is the weight of a new measurement of the round trip.
+	roundTripWeight = 0.2
+)
+
+// server is what the director knows about one backend server. It is owned by the director.
+type server struct {
+	entry    *fleet.Backend
+	distance placement.Distance
+	pool     *backend.Pool
+	stop     context.CancelFunc
+
+	// inFlight counts the copies of this instance on their way.
+	inFlight int
+	report   report
+	probing  bool
+	// asked is when the last check was sent.
+	asked time.Time
+	// silent is true while the last check had no answer.
+	silent bool
+	// misplaced is true when another server answers at the address.
+	misplaced bool
+	roundTrip time.Duration
+	score     outlier.Score
+	cold      coldstart.Meter
+}
+
+// report is what a server told about itself.
+type report struct {
+	at                      time.Time
+	running, waiting, slots int
+	slowdown                float64
+	coldUntil               time.Time
+	// sent counts the copies that this instance sent since.
+	sent int
+	// well is false when the health check failed.
+	well bool
+	// load is false when the server did not tell its load.
+	load bool
+}
+
+func distance(self, other fleet.Place) placement.Distance {
+	switch {
+	case self.Zone == other.Zone:
+		return placement.SameZone
+	case self.Region == other.Region:
+		return placement.SameRegion
+	}
+	return placement.OtherRegion
+}
+
+func assumedRoundTrip(d placement.Distance) time.Duration {
+	return [...]time.Duration{placement.SameZone: assumedZone, placement.SameRegion: assumedRegion, placement.OtherRegion: assumedFar}[d]
+}
+
+// isFresh reports whether the last report is new enough for a placement.
+func (s *server) isFresh(now time.Time) bool {
+	limit := freshNear
+	if s.distance == placement.OtherRegion {
+		limit = freshFar
+	}
+	if !s.report.load {
+		limit = freshPlain
+	}
+	return !s.report.at.IsZero() && !s.silent && now.Sub(s.report.at) <= limit
+}
+
+// isCold reports whether the server is cold, or may be because nothing recent is known.
+func (s *server) isCold(now time.Time) bool {
+	return s.report.at.IsZero() || now.Sub(s.report.at) > reportKept || now.Before(s.report.coldUntil)
+}
+
+// candidate returns the server as placement sees it.
+func (s *server) candidate(now time.Time) placement.Candidate {
+	c := placement.Candidate{
+		Distance: s.distance, RoundTrip: s.roundTrip, Slots: s.entry.Slots, Running: s.inFlight, Slowdown: s.report.slowdown,
+		Success: s.score.Value(now), Cold: s.isCold(now), Reported: s.isFresh(now) && s.report.well,
+	}
+	if s.report.load && now.Sub(s.report.at) <= reportKept {
+		c.Running = max(s.report.running+s.report.sent, s.inFlight)
+		c.Waiting = s.report.waiting
+		if s.report.slots > 0 {
+			c.Slots = s.report.slots
+		}
+	}
+	return c
+}
+
+// observe takes what an answer or a health check told.
+func (s *server) observe(now time.Time, r backend.Result) {
+	if !r.LoadKnown {
+		return
+	}
+	s.report = report{
+		at: now, running: r.Running, waiting: r.Waiting, slots: r.Slots, slowdown: r.Slowdown, load: true,
+		well: s.report.well, coldUntil: s.report.coldUntil,
+	}
+}
+
+// checked takes the outcome of a health check.
+func (s *server) checked(now time.Time, r backend.Result) {
+	s.probing = false
+	s.silent = r.Answer == nil
+	if s.silent {
+		return
+	}
+	s.misplaced = r.Identity != "" && r.Identity != s.entry.ID
+	s.report.at, s.report.sent = now, 0
+	s.report.well = r.Answer.Status < http.StatusMultipleChoices
+	s.report.load = r.LoadKnown
+	s.observe(now, r)
+	s.report.coldUntil = now.Add(r.ColdFor)
+	if r.ColdFor <= 0 {
+		s.report.coldUntil = time.Time{}
+	}
+	s.roundTrip += time.Duration(roundTripWeight * float64(r.Elapsed-s.roundTrip))
+}
+
+// check asks the server for its health and load on a connection of its pool. The connection that answers is the next
+// one to carry a request, so that a request is not sent on a connection that the server has forgotten.
+func (s *server) check(ctx context.Context, service fleet.Service, done func(backend.Result)) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	pool := s.pool
+	request := &call.Request{Method: http.MethodGet, Service: s.entry.Address, Path: service.HealthPath}
+	go func() {
+		defer cancel()
+		r := pool.Do(ctx, request)
+		if r.Answer != nil && r.Answer.Stream != nil {
+			_ = r.Answer.Stream.Close() // the body of a health check is of no interest
+			r = backend.Result{Fate: call.MaybeRun, Err: fault.New(fault.BadBackend, "shorten the health answer", "health answer is too long")}
+		}
+		done(r)
+	}()
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"log/slog"
+	"net"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/fleet"
+)
+
+// Settings are what an instance is told about itself and its deployment.
+type Settings struct {
+	// Name is the name of the instance.
+	Name string
+	// Host is its IP address.
+	Host  string
+	Place fleet.Place
+	// Share is the part of a processor core that it has, times the speed of the core.
+	Share float64
+	// MaxFiles bounds its descriptors.
+	MaxFiles int
+	// CallerAddress takes requests, ReadinessAddress answers the platform's balancer.
+	CallerAddress, ReadinessAddress string
+	// ReadinessPath is the path on which the balancer asks.
+	ReadinessPath string
+	// PeerPort answers other instances; zero answers none.
+	PeerPort int
+	// MetricsAddress serves counters and histograms; empty serves none.
+	MetricsAddress string
+	// LogLevel is the least level that is logged.
+	LogLevel slog.Level
+	// StoreAddress is that of the platform's store.
+	StoreAddress string
+	// Regions maps each availability zone to its region.
+	Regions map[string]string
+	// Heartbeat is the time between two entries of a backend server.
+	Heartbeat time.Duration
+	Bounds    Bounds
+}
+
+// Bounds are the terms that the platform sets for the whole fleet.
+type Bounds struct {
+	// Stability is the time after a disturbance from which all bounds hold.
+	Stability time.Duration
+	// Drain is the time after which a leaving backend server gets no new request.
+	Drain time.Duration
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace time.Duration
+	// ConfigApply is the time after which a configuration is in force everywhere.
+	ConfigApply time.Duration
+	// Evacuate is the time after which an evacuated availability zone gets no new request.
+	Evacuate time.Duration
+	// ResendRatio, ResendWindow and ResendSlack bound the resends of all instances; see package resend.
+	ResendRatio  float64
+	ResendWindow time.Duration
+	ResendSlack  float64
+	// ColdOvershoot and ColdSlack bound the requests to a cold server; see package coldstart.
+	ColdOvershoot, ColdSlack float64
+}
+
+// Check returns the first setting that is missing or wrong.
+func (s *Settings) Check() error {
+	for _, a := range []struct{ name, value string }{
+		{"address for callers", s.CallerAddress}, {"address for readiness", s.ReadinessAddress}, {"address of the store", s.StoreAddress},
+	} {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return fault.Wrap(err, fault.Invalid, "set it to HOST:PORT", "setting %q is %q", a.name, a.value)
+		}
+	}
+	switch {
+	case s.Name == "":
+		return fault.New(fault.Invalid, "set the name of the instance", "the instance has no name")
+	case s.Place.Zone == "" || s.Place.Region == "":
+		return fault.New(fault.Invalid, "set zone and region of the instance", "instance %s has no place", s.Name)
+	case s.Bounds.Grace <= 0:
+		return fault.New(fault.Invalid, "set the time to stop", "instance %s has %s to stop", s.Name, s.Bounds.Grace)
+	}
+	return nil
+}
--- a/internal/objectapi/api.go
+++ b/internal/objectapi/api.go
@@ -26,6 +26,12 @@
 	Claims Kind = "claims"
 	// Audit holds segments of the audit trail.
 	Audit Kind = "audit"
+	// Configuration holds the operator's configuration of a deployment whose backend servers register themselves.
+	Configuration Kind = "configuration"
+	// Evacuations holds one object per availability zone that operators have taken out.
+	Evacuations Kind = "evacuations"
+	// Strikes holds one object per request that crashed backend servers.
+	Strikes Kind = "strikes"
 )
 
 // Object is one object at one version. Value is not changed after the object was returned.
