Read the store once for the fleet and pass the news on; reload settings without a restart

Change: charts/news.toml and decide/news: one instance reads, the first of each region asks it, the others ask the first of their region. Each decides by the age of its news, which counts from when the store was asked. Instances find peers through their entries in the store, and seeds at their start. The settings file is read again on SIGHUP and when it changes.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -4,6 +4,10 @@
 	"context"
 	"io"
 	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
@@ -36,13 +40,19 @@
 			if c.Bool("check") {
 				return s.Check()
 			}
-			return runGateway(ctx, s, out, level)
+			return runGateway(ctx, c.String("settings"), s, out, level)
 		},
 	}
 }
 
+// settingsPause is the pause between two looks at the settings file, which may change without a signal.
+const settingsPause = 2 * time.Second
+
 // runGateway runs until the context ends, then stops gracefully.
-func runGateway(ctx context.Context, s gateway.Settings, out io.Writer, level slog.Level) error {
+func runGateway(ctx context.Context, path string, s gateway.Settings, out io.Writer, level slog.Level) error {
+	hangUp := make(chan os.Signal, 1)
+	signal.Notify(hangUp, syscall.SIGHUP) // the default action would end the process
+	defer signal.Stop(hangUp)
 	log := eventlog.New(out, level)
 	logCtx, endLog := context.WithCancel(context.Background())
 	logged := make(chan struct{})
@@ -54,9 +64,52 @@
 		endLog()
 		<-logged
 	}()
-	g, err := gateway.New(s, platform.NewStore(s.StoreAddress), platform.Schema{Regions: s.Regions}, platform.Dialect{}, log.Logger())
+	logger := log.Logger()
+	g, err := gateway.New(s, platform.NewStore(s.StoreAddress), platform.Schema{Regions: s.Regions}, platform.Dialect{}, logger)
 	if err != nil {
 		return err
 	}
+	go watchSettings(logCtx, path, hangUp, g, logger)
 	return g.Run(ctx)
 }
+
+// watchSettings reads the settings again after a signal and when their file has changed.
+func watchSettings(ctx context.Context, path string, hangUp <-chan os.Signal, g *gateway.Gateway, log *slog.Logger) {
+	look := time.NewTicker(settingsPause)
+	defer look.Stop()
+	seen := changeOf(path)
+	for {
+		select {
+		case <-hangUp:
+			log.Info("signal to read the settings again")
+		case <-look.C:
+			if changeOf(path) == seen {
+				continue
+			}
+		case <-ctx.Done():
+			return
+		}
+		seen = changeOf(path)
+		s, err := platform.ReadSettings(path)
+		if err != nil {
+			log.Error("settings are not valid; those in force stay", "error", err)
+			continue
+		}
+		g.Reload(ctx, s)
+	}
+}
+
+// change tells two contents of a file apart without reading it.
+type change struct {
+	size int64
+	at   time.Time
+}
+
+// changeOf returns the present state of a file; the zero state when it cannot be seen, which reading it then reports.
+func changeOf(path string) change {
+	info, err := os.Stat(path)
+	if err != nil {
+		return change{}
+	}
+	return change{size: info.Size(), at: info.ModTime()}
+}
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/decide/dispatch"
+	"fuchsiahub.example/fuchsiahub/internal/decide/news"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 	"fuchsiahub.example/fuchsiahub/internal/task"
@@ -31,8 +32,13 @@
 	log     *slog.Logger
 	// published is told of each new belief.
 	published []func(*Belief)
-	feeds     map[objectapi.Kind]*feed
+	reader    *reader
+	// unregistered is told when the store has no entry of this instance, or another one.
+	unregistered func()
 
+	archive archive
+	// readBy is the instance that read the news of a kind from the store.
+	readBy    map[objectapi.Kind]string
 	config    *fleet.Config
 	routes    *dispatch.Table
 	backends  map[string]*fleet.Backend
@@ -52,24 +58,25 @@
 	return &board{
 		inbox: task.NewMailbox[any]("board", boardCapacity), schema: schema, beliefs: beliefs, log: log,
 		backends: map[string]*fleet.Backend{}, evacuated: map[string]bool{}, instances: map[string]fleet.Instance{},
-		feeds: map[objectapi.Kind]*feed{}, asOf: map[objectapi.Kind]time.Time{}, lapsed: map[string]time.Time{}, refused: map[string]uint64{},
+		archive: archive{}, readBy: map[objectapi.Kind]string{}, asOf: map[objectapi.Kind]time.Time{}, lapsed: map[string]time.Time{}, refused: map[string]uint64{},
 	}
 }
 
 // run is the body of the task.
 func (b *board) run(ctx context.Context) error {
 	for {
-		timer := time.NewTimer(b.untilLapse())
+		b.reader.look(ctx, time.Now())
+		timer := time.NewTimer(min(b.untilLapse(), tick))
 		select {
 		case m := <-b.inbox.C():
 			b.handle(time.Now(), m)
 		case <-timer.C:
-			b.dropLapsed(time.Now())
 		case <-ctx.Done():
 			timer.Stop()
 			return nil
 		}
 		timer.Stop()
+		b.dropLapsed(time.Now())
 	}
 }
 
@@ -94,6 +101,13 @@
 		b.regained(now, m.kind)
 	case learned:
 		b.learn(now, m)
+		m.reply <- b.archive.shelf(m.kind).revision
+	case newsWanted:
+		b.reader.wanted(now, m)
+	case newsGiven:
+		b.reader.given(now, m)
+	case rebound:
+		b.reader.pace = news.NewPace(m.bounds.Drain)
 	}
 }
 
@@ -103,110 +117,110 @@
 		return
 	}
 	b.lost, b.regainedAt = false, now
-	for other, f := range b.feeds {
+	for other, f := range b.reader.feeds {
 		if other != kind {
 			f.askAgain()
 		}
 	}
 }
 
+// learn takes news of one kind, unless newer ones are known.
 func (b *board) learn(now time.Time, l learned) {
-	changed := false
-	if l.whole {
-		changed = b.forgetOthers(now, l)
+	shelf := b.archive.shelf(l.kind)
+	changes, ok := shelf.take(&l)
+	if !ok {
+		return
+	}
+	if b.asOf[l.kind].Before(l.asOf) {
+		b.noteReturn(now, &l)
+		b.asOf[l.kind], b.readBy[l.kind] = l.asOf, l.reader
 	}
-	for _, e := range l.events {
+	for _, e := range changes {
 		if e.Deleted {
-			changed = b.remove(now, l.kind, e.Object.Name) || changed
+			b.remove(now, l.kind, e.Object.Name)
 			continue
 		}
-		changed = b.take(e.Object) || changed
+		b.take(e.Object)
 	}
-	b.asOf[l.kind] = l.asOf
-	if l.kind != objectapi.Instances || changed {
-		b.publish()
+	if l.kind == objectapi.Instances {
+		b.checkRegistration()
+		b.reader.reorder()
 	}
+	b.publish(len(changes) > 0)
 }
 
-// forgetOthers removes what a whole list does not name.
-func (b *board) forgetOthers(now time.Time, l learned) bool {
-	listed := map[string]bool{}
-	for _, e := range l.events {
-		listed[e.Object.Name] = true
-	}
-	changed := false
-	for _, name := range b.names(l.kind) {
-		if !listed[name] {
-			changed = b.remove(now, l.kind, name) || changed
-		}
+// silence is the age of the last news from which the store counts as having been away.
+const silence = 2500 * time.Millisecond
+
+// noteReturn takes news after a long silence as the return of the store.
+func (b *board) noteReturn(now time.Time, l *learned) {
+	last := b.asOf[l.kind]
+	if l.kind == objectapi.Backends && !last.IsZero() && l.asOf.Sub(last) > silence {
+		b.regainedAt = now
 	}
-	return changed
 }
 
-func (b *board) names(kind objectapi.Kind) []string {
-	switch kind {
-	case objectapi.Backends:
-		return slices.Collect(maps.Keys(b.backends))
-	case objectapi.Evacuations:
-		return slices.Collect(maps.Keys(b.evacuated))
-	case objectapi.Instances:
-		return slices.Collect(maps.Keys(b.instances))
+// checkRegistration asks for the entry of this instance to be written when the store has none or another one.
+func (b *board) checkRegistration() {
+	self := b.reader.self
+	known, ok := b.instances[self.Name]
+	if !ok || known.Address != self.Address || known.Place != self.Place || known.Share != self.Share {
+		b.unregistered()
 	}
-	return nil
 }
 
-func (b *board) take(o objectapi.Object) bool {
+func (b *board) take(o objectapi.Object) {
 	switch o.Kind {
 	case objectapi.Configuration:
-		return b.takeConfig(o)
+		b.takeConfig(o)
 	case objectapi.Backends:
-		return b.takeBackend(o)
+		b.takeBackend(o)
 	case objectapi.Evacuations:
 		b.evacuated[o.Name] = true
 		b.log.Info("availability zone is taken out", "zone", o.Name, "revision", o.Version)
-		return true
 	case objectapi.Instances:
-		instance, err := b.schema.Instance(o)
-		if err != nil {
-			b.refuse(o, err)
-			return false
-		}
-		b.instances[o.Name] = instance
-		return true
+		b.takeInstance(o)
+	}
+}
+
+func (b *board) takeInstance(o objectapi.Object) {
+	instance, err := b.schema.Instance(o)
+	if err != nil {
+		b.refuse(o, err)
+		return
 	}
-	return false
+	b.instances[o.Name] = instance
 }
 
 // takeConfig puts a configuration in force unless a newer one is.
-func (b *board) takeConfig(o objectapi.Object) bool {
+func (b *board) takeConfig(o objectapi.Object) {
 	if o.Name != configObject {
-		return false
+		return
 	}
 	config, err := b.schema.Config(o)
 	if err != nil {
 		b.refuse(o, err)
-		return false
+		return
 	}
 	if b.config != nil && config.Version <= b.config.Version {
-		return false
+		return
 	}
 	b.config, b.routes = config, dispatch.NewTable(config)
 	b.log.Info("configuration is in force", "version", uint64(config.Version), "revision", o.Version, "routes", len(config.Routes))
-	return true
 }
 
 // takeBackend keeps the newest entry of a server. An entry that cannot be read names no server.
-func (b *board) takeBackend(o objectapi.Object) bool {
+func (b *board) takeBackend(o objectapi.Object) {
 	entry, err := b.schema.Backend(o)
 	if err != nil {
 		b.refuse(o, err)
 		delete(b.backends, o.Name)
-		return true
+		return
 	}
 	old := b.backends[o.Name]
 	if old != nil && (entry.Born < old.Born || entry.Born == old.Born && entry.Sequence < old.Sequence) {
 		b.log.Info("late entry of a backend server is passed over", "backend", o.Name, "born", entry.Born, "sequence", entry.Sequence)
-		return false
+		return
 	}
 	if old == nil || old.Born != entry.Born || old.Draining != entry.Draining {
 		b.log.Info("backend server is known", "backend", o.Name, "service", entry.Service, "zone", entry.Place.Zone,
@@ -214,20 +228,18 @@
 	}
 	delete(b.lapsed, o.Name)
 	b.backends[o.Name] = entry
-	return true
 }
 
-func (b *board) remove(now time.Time, kind objectapi.Kind, name string) bool {
+func (b *board) remove(now time.Time, kind objectapi.Kind, name string) {
 	switch kind {
 	case objectapi.Backends:
-		return b.removeBackend(now, name)
+		b.removeBackend(now, name)
 	case objectapi.Evacuations:
 		delete(b.evacuated, name)
 		b.log.Info("availability zone is back", "zone", name)
 	case objectapi.Instances:
 		delete(b.instances, name)
 	}
-	return true
 }
 
 // removeBackend removes a server, unless its entry may only have lapsed while the store was away.
@@ -251,11 +263,10 @@
 
 func (b *board) dropLapsed(now time.Time) {
 	for name, at := range b.lapsed {
-		if !now.Before(at) {
-			b.removeBackend(now, name)
+		if !now.Before(at) && b.removeBackend(now, name) {
+			b.publish(true)
 		}
 	}
-	b.publish()
 }
 
 func (b *board) refuse(o objectapi.Object, err error) {
@@ -266,8 +277,16 @@
 	}
 }
 
-func (b *board) publish() {
+// publish publishes a new belief. When nothing but the age of the news has changed, nobody is told.
+func (b *board) publish(changed bool) {
 	b.serial++
+	if old := b.beliefs.newest.Load(); old != nil && !changed {
+		view := *old.View
+		view.ConfigAsOf, view.BackendsAsOf, view.EvacuatedAsOf = b.asOf[objectapi.Configuration], b.asOf[objectapi.Backends], b.asOf[objectapi.Evacuations]
+		view.Serial = b.serial
+		b.beliefs.newest.Store(&Belief{View: &view, Routes: b.routes})
+		return
+	}
 	view := &fleet.View{
 		Config: b.config, Backends: map[string][]*fleet.Backend{}, Evacuated: maps.Clone(b.evacuated),
 		ConfigAsOf: b.asOf[objectapi.Configuration], BackendsAsOf: b.asOf[objectapi.Backends],
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -67,6 +67,8 @@
 	}
 	// believed tells of a new belief.
 	believed struct{ belief *Belief }
+	// rebound tells of changed bounds.
+	rebound struct{ bounds Bounds }
 )
 
 // grant names the backend server for one copy. It is the answer to place.
@@ -165,6 +167,9 @@
 		d.takeCheck(now, m)
 	case believed:
 		d.believe(m.belief)
+	case rebound:
+		d.bounds = m.bounds
+		d.budgets = map[string]*resend.Budget{}
 	}
 }
 
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -17,51 +17,80 @@
 	// firstPause and mostPause bound the pause after a failed call. The first is well above the store's 4 ms; the most
 	// keeps the return of the store from going unnoticed for half of the time in which configurations must be in force.
 	firstPause = 150 * time.Millisecond
-	mostPause  = 800 * time.Millisecond
+	mostPause  = 900 * time.Millisecond
+	// otherPause is the pause of feeds that wait for the backend servers' feed to show that the store is back.
+	otherPause = 5 * time.Second
 )
 
 // pace says how often the changes of a kind are read. Each call of the store is billed, one that waits too.
 type pace struct {
-	// wait is how long a call waits for a change.
+	// wait is how long a call waits for a change; zero answers at once.
 	wait time.Duration
 	// gap is the least time between the starts of two calls.
 	gap time.Duration
 }
 
-// paces of the kinds that an instance follows. Backend servers change every second or so and must get no new request
-// 2 s after they announced that they leave; the others change rarely.
-var paces = map[objectapi.Kind]pace{
-	objectapi.Configuration: {wait: 5 * time.Second, gap: 100 * time.Millisecond},
-	objectapi.Evacuations:   {wait: 5 * time.Second, gap: 200 * time.Millisecond},
-	objectapi.Backends:      {wait: 1200 * time.Millisecond, gap: 600 * time.Millisecond},
-	objectapi.Instances:     {wait: 10 * time.Second, gap: time.Second},
+// followed are the kinds that an instance follows.
+var followed = []objectapi.Kind{objectapi.Configuration, objectapi.Evacuations, objectapi.Backends, objectapi.Instances}
+
+// rarePace is that of kinds that change rarely. Keep-alive probes and the feed of backend servers show a store that went
+// silent while a call waits. Instances may be known late.
+var (
+	rarePace     = pace{wait: 8 * time.Second, gap: 100 * time.Millisecond}
+	instancePace = pace{wait: 10 * time.Second, gap: 1500 * time.Millisecond}
+)
+
+// paceOf returns the pace of a kind. Backend servers are read at once and often: an answer that was waited for would be
+// as old as the wait, and their news must not grow older than the period.
+func paceOf(kind objectapi.Kind, period time.Duration) pace {
+	if kind == objectapi.Backends {
+		return pace{gap: period}
+	}
+	if kind == objectapi.Instances {
+		return instancePace
+	}
+	return rarePace
 }
 
-// learned is what a feed tells the board.
+// learned is news of one kind, from the store or from a peer.
 type learned struct {
 	kind objectapi.Kind
-	// whole is true when events are all objects of the kind.
+	// whole is true when events are all objects of the kind; else they are the changes after revision base.
 	whole    bool
 	events   []objectapi.Event
+	base     uint64
 	revision uint64
 	// asOf is when the store was asked: its answer is at least as new.
 	asOf time.Time
+	// reader is the instance that asked the store.
+	reader string
+	// reply gets the revision that the board then knows; nil when nobody waits for it.
+	reply chan<- uint64
 }
 
-// storeLost and storeRegained tell the board whether the store answers for a kind.
+// storeLost and storeRegained tell the board whether the store answers this instance.
 type (
 	storeLost     struct{ kind objectapi.Kind }
 	storeRegained struct{ kind objectapi.Kind }
 )
 
+// assignment tells a feed whether to read the store and what is known already.
+type assignment struct {
+	active   bool
+	revision uint64
+}
+
 // feed is the task that follows one kind of objects. It is the context of charts/feed.toml.
 type feed struct {
 	kind    objectapi.Kind
 	pace    pace
+	name    string
 	store   Store
 	board   *task.Mailbox[any]
 	log     *slog.Logger
 	machine *chart.Machine[*feed]
+	// assigned holds the newest assignment, until the feed has taken it.
+	assigned chan assignment
 	// recheck tells that the store answers another feed again: a call that began before may never be answered.
 	recheck chan struct{}
 
@@ -72,36 +101,78 @@
 	failures int
 }
 
-func newFeed(kind objectapi.Kind, store Store, board *task.Mailbox[any], log *slog.Logger) (*feed, error) {
+func newFeed(kind objectapi.Kind, period time.Duration, name string, store Store, board *task.Mailbox[any], log *slog.Logger) (*feed, error) {
 	ch, err := charts.Load("feed", nil)
 	if err != nil {
 		return nil, err
 	}
-	bound, err := chart.Bind(ch, chart.Bindings[*feed]{Actions: map[string]func(*feed){
-		"plan_list":    func(f *feed) { f.step = f.list },
-		"plan_changes": func(f *feed) { f.step = f.changes },
-		"plan_pause":   func(f *feed) { f.step = f.pause },
-	}})
+	bound, err := chart.Bind(ch, chart.Bindings[*feed]{
+		Guards: map[string]func(*feed) bool{"knows_revision": func(f *feed) bool { return f.revision > 0 }},
+		Actions: map[string]func(*feed){
+			"plan_rest":    func(f *feed) { f.step = f.rest },
+			"plan_list":    func(f *feed) { f.step = f.list },
+			"plan_changes": func(f *feed) { f.step = f.changes },
+			"plan_pause":   func(f *feed) { f.step = f.pause },
+		},
+	})
 	if err != nil {
 		return nil, err
 	}
-	f := &feed{kind: kind, pace: paces[kind], store: store, board: board, log: log.With("kind", string(kind)), recheck: make(chan struct{}, 1)}
+	f := &feed{
+		kind: kind, pace: paceOf(kind, period), name: name, store: store, board: board, log: log.With("kind", string(kind)),
+		assigned: make(chan assignment, 1), recheck: make(chan struct{}, 1),
+	}
 	f.machine = bound.New(time.Now(), f)
 	return f, nil
 }
 
 // run is the body of the task.
 func (f *feed) run(ctx context.Context) error {
-	event := "start"
 	for ctx.Err() == nil {
-		if err := f.machine.Fire(time.Now(), event); err != nil {
-			return err
+		event := f.step(ctx)
+		select {
+		case a := <-f.assigned:
+			f.fire(f.assign(a)) // what the step ended with was told to the board
+		default:
+			f.fire(event)
 		}
-		event = f.step(ctx)
 	}
 	return nil
 }
 
+func (f *feed) fire(event string) {
+	if err := f.machine.Fire(time.Now(), event); err != nil {
+		panic(err) // events are constants of this package; a missing one is a programming error
+	}
+}
+
+// give replaces the assignment. Only the board calls it.
+func (f *feed) give(a assignment) {
+	select {
+	case <-f.assigned:
+	default:
+	}
+	f.assigned <- a
+}
+
+func (f *feed) assign(a assignment) string {
+	if !a.active {
+		return "deactivate"
+	}
+	f.revision = max(f.revision, a.revision)
+	return "activate"
+}
+
+// rest waits until the feed is to read.
+func (f *feed) rest(ctx context.Context) string {
+	select {
+	case a := <-f.assigned:
+		return f.assign(a)
+	case <-ctx.Done():
+		return "deactivate"
+	}
+}
+
 func (f *feed) list(ctx context.Context) string {
 	f.called = time.Now()
 	objects, revision, err := f.store.List(ctx, f.kind)
@@ -134,7 +205,8 @@
 	if err != nil {
 		return f.failed(ctx, err)
 	}
-	return f.succeeded(ctx, learned{kind: f.kind, events: events, revision: max(revision, f.revision), asOf: f.called}, "changed")
+	l := learned{kind: f.kind, events: events, base: f.revision, revision: max(revision, f.revision), asOf: f.called}
+	return f.succeeded(ctx, l, "changed")
 }
 
 // interruptible returns a context that ends when the feed is told to ask again.
@@ -150,7 +222,7 @@
 	return call, cancel
 }
 
-// askAgain interrupts a call that waits. It never blocks.
+// askAgain interrupts a call or a pause. It never blocks.
 func (f *feed) askAgain() {
 	select {
 	case f.recheck <- struct{}{}:
@@ -158,14 +230,22 @@
 	}
 }
 
+// succeeded tells the board and goes on from the revision that the board knows.
 func (f *feed) succeeded(ctx context.Context, l learned, event string) string {
 	if f.failures > 0 {
 		f.log.Info("store answers again", "failures", f.failures, "revision", l.revision)
 		_ = f.board.Send(ctx, storeRegained{kind: f.kind}) // only the end of the context stops it
 	}
 	f.failures = 0
-	f.revision = l.revision
-	_ = f.board.Send(ctx, l) // only the end of the context stops it
+	l.reader = f.name
+	known, err := task.Ask(ctx, f.board, func(reply chan<- uint64) any {
+		l.reply = reply
+		return l
+	})
+	if err != nil {
+		return "failed" // the instance stops
+	}
+	f.revision = known
 	return event
 }
 
@@ -185,9 +265,20 @@
 	return "failed"
 }
 
-// pause waits longer after each failure, with a spread that keeps instances from calling at the same moment.
+// pause waits longer after each failure, with a spread that keeps instances from calling at the same moment. While
+// the store is away, only the feed of backend servers tries; the others wait to be told.
 func (f *feed) pause(ctx context.Context) string {
 	base := min(firstPause<<min(f.failures-1, 4), mostPause)
-	task.Pause(ctx, base/2+rand.N(base))
+	wait := base/2 + rand.N(base)
+	if f.kind != objectapi.Backends && f.failures > 1 {
+		wait = otherPause/2 + rand.N(otherPause)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.recheck:
+	case <-ctx.Done():
+	}
 	return "retry"
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -16,7 +16,6 @@
 	"fuchsiahub.example/fuchsiahub/internal/decide/dispatch"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
-	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 	"fuchsiahub.example/fuchsiahub/internal/task"
 )
 
@@ -147,7 +146,7 @@
 	}
 	route, ok := belief.Routes.Match(f.host, f.request.Path)
 	if !ok {
-		if age := time.Since(belief.ConfigAsOf); age > staleConfig+paces[objectapi.Configuration].wait {
+		if age := time.Since(belief.ConfigAsOf); age > staleConfig+rarePace.wait {
 			return f.refuseEarly("no route is known and the configuration may be old", startReturn), false
 		}
 		f.log.Info("request has no route", "request", f.request.ID, "host", f.host, "path", f.request.Path, "version", uint64(belief.Config.Version))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -13,10 +14,14 @@
 	"fuchsiahub.example/fuchsiahub/charts"
 	"fuchsiahub.example/fuchsiahub/internal/backend"
 	"fuchsiahub.example/fuchsiahub/internal/chart"
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/decide/news"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/metric"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/peer"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
 	"fuchsiahub.example/fuchsiahub/internal/task"
 	"fuchsiahub.example/fuchsiahub/internal/tcp"
 )
@@ -33,8 +38,10 @@
 	eventCapacity = 64
 	// acceptPause is the wait after a failed accept, such as one without a free file descriptor.
 	acceptPause = 20 * time.Millisecond
-	// registerTimeout bounds taking the entry of the instance out of the store at the end.
-	registerTimeout = 300 * time.Millisecond
+	// registerGap is the least time between two entries of this instance, mostRegisterPause the longest pause after a
+	// failed one.
+	registerGap       = 5 * time.Second
+	mostRegisterPause = 5 * time.Second
 )
 
 // Gateway is the task that starts and stops all others. It is the context of charts/gateway.toml.
@@ -57,6 +64,8 @@
 	// leaving and quitting are closed when the connections of callers should end; see callers.
 	leaving, quitting chan struct{}
 	listener          net.Listener
+	// unregistered asks the registrar to write the entry of the instance.
+	unregistered chan struct{}
 	// ready is closed when the instance is informed, and read by the readiness answers together with leaving.
 	ready chan struct{}
 	open  int
@@ -67,6 +76,7 @@
 	accepted struct{ conn net.Conn }
 	closed   struct{}
 	informed struct{}
+	reloaded struct{ settings Settings }
 )
 
 // New returns a gateway.
@@ -78,8 +88,8 @@
 	g := &Gateway{
 		settings: settings, schema: schema, store: store, dialect: dialect, log: log, metrics: set,
 		counters: newCounters(set.Registry()), beliefs: &Beliefs{}, inbox: task.NewMailbox[any]("gateway", eventCapacity),
-		leaving: make(chan struct{}), quitting: make(chan struct{}), ready: make(chan struct{}),
-		self: fleet.Instance{Name: settings.Name, Place: settings.Place, Share: settings.Share, Incarnation: uint64(time.Now().UnixNano())},
+		leaving: make(chan struct{}), quitting: make(chan struct{}), ready: make(chan struct{}), unregistered: make(chan struct{}, 1),
+		self: fleet.Instance{Name: settings.Name, Address: settings.PeerAddress, Place: settings.Place, Share: settings.Share, Incarnation: uint64(time.Now().UnixNano())},
 	}
 	return g, g.build()
 }
@@ -90,6 +100,7 @@
 		return err
 	}
 	g.board = newBoard(g.schema, g.beliefs, g.log)
+	g.board.unregistered = g.wantEntry
 	g.director = newDirector(g.self, g.settings.Bounds, kind, g.log, g.counters)
 	requests, err := newForwarding(g.beliefs, g.director.inbox, g.dialect, g.log, g.counters)
 	if err != nil {
@@ -152,7 +163,6 @@
 	g.log.Info("instance starts", "name", g.settings.Name, "zone", g.settings.Place.Zone, "callers", g.settings.CallerAddress)
 	go g.accept(ctx)
 	g.loop(ctx, stop)
-	g.deregister()
 	tasks.Stop()
 	g.log.Info("instance stops", "open_connections", g.open)
 	return tasks.Wait()
@@ -168,15 +178,8 @@
 			}
 		},
 	}
-	for kind := range paces {
-		f, err := newFeed(kind, g.store, g.board.inbox, g.log)
-		if err != nil {
-			return err
-		}
-		g.board.feeds[kind] = f
-	}
-	for kind, f := range g.board.feeds {
-		tasks.Go("feed "+string(kind), f.run)
+	if err := g.startNews(tasks); err != nil {
+		return err
 	}
 	tasks.Go("board", g.board.run)
 	tasks.Go("director", g.director.run)
@@ -190,6 +193,43 @@
 	return nil
 }
 
+// startNews starts the tasks that learn what is in the store, from the store or from peers.
+func (g *Gateway) startNews(tasks *task.Group) error {
+	client, err := peer.NewClient(func() *member.View { return nil }, tcp.Dial, nil, g.metrics.Registry())
+	if err != nil {
+		return err
+	}
+	pace := news.NewPace(g.settings.Bounds.Drain)
+	g.board.reader, err = newReader(g.board, g.self, pace, client, g.settings.Seeds)
+	if err != nil {
+		return err
+	}
+	for _, kind := range followed {
+		f, err := newFeed(kind, pace.Period, g.self.Name, g.store, g.board.inbox, g.log)
+		if err != nil {
+			return err
+		}
+		g.board.reader.feeds[kind] = f
+		tasks.Go("feed "+string(kind), f.run)
+	}
+	server, err := peer.NewServer(peer.Handlers{News: g.giveNews}, nil, g.metrics.Registry(), g.log)
+	if err != nil {
+		return err
+	}
+	listener, err := tcp.Listen(tasks.Context(), g.settings.PeerAddress)
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "free the address or change it", "address for peers cannot be used")
+	}
+	tasks.Go("peer client", client.Run)
+	tasks.Go("peer server", func(ctx context.Context) error { return server.Run(ctx, listener) })
+	return nil
+}
+
+// giveNews answers a peer.
+func (g *Gateway) giveNews(ctx context.Context, request *peerpb.NewsRequest) (*peerpb.NewsReply, error) {
+	return task.Ask(ctx, g.board.inbox, func(reply chan<- *peerpb.NewsReply) any { return newsWanted{request: request, reply: reply} })
+}
+
 // loop is the body of the gateway task until the instance has stopped.
 func (g *Gateway) loop(ctx context.Context, stop context.Context) {
 	stopped := stop.Done()
@@ -238,7 +278,26 @@
 		g.counters.callers.Update(int64(g.open))
 	case informed:
 		g.fire("informed")
+	case reloaded:
+		g.reload(ctx, m.settings)
+	}
+}
+
+// Reload puts changed settings in force. Addresses and the place of an instance stay until it starts again.
+func (g *Gateway) Reload(ctx context.Context, s Settings) {
+	_ = g.inbox.Send(ctx, reloaded{settings: s}) // only the end of the process stops it
+}
+
+func (g *Gateway) reload(ctx context.Context, s Settings) {
+	if err := s.Check(); err != nil {
+		g.log.Error("settings are not valid; those in force stay", "error", err)
+		return
 	}
+	moved := s.CallerAddress != g.settings.CallerAddress || s.PeerAddress != g.settings.PeerAddress || s.StoreAddress != g.settings.StoreAddress
+	g.log.Info("settings are read again", "bounds_changed", s.Bounds != g.settings.Bounds, "needs_restart", moved)
+	g.settings.Bounds = s.Bounds
+	_ = g.director.inbox.Send(ctx, rebound{bounds: s.Bounds}) // only the end of the process stops it
+	_ = g.board.inbox.Send(ctx, rebound{bounds: s.Bounds})    // same
 }
 
 // accept passes connections to the gateway task until the listener is closed.
@@ -259,28 +318,37 @@
 	}
 }
 
-// register writes the entry of this instance into the store, so that others find it.
+// register writes the entry of this instance into the store whenever the board finds that it is missing, so that others
+// find the instance.
 func (g *Gateway) register(ctx context.Context) error {
 	value, err := g.schema.EncodeInstance(g.self)
 	if err != nil {
 		return err
 	}
-	for pause := firstPause; ctx.Err() == nil; pause = min(2*pause, mostPause) {
-		err := g.store.Write(ctx, objectapi.Instances, g.self.Name, value)
-		if err == nil {
+	pause := firstPause
+	for {
+		select {
+		case <-g.unregistered:
+		case <-ctx.Done():
 			return nil
 		}
+		if err := g.store.Write(ctx, objectapi.Instances, g.self.Name, value); err == nil || ctx.Err() != nil {
+			pause = firstPause
+			task.Pause(ctx, registerGap) // the news of the entry take a while
+			continue
+		}
 		g.log.Warn("instance is not registered", "error", err)
-		task.Pause(ctx, pause)
+		task.Pause(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, mostRegisterPause)
+		g.wantEntry()
 	}
-	return nil
 }
 
-func (g *Gateway) deregister() {
-	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
-	defer cancel()
-	if err := g.store.Remove(ctx, objectapi.Instances, g.self.Name); err != nil {
-		g.log.Warn("instance stays registered", "error", err)
+// wantEntry asks for the entry to be written. It never blocks.
+func (g *Gateway) wantEntry() {
+	select {
+	case g.unregistered <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -24,8 +24,10 @@
 	CallerAddress, ReadinessAddress string
 	// ReadinessPath is the path on which the balancer asks.
 	ReadinessPath string
-	// PeerPort answers other instances; zero answers none.
-	PeerPort int
+	// PeerAddress answers other instances.
+	PeerAddress string
+	// Seeds are peer addresses of some instances. They may be out of date.
+	Seeds []string
 	// MetricsAddress serves counters and histograms; empty serves none.
 	MetricsAddress string
 	// LogLevel is the least level that is logged.
@@ -62,7 +64,8 @@
 // Check returns the first setting that is missing or wrong.
 func (s *Settings) Check() error {
 	for _, a := range []struct{ name, value string }{
-		{"address for callers", s.CallerAddress}, {"address for readiness", s.ReadinessAddress}, {"address of the store", s.StoreAddress},
+		{"address for callers", s.CallerAddress}, {"address for readiness", s.ReadinessAddress}, {"address for peers", s.PeerAddress},
+		{"address of the store", s.StoreAddress},
 	} {
 		if _, _, err := net.SplitHostPort(a.value); err != nil {
 			return fault.Wrap(err, fault.Invalid, "set it to HOST:PORT", "setting %q is %q", a.name, a.value)
--- a/internal/peer/caller.go
+++ b/internal/peer/caller.go
@@ -31,4 +31,5 @@
 	Settle    func(context.Context, *peerpb.SettleRequest) (*peerpb.SettleReply, error)
 	Strike    func(context.Context, *peerpb.StrikeRequest) (*peerpb.StrikeReply, error)
 	Status    func(context.Context, *peerpb.StatusRequest) (*peerpb.StatusReply, error)
+	News      func(context.Context, *peerpb.NewsRequest) (*peerpb.NewsReply, error)
 }
--- a/internal/peer/calls.go
+++ b/internal/peer/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/peerpb"
 )
@@ -53,3 +54,9 @@
 func (c *Client) Status(ctx context.Context, to string, in *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
 	return invoke(ctx, c, to, normal, statusTimeout, in, peerpb.DRPCPeerClient.Status)
 }
+
+// News asks for changes in the platform's store. The answer may be held for the time that the request says.
+func (c *Client) News(ctx context.Context, to string, in *peerpb.NewsRequest) (*peerpb.NewsReply, error) {
+	limit := newsTimeout + time.Duration(in.GetWaitMs())*time.Millisecond
+	return invoke(ctx, c, to, normal, limit, in, peerpb.DRPCPeerClient.News)
+}
--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -43,4 +43,7 @@
 	statusTimeout    = 2 * time.Second
 	claimTimeout     = 5 * time.Second
 	documentsTimeout = 5 * time.Second
+	// newsTimeout is the time of a news call beyond the time for which its answer is held: 25 round trips between
+	// regions.
+	newsTimeout = 400 * time.Millisecond
 )
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -73,3 +73,8 @@
 func (s *service) Status(ctx context.Context, in *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
 	return serve(s, ctx, in, s.handlers.Status)
 }
+
+// News answers with changes in the platform's store.
+func (s *service) News(ctx context.Context, in *peerpb.NewsRequest) (*peerpb.NewsReply, error) {
+	return serve(s, ctx, in, s.handlers.News)
+}
