Let a restarted instance read the store after 120 ms without an answer of its seeds

Ruled out: reading at once at every start, which costs four lists an instance on the first start, when nobody is served.

Change: the wait is 120 ms, and 1 s only when the whole system starts for the first time.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,7 +15,6 @@
 	"fuchsiahub.example/fuchsiahub/internal/backend"
 	"fuchsiahub.example/fuchsiahub/internal/chart"
 	"fuchsiahub.example/fuchsiahub/internal/decide/member"
-	"fuchsiahub.example/fuchsiahub/internal/decide/news"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/metric"
@@ -199,13 +198,12 @@
 	if err != nil {
 		return err
 	}
-	pace := news.NewPace(g.settings.Bounds.Drain)
-	g.board.reader, err = newReader(g.board, g.self, pace, client, g.settings.Seeds)
+	g.board.reader, err = newReader(g.board, g.self, &g.settings, client)
 	if err != nil {
 		return err
 	}
 	for _, kind := range followed {
-		f, err := newFeed(kind, pace.Period, g.self.Name, g.store, g.board.inbox, g.log)
+		f, err := newFeed(kind, g.board.reader.pace.Period, g.self.Name, g.store, g.board.inbox, g.log)
 		if err != nil {
 			return err
 		}
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -15,8 +15,11 @@
 )
 
 const (
-	// firstAsk is how long a starting instance waits for the peers that its settings name.
-	firstAsk = time.Second
+	// firstAsk is how long a starting instance waits for the peers that its settings name: several round trips between
+	// regions. When the whole system starts for the first time, these peers are starting as well, and nobody is served
+	// yet.
+	firstAsk     = 120 * time.Millisecond
+	firstAskBoot = time.Second
 	// peerPause is how long a peer that did not answer is not asked; startPause is the same while this instance starts
 	// and the peers that its settings name may be starting as well.
 	peerPause  = 2 * time.Second
@@ -62,6 +65,8 @@
 	client *peer.Client
 	sender *peerpb.Sender
 	seeds  []string
+	// wait is how long the seeds are waited for.
+	wait time.Duration
 	// isSeed is true when other instances ask this one at their start, so that it must not wait for them.
 	isSeed  bool
 	feeds   map[objectapi.Kind]*feed
@@ -77,7 +82,7 @@
 	held    []heldQuestion
 }
 
-func newReader(b *board, self fleet.Instance, pace news.Pace, client *peer.Client, seeds []string) (*reader, error) {
+func newReader(b *board, self fleet.Instance, settings *Settings, client *peer.Client) (*reader, error) {
 	ch, err := charts.Load("news", nil)
 	if err != nil {
 		return nil, err
@@ -96,12 +101,16 @@
 		return nil, err
 	}
 	r := &reader{
-		board: b, self: self, pace: pace, client: client, seeds: slices.DeleteFunc(slices.Clone(seeds), func(a string) bool { return a == self.Address }),
-		isSeed: slices.Contains(seeds, self.Address), feeds: map[objectapi.Kind]*feed{}, asking: map[string]bool{}, askedAt: map[string]time.Time{}, failing: map[string]time.Time{},
+		board: b, self: self, pace: news.NewPace(settings.Bounds.Drain), client: client, wait: firstAsk,
+		seeds:  slices.DeleteFunc(slices.Clone(settings.Seeds), func(a string) bool { return a == self.Address }),
+		isSeed: slices.Contains(settings.Seeds, self.Address), feeds: map[objectapi.Kind]*feed{}, asking: map[string]bool{}, askedAt: map[string]time.Time{}, failing: map[string]time.Time{},
 		sender: &peerpb.Sender{
 			Instance: self.Name, Incarnation: self.Incarnation, Region: self.Place.Region, Zone: self.Place.Zone, Protocol: peer.ProtocolVersion,
 		},
 	}
+	if settings.FirstStart {
+		r.wait = firstAskBoot
+	}
 	r.reorder()
 	r.machine = bound.New(time.Now(), r)
 	return r, nil
@@ -141,7 +150,7 @@
 func (r *reader) look(ctx context.Context, now time.Time) {
 	switch age := r.age(now); {
 	case r.board.asOf[objectapi.Backends].IsZero():
-		if len(r.seeds) == 0 || r.isSeed || now.Sub(r.started) >= firstAsk {
+		if len(r.seeds) == 0 || r.isSeed || now.Sub(r.started) >= r.wait {
 			r.fire("stale")
 		}
 	case age > r.pace.LimitOf(r.standing.Rank):
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -32,6 +32,8 @@
 	MetricsAddress string
 	// LogLevel is the least level that is logged.
 	LogLevel slog.Level
+	// FirstStart is true only when all instances start for the first time.
+	FirstStart bool
 	// StoreAddress is that of the platform's store.
 	StoreAddress string
 	// Regions maps each availability zone to its region.
