--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -65,12 +65,16 @@
 		<-logged
 	}()
 	logger := log.Logger()
+	listeners, err := gateway.Listen(ctx, &s)
+	if err != nil {
+		return err
+	}
 	g, err := gateway.New(s, platform.NewStore(s.StoreAddress), platform.Schema{Regions: s.Regions}, platform.Dialect{}, logger)
 	if err != nil {
 		return err
 	}
 	go watchSettings(logCtx, path, hangUp, g, logger)
-	return g.Run(ctx)
+	return g.Run(ctx, listeners)
 }
 
 // watchSettings reads the settings again after a signal and when their file has changed.
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -49,7 +49,8 @@
 	// lapsed holds entries that were removed while the store was away or just after, until they count as gone.
 	lapsed     map[string]time.Time
 	regainedAt time.Time
-	lost       bool
+	// unanswered holds the kinds whose feeds had no answer to their last call.
+	unanswered map[objectapi.Kind]bool
 	// refused holds the revision of the last invalid object by kind and name, so that each is logged once.
 	refused map[string]uint64
 }
@@ -58,7 +59,8 @@
 	return &board{
 		inbox: task.NewMailbox[any]("board", boardCapacity), schema: schema, beliefs: beliefs, log: log,
 		backends: map[string]*fleet.Backend{}, evacuated: map[string]bool{}, instances: map[string]fleet.Instance{},
-		archive: archive{}, readBy: map[objectapi.Kind]string{}, asOf: map[objectapi.Kind]time.Time{}, lapsed: map[string]time.Time{}, refused: map[string]uint64{},
+		archive: archive{}, readBy: map[objectapi.Kind]string{}, asOf: map[objectapi.Kind]time.Time{}, lapsed: map[string]time.Time{},
+		unanswered: map[objectapi.Kind]bool{}, refused: map[string]uint64{},
 	}
 }
 
@@ -94,14 +96,15 @@
 func (b *board) handle(now time.Time, m any) {
 	switch m := m.(type) {
 	case storeLost:
-		if m.kind == objectapi.Backends {
-			b.lost = true
-		}
+		b.unanswered[m.kind] = true
 	case storeRegained:
 		b.regained(now, m.kind)
 	case learned:
 		b.learn(now, m)
 		m.reply <- b.archive.shelf(m.kind).revision
+		if m.kind == objectapi.Backends {
+			b.recheck()
+		}
 	case newsWanted:
 		b.reader.wanted(now, m)
 	case newsGiven:
@@ -111,12 +114,14 @@
 	}
 }
 
-// regained lets the other feeds ask again at once: a call that began while the store was away may hang.
+// regained notes that the store answers a feed again.
 func (b *board) regained(now time.Time, kind objectapi.Kind) {
+	delete(b.unanswered, kind)
 	if kind != objectapi.Backends {
 		return
 	}
-	b.lost, b.regainedAt = false, now
+	b.regainedAt = now
+	// A call of another feed that began while the store was away may hang.
 	for other, f := range b.reader.feeds {
 		if other != kind {
 			f.askAgain()
@@ -124,6 +129,16 @@
 	}
 }
 
+// recheck lets feeds that had no answer ask again, since the store has just answered another one.
+func (b *board) recheck() {
+	for kind := range b.unanswered {
+		b.reader.feeds[kind].askAgain()
+	}
+}
+
+// lost reports whether the store does not answer this instance.
+func (b *board) lost() bool { return b.unanswered[objectapi.Backends] }
+
 // learn takes news of one kind, unless newer ones are known.
 func (b *board) learn(now time.Time, l learned) {
 	shelf := b.archive.shelf(l.kind)
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -19,12 +19,6 @@
 const (
 	// directorCapacity bounds the messages that wait at the director.
 	directorCapacity = 1024
-	// nearWait is how long a placement waits for the reports of near servers: several round trips within a region.
-	nearWait = 8 * time.Millisecond
-	// farWait is the same when servers of other regions are asked: a dial and a round trip of 16 ms.
-	farWait = 45 * time.Millisecond
-	// mostWait is how long a placement waits when no server has reported at all.
-	mostWait = 120 * time.Millisecond
 	// nearAsked and farAsked bound the servers that are asked for one placement.
 	nearAsked = 6
 	farAsked  = 3
@@ -108,6 +102,7 @@
 	inbox    *task.Mailbox[any]
 	self     fleet.Instance
 	bounds   Bounds
+	timing   Timing
 	tuning   placement.Tuning
 	kind     *backend.Kind
 	log      *slog.Logger
@@ -123,9 +118,9 @@
 	pools context.Context
 }
 
-func newDirector(self fleet.Instance, bounds Bounds, kind *backend.Kind, log *slog.Logger, counters *counters) *director {
+func newDirector(self fleet.Instance, settings *Settings, kind *backend.Kind, log *slog.Logger, counters *counters) *director {
 	return &director{
-		inbox: task.NewMailbox[any]("director", directorCapacity), self: self, bounds: bounds, tuning: placement.DefaultTuning(),
+		inbox: task.NewMailbox[any]("director", directorCapacity), self: self, bounds: settings.Bounds, timing: settings.Timing, tuning: placement.DefaultTuning(),
 		kind: kind, log: log, counters: counters, belief: &Belief{View: &fleet.View{}}, servers: map[string]*server{},
 		work: map[string]time.Duration{}, budgets: map[string]*resend.Budget{},
 	}
@@ -234,7 +229,7 @@
 		m.reply(unplaced{reason: "resend budget is used up", retryAfter: d.retryAfter(now, &m, 0)})
 		return
 	}
-	p := &pending{place: m, began: now, decideBy: now.Add(nearWait)}
+	p := &pending{place: m, began: now, decideBy: now.Add(d.timing.Near)}
 	p.servers = d.usable(now, &m, false)
 	if len(p.servers) == 0 {
 		d.extend(now, p)
@@ -255,7 +250,7 @@
 // extend adds servers of other regions to a placement.
 func (d *director) extend(now time.Time, p *pending) {
 	p.far = true
-	p.decideBy = now.Add(farWait)
+	p.decideBy = now.Add(d.timing.Far)
 	p.servers = append(p.servers, d.usable(now, &p.place, true)...)
 }
 
@@ -297,7 +292,7 @@
 		}
 		s.probing, s.asked = true, now
 		d.counters.checks.Inc(1)
-		s.check(ctx, d.belief.Config.Services[s.entry.Service], func(r backend.Result) {
+		s.check(ctx, d.timing.Check, d.belief.Config.Services[s.entry.Service], func(r backend.Result) {
 			_ = d.inbox.Send(ctx, checked{server: s, result: r}) // only the end of the context stops it
 		})
 	}
@@ -326,8 +321,8 @@
 
 // decide answers a placement and reports true, or reports false when it still waits.
 func (d *director) decide(ctx context.Context, now time.Time, p *pending) bool {
-	due := !now.Before(p.decideBy)
-	if !due && slices.ContainsFunc(p.servers, func(s *server) bool { return s.probing }) {
+	waits := slices.ContainsFunc(p.servers, func(s *server) bool { return s.probing })
+	if waits && now.Before(p.decideBy) {
 		return false
 	}
 	demand := d.demand(now, &p.place)
@@ -340,25 +335,15 @@
 	if !p.far {
 		d.extend(now, p)
 		d.ask(ctx, now, p.servers)
-		return len(p.servers) == 0 && d.refuse(now, p, demand, choice)
+		return d.decide(ctx, now, p)
 	}
-	if len(servers) == 0 && len(p.servers) > 0 && now.Sub(p.began) < mostWait {
-		p.decideBy = min2(p.began.Add(mostWait), now.Add(farWait))
-		if !due {
-			return d.refuse(now, p, demand, choice)
-		}
+	if waits && len(servers) == 0 && now.Sub(p.began) < d.timing.Most {
+		p.decideBy = p.began.Add(d.timing.Most)
 		return false
 	}
 	return d.refuse(now, p, demand, choice)
 }
 
-func min2(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 func (d *director) demand(now time.Time, m *place) placement.Demand {
 	return placement.Demand{Work: d.workOf(m.route), Left: m.until.Sub(now), Objective: m.objective.Sub(now)}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,9 +26,6 @@
 )
 
 const (
-	// announceTime is how long new connections still arrive after the readiness was turned off: two questions of the
-	// balancer, one a second, and their timeouts.
-	announceTime = 2600 * time.Millisecond
 	// graceReserve is the part of the time to stop that is kept for the end of the process.
 	graceReserve = 300 * time.Millisecond
 	// connectionIdle retires an idle connection to a backend server before most servers close it.
@@ -100,7 +97,7 @@
 	}
 	g.board = newBoard(g.schema, g.beliefs, g.log)
 	g.board.unregistered = g.wantEntry
-	g.director = newDirector(g.self, g.settings.Bounds, kind, g.log, g.counters)
+	g.director = newDirector(g.self, &g.settings, kind, g.log, g.counters)
 	requests, err := newForwarding(g.beliefs, g.director.inbox, g.dialect, g.log, g.counters)
 	if err != nil {
 		return err
@@ -114,7 +111,7 @@
 
 func (g *Gateway) bind() error {
 	ch, err := charts.Load("gateway", charts.Params{
-		"announce_time": announceTime, "drain_time": g.settings.Bounds.Grace - announceTime - graceReserve,
+		"announce_time": g.settings.Timing.Announce, "drain_time": g.settings.Bounds.Grace - g.settings.Timing.Announce - graceReserve,
 	})
 	if err != nil {
 		return err
@@ -146,20 +143,55 @@
 	close(g.quitting)
 }
 
-// Run serves until stop ends, then stops gracefully. It returns an error when an address cannot be used.
-func (g *Gateway) Run(stop context.Context) error {
+// Listeners are the sockets on which an instance is reached.
+type Listeners struct {
+	Callers, Readiness, Peers net.Listener
+	// Metrics is nil when measurements are not served.
+	Metrics net.Listener
+}
+
+// Listen opens the sockets that the settings name. It writes the addresses that they have into the settings, since a
+// port of zero takes any free one.
+func Listen(ctx context.Context, s *Settings) (*Listeners, error) {
+	l := &Listeners{}
+	for _, socket := range []struct {
+		listener *net.Listener
+		address  *string
+	}{
+		{&l.Callers, &s.CallerAddress}, {&l.Readiness, &s.ReadinessAddress}, {&l.Peers, &s.PeerAddress}, {&l.Metrics, &s.MetricsAddress},
+	} {
+		if *socket.address == "" {
+			continue
+		}
+		listener, err := tcp.Listen(ctx, *socket.address)
+		if err != nil {
+			l.close()
+			return nil, fault.Wrap(err, fault.Invalid, "free the address or change it", "address %s cannot be used", *socket.address)
+		}
+		*socket.listener, *socket.address = listener, listener.Addr().String()
+	}
+	return l, nil
+}
+
+func (l *Listeners) close() {
+	for _, listener := range []net.Listener{l.Callers, l.Readiness, l.Peers, l.Metrics} {
+		if listener != nil {
+			_ = listener.Close() // nothing was served on it
+		}
+	}
+}
+
+// Run serves on the listeners until stop ends, then stops gracefully.
+func (g *Gateway) Run(stop context.Context, listeners *Listeners) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	listener, err := tcp.Listen(ctx, g.settings.CallerAddress)
-	if err != nil {
-		return fault.Wrap(err, fault.Invalid, "free the address or change it", "address for callers cannot be used")
-	}
-	g.listener = listener
+	g.listener = listeners.Callers
 	tasks := task.NewGroup(ctx)
-	if err := g.start(tasks); err != nil {
+	if err := g.start(tasks, listeners); err != nil {
 		return err
 	}
-	g.log.Info("instance starts", "name", g.settings.Name, "zone", g.settings.Place.Zone, "callers", g.settings.CallerAddress)
+	g.log.Info("instance starts", "name", g.settings.Name, "zone", g.settings.Place.Zone, "callers", g.settings.CallerAddress,
+		"incarnation", g.self.Incarnation)
 	go g.accept(ctx)
 	g.loop(ctx, stop)
 	tasks.Stop()
@@ -168,7 +200,7 @@
 }
 
 // start starts the tasks that last as long as the instance.
-func (g *Gateway) start(tasks *task.Group) error {
+func (g *Gateway) start(tasks *task.Group, listeners *Listeners) error {
 	g.board.published = []func(*Belief){
 		func(b *Belief) { _ = g.director.inbox.Send(tasks.Context(), believed{belief: b}) }, // only the end stops it
 		func(b *Belief) {
@@ -177,23 +209,21 @@
 			}
 		},
 	}
-	if err := g.startNews(tasks); err != nil {
+	if err := g.startNews(tasks, listeners.Peers); err != nil {
 		return err
 	}
 	tasks.Go("board", g.board.run)
 	tasks.Go("director", g.director.run)
 	tasks.Go("registrar", g.register)
-	if err := g.serveOperations(tasks, g.settings.ReadinessAddress, g.readiness()); err != nil {
-		return err
-	}
-	if g.settings.MetricsAddress != "" {
-		return g.serveOperations(tasks, g.settings.MetricsAddress, g.measurements())
+	serveOperations(tasks, listeners.Readiness, g.readiness())
+	if listeners.Metrics != nil {
+		serveOperations(tasks, listeners.Metrics, g.measurements())
 	}
 	return nil
 }
 
 // startNews starts the tasks that learn what is in the store, from the store or from peers.
-func (g *Gateway) startNews(tasks *task.Group) error {
+func (g *Gateway) startNews(tasks *task.Group, listener net.Listener) error {
 	client, err := peer.NewClient(func() *member.View { return nil }, tcp.Dial, nil, g.metrics.Registry())
 	if err != nil {
 		return err
@@ -214,10 +244,6 @@
 	if err != nil {
 		return err
 	}
-	listener, err := tcp.Listen(tasks.Context(), g.settings.PeerAddress)
-	if err != nil {
-		return fault.Wrap(err, fault.Invalid, "free the address or change it", "address for peers cannot be used")
-	}
 	tasks.Go("peer client", client.Run)
 	tasks.Go("peer server", func(ctx context.Context) error { return server.Run(ctx, listener) })
 	return nil
@@ -350,20 +376,15 @@
 	}
 }
 
-func (g *Gateway) serveOperations(tasks *task.Group, address string, handler http.Handler) error {
-	listener, err := tcp.Listen(tasks.Context(), address)
-	if err != nil {
-		return fault.Wrap(err, fault.Invalid, "free the address or change it", "address %s cannot be used", address)
-	}
+func serveOperations(tasks *task.Group, listener net.Listener, handler http.Handler) {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdle}
-	tasks.Go("operations "+address, func(ctx context.Context) error {
+	tasks.Go("operations", func(ctx context.Context) error {
 		context.AfterFunc(ctx, func() { _ = server.Close() }) // the process ends
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
 	})
-	return nil
 }
 
 // readiness answers the balancer.
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -167,7 +167,7 @@
 	switch {
 	case r.machine.In("asking"):
 		return r.idle(now, r.seeds, len(r.seeds), 0)
-	case r.machine.In("reading") && r.board.lost:
+	case r.machine.In("reading") && r.board.lost():
 		return r.idle(now, r.everyone(), lostAsked, checkGap)
 	case r.machine.In("reading"):
 		return r.idle(now, addresses(r.standing.Before), 1, checkGap)
@@ -289,7 +289,7 @@
 	if now.Sub(l.asOf) > r.pace.LimitOf(r.standing.Rank) || l.reader == r.self.Name {
 		return
 	}
-	if r.board.lost || r.standing.YieldsTo(l.reader) {
+	if r.board.lost() || r.standing.YieldsTo(l.reader) {
 		r.fire("outranked")
 		return
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -21,8 +21,6 @@
 	freshFar  = 120 * time.Millisecond
 	// freshPlain is the same for services whose servers do not report load: their health checks wait for a slot.
 	freshPlain = time.Second
-	// probeTimeout bounds a health check; with it, a server that does not answer is found before a request is sent.
-	probeTimeout = 250 * time.Millisecond
 	// silencePause is the pause between checks of a server that does not answer.
 	silencePause = 150 * time.Millisecond
 	// reportKept is how long a report counts at all.
@@ -148,8 +146,8 @@
 
 // check asks the server for its health and load on a connection of its pool. The connection that answers is the next
 // one to carry a request, so that a request is not sent on a connection that the server has forgotten.
-func (s *server) check(ctx context.Context, service fleet.Service, done func(backend.Result)) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+func (s *server) check(ctx context.Context, limit time.Duration, service fleet.Service, done func(backend.Result)) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	pool := s.pool
 	request := &call.Request{Method: http.MethodGet, Service: s.entry.Address, Path: service.HealthPath}
 	go func() {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -41,6 +41,28 @@
 	// Heartbeat is the time between two entries of a backend server.
 	Heartbeat time.Duration
 	Bounds    Bounds
+	Timing    Timing
+}
+
+// Timing holds the times that depend on how fast machines and networks are. The platform sets none of them.
+type Timing struct {
+	// Near is how long a placement waits for the reports of servers of the own region, Far the same for other regions,
+	// and Most when no server has reported at all.
+	Near, Far, Most time.Duration
+	// Check bounds a health check; with it, a server that does not answer is found before a request is sent.
+	Check time.Duration
+	// Announce is how long new connections still arrive after the readiness was turned off.
+	Announce time.Duration
+}
+
+// DefaultTiming returns the times for small machines and 16 ms between regions: Near is several round trips within a
+// region, Far a dial and a round trip between regions, Announce two questions of the balancer, one a second, and their
+// timeouts.
+func DefaultTiming() Timing {
+	return Timing{
+		Near: 8 * time.Millisecond, Far: 45 * time.Millisecond, Most: 120 * time.Millisecond, Check: 250 * time.Millisecond,
+		Announce: 2600 * time.Millisecond,
+	}
 }
 
 // Bounds are the terms that the platform sets for the whole fleet.
