--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -91,7 +91,6 @@
 type simServer struct {
 	running int
 	queue   []simRequest
-	slowTil time.Duration
 	slow    bool
 }
 
--- a/internal/decide/resend/budget_test.go
+++ b/internal/decide/resend/budget_test.go
@@ -56,7 +56,11 @@
 // Guards against a budget that never allows a resend where requests are few.
 func TestSlackAllowsResends(t *testing.T) {
 	b := NewBudget(Terms{Ratio: 0.2, Slack: 58, Window: 10 * time.Second})
-	if now := time.Unix(1000, 0); !b.Take(now, 15) || !b.Take(now, 15) || !b.Take(now, 15) || b.Take(now, 15) {
-		t.Error("an instance of 15 has another share than three resends without requests")
+	taken := 0
+	for b.Take(time.Unix(1000, 0), 15) {
+		taken++
+	}
+	if taken != 3 {
+		t.Errorf("one of 15 instances may send %d times again without requests, want 3", taken)
 	}
 }
