Learn for each backend server how long its slowness lasts

Cause: the model let the present slowdown of a server last for 150 ms and the same mean follow for all servers.

Change: the director keeps the mean slowdown of the last 1.5 s of each server, which follows the residual time.

--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -28,6 +28,8 @@
 	Slots, Running, Waiting int
 	// Slowdown is how long work takes at the moment, 1 being usual.
 	Slowdown float64
+	// Usual is the slowdown of this server over the last seconds; zero when it is not known.
+	Usual float64
 	// Success is the share of recent requests that got an answer, from 0 to 1.
 	Success float64
 	// Cold servers are slower.
@@ -50,7 +52,7 @@
 type Tuning struct {
 	// Residual is how long a server's speed lasts after a report.
 	Residual time.Duration
-	// MeanSlowdown is the slowdown of servers over time.
+	// MeanSlowdown is the slowdown over time of a server of which it is not known.
 	MeanSlowdown float64
 	// Knee is the share of busy slots above which work slows down by KneeFactor.
 	Knee       float64
@@ -87,7 +89,7 @@
 		// The requests before this one leave one after the other, Slots of them in the time of one.
 		work += work * float64(queued) / float64(max(c.Slots, 1))
 	}
-	work = t.stretch(work, c.Slowdown)
+	work = t.stretch(work, c.Slowdown, c.Usual)
 	work /= max(c.Success, t.LeastSuccess)
 	expected := time.Duration(work) + c.RoundTrip
 	if !c.Reported {
@@ -96,17 +98,20 @@
 	return expected
 }
 
-// stretch returns how long work takes when the present slowdown lasts for the residual time and the mean follows.
-func (t Tuning) stretch(work, slowdown float64) float64 {
+// stretch returns how long work takes when the present slowdown lasts for the residual time and the usual one follows.
+func (t Tuning) stretch(work, slowdown, usual float64) float64 {
+	if usual <= 0 {
+		usual = t.MeanSlowdown
+	}
 	if slowdown <= 0 {
-		slowdown = t.MeanSlowdown
+		slowdown = usual
 	}
 	residual := float64(t.Residual)
 	done := residual / slowdown
 	if work <= done {
 		return work * slowdown
 	}
-	return residual + (work-done)*t.MeanSlowdown
+	return residual + (work-done)*usual
 }
 
 // Choice is the outcome of Choose.
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -16,13 +16,14 @@
 // Guards against a choice that ignores one of the things that delay an answer.
 func TestChooseAvoids(t *testing.T) {
 	for name, worse := range map[string]func(*Candidate){
-		"slow":        func(c *Candidate) { c.Slowdown = 4 },
-		"full":        func(c *Candidate) { c.Running = 6; c.Waiting = 3 },
-		"nearly full": func(c *Candidate) { c.Running = 5 },
-		"failing":     func(c *Candidate) { c.Success = 0.4 },
-		"cold":        func(c *Candidate) { c.Cold = true },
-		"unreported":  func(c *Candidate) { c.Reported = false },
-		"far away":    func(c *Candidate) { c.RoundTrip = 50 * time.Millisecond },
+		"slow":             func(c *Candidate) { c.Slowdown = 4 },
+		"full":             func(c *Candidate) { c.Running = 6; c.Waiting = 3 },
+		"nearly full":      func(c *Candidate) { c.Running = 5 },
+		"slow for seconds": func(c *Candidate) { c.Slowdown, c.Usual = 12, 12 },
+		"failing":          func(c *Candidate) { c.Success = 0.4 },
+		"cold":             func(c *Candidate) { c.Cold = true },
+		"unreported":       func(c *Candidate) { c.Reported = false },
+		"far away":         func(c *Candidate) { c.RoundTrip = 50 * time.Millisecond },
 	} {
 		bad := idle(SameZone)
 		worse(&bad)
@@ -48,6 +49,17 @@
 	}
 }
 
+// Guards against an estimate that takes a server as slow for long because it is slow at the moment, or the reverse.
+func TestSlownessThatLasts(t *testing.T) {
+	passing, lasting := idle(SameZone), idle(SameZone)
+	passing.Slowdown, passing.Usual = 4, 1.5
+	lasting.Slowdown, lasting.Usual = 4, 4
+	tuning := DefaultTuning()
+	if short, long := tuning.Expected(demand, passing), tuning.Expected(demand, lasting); short > 450*time.Millisecond || long < 700*time.Millisecond {
+		t.Errorf("200 ms of work are expected to take %s and %s", short, long)
+	}
+}
+
 // Guards against a request that is sent although it cannot be answered in time.
 func TestNothingIsChosenTooLate(t *testing.T) {
 	full := idle(SameZone)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -49,8 +50,10 @@
 	// misplaced is true when another server answers at the address.
 	misplaced bool
 	roundTrip time.Duration
-	score     outlier.Score
-	cold      coldstart.Meter
+	// usual is the mean slowdown of the last seconds; zero until one was reported.
+	usual float64
+	score outlier.Score
+	cold  coldstart.Meter
 }
 
 // report is what a server told about itself.
@@ -102,7 +105,7 @@
 func (s *server) candidate(now time.Time) placement.Candidate {
 	c := placement.Candidate{
 		Distance: s.distance, RoundTrip: s.roundTrip, Slots: s.entry.Slots, Running: s.inFlight, Slowdown: s.report.slowdown,
-		Success: s.score.Value(now), Cold: s.isCold(now), Reported: s.isFresh(now) && s.report.well,
+		Usual: s.usual, Success: s.score.Value(now), Cold: s.isCold(now), Reported: s.isFresh(now) && s.report.well,
 	}
 	if s.report.load && now.Sub(s.report.at) <= reportKept {
 		c.Running = max(s.report.running+s.report.sent, s.inFlight)
@@ -119,12 +122,27 @@
 	if !r.LoadKnown {
 		return
 	}
+	s.learnUsual(now, r.Slowdown)
 	s.report = report{
 		at: now, running: r.Running, waiting: r.Waiting, slots: r.Slots, slowdown: r.Slowdown, load: true,
 		well: s.report.well, coldUntil: s.report.coldUntil,
 	}
 }
 
+// usualMemory is the time after which a report weighs 37 % in the usual slowdown: several of the 300 ms for which the
+// speed of a machine lasts, and a fraction of the seconds for which a server in trouble is slow.
+const usualMemory = 1500 * time.Millisecond
+
+// learnUsual takes a reported slowdown, weighed by the time since the last report.
+func (s *server) learnUsual(now time.Time, slowdown float64) {
+	if s.usual == 0 {
+		s.usual = placement.DefaultTuning().MeanSlowdown
+	}
+	passed := min(now.Sub(s.report.at), usualMemory)
+	weight := 1 - math.Exp(-float64(passed)/float64(usualMemory))
+	s.usual += weight * (slowdown - s.usual)
+}
+
 // checked takes the outcome of a health check.
 func (s *server) checked(now time.Time, r backend.Result) {
 	s.probing = false
@@ -133,10 +151,10 @@
 		return
 	}
 	s.misplaced = r.Identity != "" && r.Identity != s.entry.ID
-	s.report.at, s.report.sent = now, 0
 	s.report.well = r.Answer.Status < http.StatusMultipleChoices
 	s.report.load = r.LoadKnown
 	s.observe(now, r)
+	s.report.at, s.report.sent = now, 0
 	s.report.coldUntil = now.Add(r.ColdFor)
 	if r.ColdFor <= 0 {
 		s.report.coldUntil = time.Time{}
