Refuse requests that yield to more urgent ones before they hold slots for late answers

Change: a request of a route with a lower priority than another one of its service is refused once it is expected to take 1.8 times what is left of its objective; urgent ones are still sent as long as they can be answered at all. The decision is placement.Tuning's and answers loads at which even the best server would be late.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -12,13 +12,20 @@
 type Table struct {
 	// hosts holds the routes of each host, the longest prefix first.
 	hosts map[string][]*fleet.Route
+	// urgent is the priority of the most urgent route of each service.
+	urgent map[string]int
 }
 
 // NewTable returns the table of a configuration.
 func NewTable(config *fleet.Config) *Table {
-	t := &Table{hosts: map[string][]*fleet.Route{}}
+	t := &Table{hosts: map[string][]*fleet.Route{}, urgent: map[string]int{}}
 	for i := range config.Routes {
 		r := &config.Routes[i]
+		for _, p := range r.Parts {
+			if most, known := t.urgent[p.Service]; !known || r.Priority < most {
+				t.urgent[p.Service] = r.Priority
+			}
+		}
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
 	}
 	for _, routes := range t.hosts {
@@ -37,6 +44,12 @@
 	return nil, false
 }
 
+// Yields reports whether a service has more urgent requests than those of a route.
+func (t *Table) Yields(r *fleet.Route, service string) bool {
+	most, known := t.urgent[service]
+	return known && most < r.Priority
+}
+
 // PickPart returns the service that serves a request, in proportion to the weights. Draw is uniform in [0, 1).
 func PickPart(r *fleet.Route, draw float64) string {
 	sum := 0.0
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -46,6 +46,17 @@
 	Left time.Duration
 	// Objective is the time left until the answer loses most of its worth; zero when it has passed.
 	Objective time.Duration
+	// Yields is true when the service has more urgent requests than this one.
+	Yields bool
+}
+
+// limit is the expected time from which a request is refused. A request that yields is refused once it would be late by
+// more than a part of its objective: the slot that it would hold then goes to a more urgent one.
+func (t Tuning) limit(d Demand) time.Duration {
+	if !d.Yields {
+		return d.Left
+	}
+	return min(d.Left, time.Duration(t.YieldStretch*float64(d.Objective)))
 }
 
 // Tuning holds the model of a server.
@@ -63,6 +74,8 @@
 	LeastSuccess float64
 	// FarGain is how much sooner an answer must be expected from another region, whose traffic is billed by volume.
 	FarGain time.Duration
+	// YieldStretch is how many times its objective a request may be expected to take that yields to more urgent ones.
+	YieldStretch float64
 	// UnreportedPenalty is added to servers that have not reported.
 	UnreportedPenalty time.Duration
 }
@@ -71,7 +84,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		Residual: 150 * time.Millisecond, MeanSlowdown: 1.8, Knee: 0.8, KneeFactor: 1.7, ColdFactor: 2, LeastSuccess: 0.2,
-		FarGain: 30 * time.Millisecond, UnreportedPenalty: 200 * time.Millisecond,
+		YieldStretch: 1.8, FarGain: 30 * time.Millisecond, UnreportedPenalty: 200 * time.Millisecond,
 	}
 }
 
@@ -139,7 +152,7 @@
 	if near.Index < 0 || (near.Expected > d.Objective && far.Index >= 0 && far.Expected+t.FarGain < near.Expected) {
 		choice = far
 	}
-	if choice.Index >= 0 && choice.Expected > d.Left {
+	if choice.Index >= 0 && choice.Expected > t.limit(d) {
 		choice.Index = -1
 	}
 	return choice
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -345,7 +345,10 @@
 }
 
 func (d *director) demand(now time.Time, m *place) placement.Demand {
-	return placement.Demand{Work: d.workOf(m.route), Left: m.until.Sub(now), Objective: m.objective.Sub(now)}
+	return placement.Demand{
+		Work: d.workOf(m.route), Left: m.until.Sub(now), Objective: m.objective.Sub(now),
+		Yields: d.belief.Routes != nil && d.belief.Routes.Yields(m.route, m.service),
+	}
 }
 
 func (d *director) workOf(r *fleet.Route) time.Duration {
