--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -84,7 +84,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		Residual: 150 * time.Millisecond, MeanSlowdown: 1.8, Knee: 0.8, KneeFactor: 1.7, ColdFactor: 2, LeastSuccess: 0.2,
-		YieldStretch: 1.8, FarGain: 30 * time.Millisecond, UnreportedPenalty: 200 * time.Millisecond,
+		YieldStretch: 1.2, FarGain: 100 * time.Millisecond, UnreportedPenalty: 200 * time.Millisecond,
 	}
 }
 
