--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -110,7 +110,7 @@
 		Description: "Exit codes: 0 fine, 1 refused or invalid, 2 wrong usage, 3 unreachable or unknown whether a write took effect,\n" +
 			"4 conflict with a concurrent change.",
 		Commands: []*cli.Command{
-			t.check(), t.explain(), t.apply(), t.get(), t.list(), t.zone(), t.status(), t.audit(), t.standin(), t.demo(), Bench(),
+			t.check(), t.explain(), t.apply(), t.get(), t.list(), t.zone(), t.status(), t.audit(), t.trace(), t.standin(), t.demo(), Bench(),
 		},
 		Action: noCommand,
 	}
