Bound the share of a cold server of instances that do not know each other yet

Ruled out: no cold server at all for a new instance, which would serve nothing after all instances and servers start anew.

Change: in the first 4 s of its life an instance takes a sixth of the allowance at most.

--- a/internal/decide/coldstart/allowance.go
+++ b/internal/decide/coldstart/allowance.go
@@ -39,6 +39,19 @@
 	return share
 }
 
+// SettleTime is how long an instance may take to know all others and to be known by them: an entry in the store, and two
+// readings of the entries on the way to the last one.
+const SettleTime = 4 * time.Second
+
+// strangers is the number of instances that one which has just started takes for granted in its region.
+const strangers = 6
+
+// FirstShare returns the share of an instance that has run for less than SettleTime. It may not know others yet that
+// have just started as well.
+func FirstShare(bound float64, share int) int {
+	return min(share, max(int(bound*use)/strangers, 1))
+}
+
 func weight(server, instance string) uint64 { return xxhash.Sum64String(server + "\x00" + instance) }
 
 // Meter counts the requests that were sent to one server in the last second. It is owned by one task.
--- a/internal/decide/coldstart/allowance_test.go
+++ b/internal/decide/coldstart/allowance_test.go
@@ -50,3 +50,16 @@
 		t.Errorf("only %d requests in 8.5 s", len(sent))
 	}
 }
+
+// Guards against instances that start together, do not know each other yet and each take the whole allowance.
+func TestStrangersKeepToTheBound(t *testing.T) {
+	bound := Bound(6.3, 1.5, 5)
+	sum := 0
+	for i := range strangers {
+		name := fmt.Sprint("edge-", i)
+		sum += FirstShare(bound, Share(bound, "i-1", name, []string{name}))
+	}
+	if float64(sum) > bound || sum < strangers {
+		t.Errorf("%d instances that know nobody send %d requests, the bound is %.1f", strangers, sum, bound)
+	}
+}
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -108,6 +108,7 @@
 	log      *slog.Logger
 	counters *counters
 
+	started time.Time
 	belief  *Belief
 	servers map[string]*server
 	pending []*pending
@@ -121,7 +122,7 @@
 func newDirector(self fleet.Instance, settings *Settings, kind *backend.Kind, log *slog.Logger, counters *counters) *director {
 	return &director{
 		inbox: task.NewMailbox[any]("director", directorCapacity), self: self, bounds: settings.Bounds, timing: settings.Timing, tuning: placement.DefaultTuning(),
-		kind: kind, log: log, counters: counters, belief: &Belief{View: &fleet.View{}}, servers: map[string]*server{},
+		kind: kind, log: log, counters: counters, started: time.Now(), belief: &Belief{View: &fleet.View{}}, servers: map[string]*server{},
 		work: map[string]time.Duration{}, budgets: map[string]*resend.Budget{},
 	}
 }
@@ -370,7 +371,7 @@
 		if s.silent || s.report.at.IsZero() || !d.isUsable(now, s, &p.place) || d.servers[s.entry.Incarnation()] != s {
 			continue
 		}
-		if s.isCold(now) && !s.cold.Room(now, d.coldShare(s)) {
+		if s.isCold(now) && !s.cold.Room(now, d.coldShare(now, s)) {
 			continue
 		}
 		servers = append(servers, s)
@@ -380,7 +381,7 @@
 }
 
 // coldShare returns the requests a second that this instance may send to a cold server.
-func (d *director) coldShare(s *server) int {
+func (d *director) coldShare(now time.Time, s *server) int {
 	service := d.belief.Config.Services[s.entry.Service]
 	names := []string{d.self.Name}
 	for _, i := range d.belief.Instances {
@@ -391,7 +392,12 @@
 	if s.distance == placement.OtherRegion {
 		names = names[1:]
 	}
-	return coldstart.Share(coldstart.Bound(service.ColdPerSecond, d.bounds.ColdOvershoot, d.bounds.ColdSlack), s.entry.ID, d.self.Name, names)
+	bound := coldstart.Bound(service.ColdPerSecond, d.bounds.ColdOvershoot, d.bounds.ColdSlack)
+	share := coldstart.Share(bound, s.entry.ID, d.self.Name, names)
+	if now.Sub(d.started) < coldstart.SettleTime {
+		return coldstart.FirstShare(bound, share)
+	}
+	return share
 }
 
 func (d *director) grant(now time.Time, p *pending, s *server, c placement.Candidate, expected time.Duration) {
