--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -231,7 +231,7 @@
 		return
 	}
 	p := &pending{place: m, began: now, decideBy: now.Add(d.timing.Near)}
-	p.servers = d.usable(now, &m, false)
+	p.servers = d.usable(now, &m, false, nearAsked)
 	if len(p.servers) == 0 {
 		d.extend(now, p)
 	}
@@ -252,11 +252,16 @@
 func (d *director) extend(now time.Time, p *pending) {
 	p.far = true
 	p.decideBy = now.Add(d.timing.Far)
-	p.servers = append(p.servers, d.usable(now, &p.place, true)...)
+	most := farAsked
+	if len(p.servers) == 0 {
+		most = nearAsked // all that there is to choose from
+	}
+	p.servers = append(p.servers, d.usable(now, &p.place, true, most)...)
 }
 
-// usable returns the servers that a request may be sent to, near ones or far ones, those of the own zone first.
-func (d *director) usable(now time.Time, m *place, far bool) []*server {
+// usable returns servers that a request may be sent to, near ones or far ones, those that answer and those of the own zone
+// first.
+func (d *director) usable(now time.Time, m *place, far bool, most int) []*server {
 	var list []*server
 	for _, entry := range d.belief.Backends[m.service] {
 		s := d.servers[entry.Incarnation()]
@@ -266,12 +271,21 @@
 		list = append(list, s)
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	slices.SortStableFunc(list, func(a, b *server) int { return int(a.distance) - int(b.distance) })
-	limit := nearAsked
-	if far {
-		limit = farAsked
+	slices.SortStableFunc(list, func(a, b *server) int {
+		if a.silent != b.silent {
+			return order(a.silent) // servers that do not answer are asked again only when there is room for them
+		}
+		return int(a.distance) - int(b.distance)
+	})
+	return list[:min(len(list), most)]
+}
+
+// order returns 1 for what comes later.
+func order(later bool) int {
+	if later {
+		return 1
 	}
-	return list[:min(len(list), limit)]
+	return -1
 }
 
 func (d *director) isUsable(now time.Time, s *server, m *place) bool {
@@ -421,6 +435,8 @@
 		reason = "no backend server is known that may run the request"
 	case choice.Expected > demand.Left:
 		reason = "no backend server is expected to finish in time"
+	case choice.Expected > 0:
+		reason = "the answer would be late and more urgent requests need the room"
 	}
 	p.reply(unplaced{reason: reason, retryAfter: d.retryAfter(now, &p.place, choice.Expected), asked: len(p.servers)})
 	return true
