Bound connections of callers by descriptors; drop settings that nothing reads

Cause: reading the change as a newcomer would: heartbeat, stability and the bounds of configuration and evacuation were read and never used, the number of descriptors as well, and readiness could wait for the next change when the mailbox of the gateway was full.

Change: callers take 0.6 of the descriptors at most; the instance looks by itself whether it is informed; a short time to stop is divided. Unused settings are gone.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -54,8 +54,6 @@
 	// ConfigAsOf, BackendsAsOf and EvacuatedAsOf are when the store's answer behind the news was surely current, on the
 	// local steady clock.
 	ConfigAsOf, BackendsAsOf, EvacuatedAsOf time.Time
-	// Serial counts the views of this process.
-	Serial uint64
 }
 
 // Ready reports whether requests can be served with this view.
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -45,7 +45,6 @@
 	evacuated map[string]bool
 	instances map[string]fleet.Instance
 	asOf      map[objectapi.Kind]time.Time
-	serial    uint64
 	// lapsed holds entries that were removed while the store was away or just after, until they count as gone.
 	lapsed     map[string]time.Time
 	regainedAt time.Time
@@ -294,18 +293,16 @@
 
 // publish publishes a new belief. When nothing but the age of the news has changed, nobody is told.
 func (b *board) publish(changed bool) {
-	b.serial++
 	if old := b.beliefs.newest.Load(); old != nil && !changed {
 		view := *old.View
 		view.ConfigAsOf, view.BackendsAsOf, view.EvacuatedAsOf = b.asOf[objectapi.Configuration], b.asOf[objectapi.Backends], b.asOf[objectapi.Evacuations]
-		view.Serial = b.serial
 		b.beliefs.newest.Store(&Belief{View: &view, Routes: b.routes})
 		return
 	}
 	view := &fleet.View{
 		Config: b.config, Backends: map[string][]*fleet.Backend{}, Evacuated: maps.Clone(b.evacuated),
 		ConfigAsOf: b.asOf[objectapi.Configuration], BackendsAsOf: b.asOf[objectapi.Backends],
-		EvacuatedAsOf: b.asOf[objectapi.Evacuations], Serial: b.serial,
+		EvacuatedAsOf: b.asOf[objectapi.Evacuations],
 	}
 	for _, entry := range b.backends {
 		view.Backends[entry.Service] = append(view.Backends[entry.Service], entry)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,11 @@
 	graceReserve = 300 * time.Millisecond
 	// connectionIdle retires an idle connection to a backend server before most servers close it.
 	connectionIdle = 8 * time.Second
+	// readyLook is the longest pause between two looks whether the instance is informed.
+	readyLook = 200 * time.Millisecond
+	// callerFiles is the part of the descriptors that connections of callers may take. The others are for connections to
+	// backend servers, the store and peers.
+	callerFiles = 0.6
 	// eventCapacity bounds the messages to the gateway task.
 	eventCapacity = 64
 	// acceptPause is the wait after a failed accept, such as one without a free file descriptor.
@@ -110,9 +115,9 @@
 }
 
 func (g *Gateway) bind() error {
-	ch, err := charts.Load("gateway", charts.Params{
-		"announce_time": g.settings.Timing.Announce, "drain_time": g.settings.Bounds.Grace - g.settings.Timing.Announce - graceReserve,
-	})
+	grace := g.settings.Bounds.Grace
+	announce := min(g.settings.Timing.Announce, grace/2)
+	ch, err := charts.Load("gateway", charts.Params{"announce_time": announce, "drain_time": max(grace-announce-graceReserve, graceReserve)})
 	if err != nil {
 		return err
 	}
@@ -205,7 +210,7 @@
 		func(b *Belief) { _ = g.director.inbox.Send(tasks.Context(), believed{belief: b}) }, // only the end stops it
 		func(b *Belief) {
 			if b.Ready() && !isClosed(g.ready) {
-				_ = g.inbox.Offer(informed{}) // the next belief tells again
+				_ = g.inbox.Offer(informed{}) // the gateway looks by itself when it has no room for the message
 			}
 		},
 	}
@@ -267,6 +272,9 @@
 			g.fire("stop")
 		case <-timer.C:
 			g.machine.Tick(time.Now())
+			if g.beliefs.Newest().Ready() {
+				g.fire("informed")
+			}
 		}
 		timer.Stop()
 		if g.open == 0 {
@@ -276,6 +284,9 @@
 }
 
 func (g *Gateway) untilTimeout() time.Duration {
+	if !isClosed(g.ready) {
+		return readyLook
+	}
 	if due, ok := g.machine.Deadline(); ok {
 		return max(time.Until(due), 0)
 	}
@@ -291,6 +302,11 @@
 func (g *Gateway) handle(ctx context.Context, m any) {
 	switch m := m.(type) {
 	case accepted:
+		if most := int(callerFiles * float64(g.settings.MaxFiles)); most > 0 && g.open >= most {
+			g.log.Warn("connection of a caller is refused", "open_connections", g.open)
+			_ = m.conn.Close() // the caller connects to another instance
+			return
+		}
 		g.open++
 		g.counters.callers.Update(int64(g.open))
 		go func() {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -18,7 +18,7 @@
 	Place fleet.Place
 	// Share is the part of a processor core that it has, times the speed of the core.
 	Share float64
-	// MaxFiles bounds its descriptors.
+	// MaxFiles bounds its descriptors; zero sets no bound.
 	MaxFiles int
 	// CallerAddress takes requests, ReadinessAddress answers the platform's balancer.
 	CallerAddress, ReadinessAddress string
@@ -38,10 +38,8 @@
 	StoreAddress string
 	// Regions maps each availability zone to its region.
 	Regions map[string]string
-	// Heartbeat is the time between two entries of a backend server.
-	Heartbeat time.Duration
-	Bounds    Bounds
-	Timing    Timing
+	Bounds  Bounds
+	Timing  Timing
 }
 
 // Timing holds the times that depend on how fast machines and networks are. The platform sets none of them.
@@ -67,16 +65,10 @@
 
 // Bounds are the terms that the platform sets for the whole fleet.
 type Bounds struct {
-	// Stability is the time after a disturbance from which all bounds hold.
-	Stability time.Duration
 	// Drain is the time after which a leaving backend server gets no new request.
 	Drain time.Duration
 	// Grace is the time from the signal to stop until the process is killed.
 	Grace time.Duration
-	// ConfigApply is the time after which a configuration is in force everywhere.
-	ConfigApply time.Duration
-	// Evacuate is the time after which an evacuated availability zone gets no new request.
-	Evacuate time.Duration
 	// ResendRatio, ResendWindow and ResendSlack bound the resends of all instances; see package resend.
 	ResendRatio  float64
 	ResendWindow time.Duration
