--- /dev/null
+++ b/internal/gateway/placing.go
@@ -0,0 +1,259 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/decide/coldstart"
+	"fuchsiahub.example/fuchsiahub/internal/decide/placement"
+	"fuchsiahub.example/fuchsiahub/internal/decide/resend"
+	"fuchsiahub.example/fuchsiahub/internal/fleet"
+)
+
+const (
+	// nearAsked and farAsked bound the servers that are asked for one placement.
+	nearAsked = 6
+	farAsked  = 3
+	// firstWork is the part of a route's objective that its requests are assumed to take before one was measured.
+	firstWork = 0.35
+	// assumedObjective stands in for an objective that the operator does not name.
+	assumedObjective = time.Second
+)
+
+// pending is a placement that waits for reports.
+type pending struct {
+	place
+	began    time.Time
+	decideBy time.Time
+	far      bool
+	servers  []*server
+}
+
+// begin takes a placement and asks servers whose reports are old.
+func (d *director) begin(ctx context.Context, now time.Time, m place) {
+	budget := d.budget(m.service)
+	if m.first {
+		budget.Request(now)
+	} else if !budget.Take(now, len(d.belief.Instances)) {
+		d.counters.resendRefused.Inc(1)
+		m.reply(unplaced{reason: "resend budget is used up", retryAfter: d.retryAfter(now, &m, 0)})
+		return
+	}
+	p := &pending{place: m, began: now, decideBy: now.Add(d.timing.Near)}
+	p.servers = d.usable(now, &m, false, nearAsked)
+	if len(p.servers) == 0 {
+		d.extend(now, p)
+	}
+	d.ask(ctx, now, p.servers)
+	d.pending = append(d.pending, p)
+}
+
+func (d *director) budget(service string) *resend.Budget {
+	b := d.budgets[service]
+	if b == nil {
+		b = resend.NewBudget(resend.Terms{Ratio: d.bounds.ResendRatio, Slack: d.bounds.ResendSlack, Window: d.bounds.ResendWindow})
+		d.budgets[service] = b
+	}
+	return b
+}
+
+// extend adds servers of other regions to a placement.
+func (d *director) extend(now time.Time, p *pending) {
+	p.far = true
+	p.decideBy = now.Add(d.timing.Far)
+	most := farAsked
+	if len(p.servers) == 0 {
+		most = nearAsked // all that there is to choose from
+	}
+	p.servers = append(p.servers, d.usable(now, &p.place, true, most)...)
+}
+
+// usable returns servers that a request may be sent to, near ones or far ones, those that answer and those of the own zone
+// first.
+func (d *director) usable(now time.Time, m *place, far bool, most int) []*server {
+	var list []*server
+	for _, entry := range d.belief.Backends[m.service] {
+		s := d.servers[entry.Incarnation()]
+		if s == nil || (s.distance == placement.OtherRegion) != far || !d.isUsable(now, s, m) {
+			continue
+		}
+		list = append(list, s)
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b *server) int {
+		if a.silent != b.silent {
+			return order(a.silent) // servers that do not answer are asked again only when there is room for them
+		}
+		return int(a.distance) - int(b.distance)
+	})
+	return list[:min(len(list), most)]
+}
+
+// order returns 1 for what comes later.
+func order(later bool) int {
+	if later {
+		return 1
+	}
+	return -1
+}
+
+func (d *director) isUsable(now time.Time, s *server, m *place) bool {
+	switch {
+	case s.entry.Draining, s.misplaced, d.belief.Evacuated[s.entry.Place.Zone], !m.route.AllowsRegion(s.entry.Place.Region),
+		slices.Contains(m.tried, s.entry.ID):
+		return false
+	case s.silent:
+		return now.Sub(s.asked) >= silencePause // worth another check
+	}
+	return true
+}
+
+// ask sends health checks to servers whose reports are old.
+func (d *director) ask(ctx context.Context, now time.Time, servers []*server) {
+	for _, s := range servers {
+		if s.probing || s.isFresh(now) {
+			continue
+		}
+		s.probing, s.asked = true, now
+		d.counters.checks.Inc(1)
+		s.check(ctx, d.timing.Check, d.belief.Config.Services[s.entry.Service], func(r backend.Result) {
+			_ = d.inbox.Send(ctx, checked{server: s, result: r}) // only the end of the context stops it
+		})
+	}
+}
+
+func (d *director) takeCheck(now time.Time, m checked) {
+	was := m.server.silent
+	m.server.checked(now, m.result)
+	if m.server.silent != was {
+		d.log.Info("reachability of a backend server changed", "backend", m.server.entry.ID, "service", m.server.entry.Service,
+			"reachable", !m.server.silent, "error", m.result.Err)
+	}
+}
+
+// decideDue decides placements whose reports are complete or whose wait is over.
+func (d *director) decideDue(ctx context.Context, now time.Time) {
+	waiting := d.pending[:0]
+	for _, p := range d.pending {
+		if !d.decide(ctx, now, p) {
+			waiting = append(waiting, p)
+		}
+	}
+	clear(d.pending[len(waiting):])
+	d.pending = waiting
+}
+
+// decide answers a placement and reports true, or reports false when it still waits.
+func (d *director) decide(ctx context.Context, now time.Time, p *pending) bool {
+	waits := slices.ContainsFunc(p.servers, func(s *server) bool { return s.probing })
+	if waits && now.Before(p.decideBy) {
+		return false
+	}
+	demand := d.demand(now, &p.place)
+	servers, candidates := d.candidates(now, p)
+	choice := d.tuning.Choose(demand, candidates)
+	if choice.Index >= 0 && (p.far || choice.Expected <= demand.Objective) {
+		d.grant(now, p, servers[choice.Index], candidates[choice.Index], choice.Expected)
+		return true
+	}
+	if !p.far {
+		d.extend(now, p)
+		d.ask(ctx, now, p.servers)
+		return d.decide(ctx, now, p)
+	}
+	if waits && len(servers) == 0 && now.Sub(p.began) < d.timing.Most {
+		p.decideBy = p.began.Add(d.timing.Most)
+		return false
+	}
+	return d.refuse(now, p, demand, choice)
+}
+
+func (d *director) demand(now time.Time, m *place) placement.Demand {
+	return placement.Demand{
+		Work: d.workOf(m.route), Left: m.until.Sub(now), Objective: m.objective.Sub(now),
+		Yields: d.belief.Routes != nil && d.belief.Routes.Yields(m.route, m.service),
+	}
+}
+
+func (d *director) workOf(r *fleet.Route) time.Duration {
+	if work, ok := d.work[r.Name]; ok {
+		return work
+	}
+	objective := r.Objective
+	if objective == 0 {
+		objective = assumedObjective
+	}
+	return time.Duration(firstWork * float64(objective))
+}
+
+// candidates returns the servers that answered and may take the request now.
+func (d *director) candidates(now time.Time, p *pending) ([]*server, []placement.Candidate) {
+	var servers []*server
+	var candidates []placement.Candidate
+	for _, s := range p.servers {
+		if s.silent || s.report.at.IsZero() || !d.isUsable(now, s, &p.place) || d.servers[s.entry.Incarnation()] != s {
+			continue
+		}
+		if s.isCold(now) && !s.cold.Room(now, d.coldShare(now, s)) {
+			continue
+		}
+		servers = append(servers, s)
+		candidates = append(candidates, s.candidate(now))
+	}
+	return servers, candidates
+}
+
+// coldShare returns the requests a second that this instance may send to a cold server.
+func (d *director) coldShare(now time.Time, s *server) int {
+	service := d.belief.Config.Services[s.entry.Service]
+	names := []string{d.self.Name}
+	for _, i := range d.belief.Instances {
+		if i.Place.Region == s.entry.Place.Region && i.Name != d.self.Name {
+			names = append(names, i.Name)
+		}
+	}
+	if s.distance == placement.OtherRegion {
+		names = names[1:]
+	}
+	bound := coldstart.Bound(service.ColdPerSecond, d.bounds.ColdOvershoot, d.bounds.ColdSlack)
+	share := coldstart.Share(bound, s.entry.ID, d.self.Name, names)
+	if now.Sub(d.started) < coldstart.SettleTime {
+		return coldstart.FirstShare(bound, share)
+	}
+	return share
+}
+
+func (d *director) grant(now time.Time, p *pending, s *server, c placement.Candidate, expected time.Duration) {
+	s.inFlight++
+	s.report.sent++
+	s.cold.Count(now)
+	p.reply(&grant{
+		server: s, entry: s.entry, pool: s.pool, sentAt: now, routeID: p.route.Name, expected: expected,
+		plain: c.Slowdown <= usualSlowdown && !c.Cold && c.Running+1 <= c.Slots, reportAge: now.Sub(s.report.at), asked: len(p.servers),
+	})
+}
+
+// usualSlowdown is the most slowdown at which the time of a copy is taken as its work.
+const usualSlowdown = 1.05
+
+// refuse answers that no server can take the request in time. It reports true.
+func (d *director) refuse(now time.Time, p *pending, demand placement.Demand, choice placement.Choice) bool {
+	reason := "no backend server can be reached"
+	switch {
+	case len(p.servers) == 0:
+		reason = "no backend server is known that may run the request"
+	case choice.Expected > demand.Left:
+		reason = "no backend server is expected to finish in time"
+	case choice.Expected > 0:
+		reason = "the answer would be late and more urgent requests need the room"
+	}
+	p.reply(unplaced{reason: reason, retryAfter: d.retryAfter(now, &p.place, choice.Expected), asked: len(p.servers)})
+	return true
+}
+
+func (d *director) retryAfter(now time.Time, m *place, shortest time.Duration) time.Duration {
+	return placement.RetryAfter(d.demand(now, m), shortest, m.route.Priority, rand.Float64())
+}
