Recognise requests that crash backend servers, at all instances

Cause: a request that crashes each server that runs it comes again at any instance; nothing stopped it on the platform's path (rule BUDGET; promise P11).

Change: the director feeds decide/quarantine with broken connections, refused health checks and new starts; strikes lie in the store, one object for each request and server, and reach all instances with the news. After two crashes equal requests are refused as not run.

Test: TestRequestThatCrashesServersIsRefused; without the refusal all 8 servers crash.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/call"
@@ -30,6 +32,12 @@
 // MaxWholeAnswer is the longest answer body, in bytes, that is read whole before it is passed on.
 const MaxWholeAnswer = 64 << 10
 
+// IsTimeout reports whether an exchange ended because its time was over.
+func IsTimeout(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) && network.Timeout()
+}
+
 // Exchange asks for one request to be sent on a connection of the pool.
 type Exchange struct {
 	Ctx     context.Context
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
@@ -64,6 +63,5 @@
 
 // silent reports whether an exchange ended because its time was over.
 func silent(ctx context.Context, err error) bool {
-	var network net.Error
-	return ctx.Err() != nil || errors.As(err, &network) && network.Timeout()
+	return ctx.Err() != nil || IsTimeout(err)
 }
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -233,19 +233,26 @@
 // Snapshot returns a copy for requests.
 func (q *Quarantine) Snapshot() *Snapshot {
 	s := &Snapshot{Marks: make(map[Fingerprint]Treatment, len(q.marks)), Incarnations: maps.Clone(q.incarnations)}
-	for f, m := range q.marks {
-		switch {
-		case m.machine.In("refused"):
-			s.Marks[f] = Refuse
-		case m.machine.In("alone"):
-			s.Marks[f] = Alone
-		default:
-			s.Marks[f] = Free
-		}
+	for f := range q.marks {
+		s.Marks[f] = q.TreatmentOf(f)
 	}
 	return s
 }
 
+// TreatmentOf returns what requests with a fingerprint get.
+func (q *Quarantine) TreatmentOf(f Fingerprint) Treatment {
+	m, marked := q.marks[f]
+	switch {
+	case !marked:
+		return Free
+	case m.machine.In("refused"):
+		return Refuse
+	case m.machine.In("alone"):
+		return Alone
+	}
+	return Free
+}
+
 // mark returns the mark of a fingerprint, and nil when there is no room for another one.
 func (q *Quarantine) mark(now time.Time, f Fingerprint) *mark {
 	if m, ok := q.marks[f]; ok {
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -10,6 +10,7 @@
 
 	"fuchsiahub.example/fuchsiahub/internal/decide/dispatch"
 	"fuchsiahub.example/fuchsiahub/internal/decide/news"
+	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 	"fuchsiahub.example/fuchsiahub/internal/task"
@@ -20,6 +21,8 @@
 	boardCapacity = 64
 	// returnTime is how long entries that lapsed while the store was away may take to come back.
 	returnTime = 2 * time.Second
+	// strikeKept is how long a crash counts, by the time of day, as in charts/quarantine.toml.
+	strikeKept = 10 * time.Minute
 	// configObject is the name of the object that holds the newest configuration.
 	configObject = "main"
 )
@@ -33,6 +36,8 @@
 	// published is told of each new belief.
 	published []func(*Belief)
 	reader    *reader
+	// struck is told of crashes of backend servers that instances have found.
+	struck func(quarantine.Strike)
 	// unregistered is told when the store has no entry of this instance, or another one.
 	unregistered func()
 
@@ -194,9 +199,23 @@
 		b.log.Info("availability zone is taken out", "zone", o.Name, "revision", o.Version)
 	case objectapi.Instances:
 		b.takeInstance(o)
+	case objectapi.Strikes:
+		b.takeStrike(o)
 	}
 }
 
+func (b *board) takeStrike(o objectapi.Object) {
+	s, err := b.schema.Strike(o)
+	if err != nil {
+		b.refuse(o, err)
+		return
+	}
+	if age := time.Since(s.Crash.At); age > strikeKept {
+		return // the store keeps objects that nobody removes
+	}
+	b.struck(s)
+}
+
 func (b *board) takeInstance(o objectapi.Object) {
 	instance, err := b.schema.Instance(o)
 	if err != nil {
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
@@ -43,6 +44,15 @@
 	return i, err
 }
 
+func (fakeSchema) Strike(o objectapi.Object) (quarantine.Strike, error) {
+	return decode[quarantine.Strike](o)
+}
+
+func (fakeSchema) EncodeStrike(s quarantine.Strike) (string, []byte, error) {
+	text, err := json.Marshal(s)
+	return s.Crash.Server.Name, text, err
+}
+
 func (fakeSchema) EncodeInstance(i fleet.Instance) ([]byte, error) { return json.Marshal(i) }
 
 // fakeStore holds one list of changes and answers as it is told. It is used within one bubble.
@@ -152,6 +162,7 @@
 	beliefs := &Beliefs{}
 	b := newBoard(fakeSchema{}, beliefs, log)
 	b.unregistered = func() {}
+	b.struck = func(quarantine.Strike) {}
 	settings := &Settings{Bounds: Bounds{Drain: 2 * time.Second}}
 	var err error
 	if b.reader, err = newReader(b, fleet.Instance{Name: "edge-1", Place: fleet.Place{Region: "east", Zone: "a"}}, settings, nil); err != nil {
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -8,6 +8,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/backend"
 	"fuchsiahub.example/fuchsiahub/internal/decide/outlier"
 	"fuchsiahub.example/fuchsiahub/internal/decide/placement"
+	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/decide/resend"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/task"
@@ -27,6 +28,8 @@
 		id      string
 		route   *fleet.Route
 		service string
+		// fingerprint is what the request has in common with others that are equal.
+		fingerprint quarantine.Fingerprint
 		// tried are the backend servers that had a copy.
 		tried []string
 		// first is true for the first copy of a request; others are taken from the budget.
@@ -51,6 +54,8 @@
 	}
 	// believed tells of a new belief.
 	believed struct{ belief *Belief }
+	// struck tells of a crash that an instance has found.
+	struck struct{ strike quarantine.Strike }
 	// rebound tells of changed bounds.
 	rebound struct{ bounds Bounds }
 )
@@ -62,6 +67,8 @@
 	pool    *backend.Pool
 	sentAt  time.Time
 	routeID string
+	// fingerprint is that of the request.
+	fingerprint quarantine.Fingerprint
 	// expected is the time in which the answer is expected.
 	expected time.Duration
 	// plain is true when the server was warm, unhurried and had room, so that the time of the copy shows the work.
@@ -86,6 +93,7 @@
 	timing   Timing
 	tuning   placement.Tuning
 	kind     *backend.Kind
+	crashes  *crashes
 	log      *slog.Logger
 	counters *counters
 
@@ -100,10 +108,10 @@
 	pools context.Context
 }
 
-func newDirector(self fleet.Instance, settings *Settings, kind *backend.Kind, log *slog.Logger, counters *counters) *director {
+func newDirector(self fleet.Instance, settings *Settings, kind *backend.Kind, crashes *crashes, log *slog.Logger, counters *counters) *director {
 	return &director{
 		inbox: task.NewMailbox[any]("director", directorCapacity), self: self, bounds: settings.Bounds, timing: settings.Timing, tuning: placement.DefaultTuning(),
-		kind: kind, log: log, counters: counters, started: time.Now(), belief: &Belief{View: &fleet.View{}}, servers: map[string]*server{},
+		kind: kind, crashes: crashes, log: log, counters: counters, started: time.Now(), belief: &Belief{View: &fleet.View{}}, servers: map[string]*server{},
 		work: map[string]time.Duration{}, budgets: map[string]*resend.Budget{},
 	}
 }
@@ -139,11 +147,13 @@
 	case place:
 		d.begin(ctx, now, m)
 	case released:
-		d.release(now, m)
+		d.release(ctx, now, m)
 	case checked:
-		d.takeCheck(now, m)
+		d.takeCheck(ctx, now, m)
 	case believed:
-		d.believe(m.belief)
+		d.believe(now, m.belief)
+	case struck:
+		d.crashes.quarantine.Strike(now, m.strike)
 	case rebound:
 		d.bounds = m.bounds
 		d.budgets = map[string]*resend.Budget{}
@@ -151,13 +161,13 @@
 }
 
 // believe takes a new belief and brings the pools in line with it.
-func (d *director) believe(belief *Belief) {
+func (d *director) believe(now time.Time, belief *Belief) {
 	d.belief = belief
 	known := map[string]bool{}
 	for _, list := range belief.Backends {
 		for _, entry := range list {
 			known[entry.Incarnation()] = true
-			d.meet(entry)
+			d.meet(now, entry)
 		}
 	}
 	for key, s := range d.servers {
@@ -168,7 +178,7 @@
 	}
 }
 
-func (d *director) meet(entry *fleet.Backend) {
+func (d *director) meet(now time.Time, entry *fleet.Backend) {
 	s := d.servers[entry.Incarnation()]
 	if s != nil && s.entry.Address == entry.Address {
 		s.entry = entry
@@ -177,6 +187,7 @@
 	if s != nil {
 		s.stop()
 	}
+	d.crashes.started(now, entry)
 	far := distance(d.self.Place, entry.Place)
 	s = &server{entry: entry, distance: far, roundTrip: assumedRoundTrip(far), score: outlier.NewScore()}
 	s.report.well = true
@@ -202,15 +213,21 @@
 }
 
 // release takes the end of a copy.
-func (d *director) release(now time.Time, m released) {
+func (d *director) release(ctx context.Context, now time.Time, m released) {
 	s := m.grant.server
 	s.inFlight--
 	if m.cancelled {
 		return
 	}
 	switch {
+	case broke(ctx, m.result):
+		s.score.Failure(now)
+		d.crashes.lost(now, s.entry, m.grant.fingerprint)
+		s.examined = mostExamined
+		d.check(ctx, now, s)
 	case m.worked:
 		s.score.Success(now)
+		d.crashes.quarantine.Clear(now, m.grant.fingerprint)
 	case !m.result.Fate.SurelyNotRun() || m.result.Refused:
 		s.score.Failure(now)
 	}
--- a/internal/gateway/director_test.go
+++ b/internal/gateway/director_test.go
@@ -17,7 +17,7 @@
 func TestServersThatAnswerAreAskedFirst(t *testing.T) {
 	settings := &Settings{Bounds: Bounds{ResendWindow: time.Second}}
 	self := fleet.Instance{Name: "edge-1", Place: fleet.Place{Zone: "a", Region: "east"}}
-	d := newDirector(self, settings, nil, slog.New(slog.DiscardHandler), newCounters(metrics.NewRegistry()))
+	d := newDirector(self, settings, nil, nil, slog.New(slog.DiscardHandler), newCounters(metrics.NewRegistry()))
 	view := &fleet.View{Backends: map[string][]*fleet.Backend{}}
 	now := time.Unix(1000, 0)
 	for i := range 12 {
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -31,7 +31,7 @@
 }
 
 // followed are the kinds that an instance follows.
-var followed = []objectapi.Kind{objectapi.Configuration, objectapi.Evacuations, objectapi.Backends, objectapi.Instances}
+var followed = []objectapi.Kind{objectapi.Configuration, objectapi.Evacuations, objectapi.Backends, objectapi.Instances, objectapi.Strikes}
 
 // rarePace is that of kinds that change rarely. Keep-alive probes and the feed of backend servers show a store that went
 // silent while a call waits. Instances may be known late.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -14,6 +14,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/call"
 	"fuchsiahub.example/fuchsiahub/internal/chart"
 	"fuchsiahub.example/fuchsiahub/internal/decide/dispatch"
+	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/task"
@@ -90,7 +91,8 @@
 	machine *chart.Machine[*forward]
 	events  chan any
 
-	route *fleet.Route
+	route       *fleet.Route
+	fingerprint quarantine.Fingerprint
 	// draw picks the part of a route; it stays the same for all copies.
 	draw  float64
 	until time.Time
@@ -290,7 +292,7 @@
 	}
 	f.route = route
 	m := place{
-		id: f.request.ID, route: route, service: dispatch.PickPart(route, f.draw), tried: f.tried, first: f.sends == 0, until: f.until,
+		id: f.request.ID, route: route, fingerprint: f.fingerprint, service: dispatch.PickPart(route, f.draw), tried: f.tried, first: f.sends == 0, until: f.until,
 		objective: f.began.Add(route.Objective), reply: func(m any) { f.events <- m },
 	}
 	if err := f.director.Offer(m); err != nil {
@@ -426,7 +428,8 @@
 	}
 	return &forward{
 		forwarding: s, ctx: ctx, request: in.request, host: in.host, began: in.at, wait: wait, draw: rand.Float64(),
-		events: make(chan any, eventsCapacity),
+		fingerprint: fingerprintOf(in.request, in.host),
+		events:      make(chan any, eventsCapacity),
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/backend"
 	"fuchsiahub.example/fuchsiahub/internal/chart"
 	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/metric"
@@ -101,8 +102,12 @@
 		return err
 	}
 	g.board = newBoard(g.schema, g.beliefs, g.log)
+	crashes, err := newCrashes(g.log)
+	if err != nil {
+		return err
+	}
 	g.board.unregistered = g.wantEntry
-	g.director = newDirector(g.self, &g.settings, kind, g.log, g.counters)
+	g.director = newDirector(g.self, &g.settings, kind, crashes, g.log, g.counters)
 	requests, err := newForwarding(g.beliefs, g.director.inbox, g.dialect, g.log, g.counters)
 	if err != nil {
 		return err
@@ -217,6 +222,8 @@
 	if err := g.startNews(tasks, listeners.Peers); err != nil {
 		return err
 	}
+	g.board.struck = func(s quarantine.Strike) { _ = g.director.inbox.Send(tasks.Context(), struck{strike: s}) } // only the end stops it
+	tasks.Go("strikes", g.writeStrikes)
 	tasks.Go("board", g.board.run)
 	tasks.Go("director", g.director.run)
 	tasks.Go("registrar", g.register)
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -42,6 +42,10 @@
 		m.reply(unplaced{reason: "resend budget is used up", retryAfter: d.retryAfter(now, &m, 0)})
 		return
 	}
+	if d.crashes.refuses(now, m.fingerprint) {
+		m.reply(unplaced{reason: "equal requests crashed backend servers", retryAfter: d.retryAfter(now, &m, m.until.Sub(now))})
+		return
+	}
 	p := &pending{place: m, began: now, decideBy: now.Add(d.timing.Near)}
 	p.servers = d.usable(now, &m, false, nearAsked)
 	if len(p.servers) == 0 {
@@ -114,26 +118,49 @@
 // ask sends health checks to servers whose reports are old.
 func (d *director) ask(ctx context.Context, now time.Time, servers []*server) {
 	for _, s := range servers {
-		if s.probing || s.isFresh(now) {
-			continue
+		if !s.isFresh(now) {
+			d.check(ctx, now, s)
 		}
-		s.probing, s.asked = true, now
-		d.counters.checks.Inc(1)
-		s.check(ctx, d.timing.Check, d.belief.Config.Services[s.entry.Service], func(r backend.Result) {
-			_ = d.inbox.Send(ctx, checked{server: s, result: r}) // only the end of the context stops it
-		})
 	}
 }
 
-func (d *director) takeCheck(now time.Time, m checked) {
+// check sends a health check unless one is on its way.
+func (d *director) check(ctx context.Context, now time.Time, s *server) {
+	if s.probing {
+		return
+	}
+	s.probing, s.asked = true, now
+	d.counters.checks.Inc(1)
+	s.check(ctx, d.timing.Check, d.belief.Config.Services[s.entry.Service], func(r backend.Result) {
+		_ = d.inbox.Send(ctx, checked{server: s, result: r}) // only the end of the context stops it
+	})
+}
+
+func (d *director) takeCheck(ctx context.Context, now time.Time, m checked) {
 	was := m.server.silent
 	m.server.checked(now, m.result)
+	if m.server.examined > 0 {
+		d.examine(ctx, now, m)
+	}
 	if m.server.silent != was {
 		d.log.Info("reachability of a backend server changed", "backend", m.server.entry.ID, "service", m.server.entry.Service,
 			"reachable", !m.server.silent, "error", m.result.Err)
 	}
 }
 
+// examine finds out whether a server whose connection broke has crashed. A kept connection that was closed shows nothing,
+// so the next one is tried.
+func (d *director) examine(ctx context.Context, now time.Time, m checked) {
+	d.crashes.checked(now, m.server.entry, m.result)
+	m.server.examined--
+	if m.result.Refused || m.result.Answer != nil || backend.IsTimeout(m.result.Err) {
+		m.server.examined = 0
+	}
+	if m.server.examined > 0 {
+		d.check(ctx, now, m.server)
+	}
+}
+
 // decideDue decides placements whose reports are complete or whose wait is over.
 func (d *director) decideDue(ctx context.Context, now time.Time) {
 	waiting := d.pending[:0]
@@ -231,7 +258,8 @@
 	s.report.sent++
 	s.cold.Count(now)
 	p.reply(&grant{
-		server: s, entry: s.entry, pool: s.pool, sentAt: now, routeID: p.route.Name, expected: expected,
+		fingerprint: p.fingerprint,
+		server:      s, entry: s.entry, pool: s.pool, sentAt: now, routeID: p.route.Name, expected: expected,
 		plain: c.Slowdown <= usualSlowdown && !c.Cold && c.Running+1 <= c.Slots, reportAge: now.Sub(s.report.at), asked: len(p.servers),
 	})
 }
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 )
@@ -33,6 +34,10 @@
 	Backend(o objectapi.Object) (*fleet.Backend, error)
 	Instance(o objectapi.Object) (fleet.Instance, error)
 	EncodeInstance(i fleet.Instance) ([]byte, error)
+	// Strike decodes a crash of a backend server while a request ran. EncodeStrike returns the name and the value of its
+	// object; equal strikes have the same name.
+	Strike(o objectapi.Object) (quarantine.Strike, error)
+	EncodeStrike(s quarantine.Strike) (string, []byte, error)
 }
 
 // Store is what a gateway needs of the platform's store. Errors are of the kinds of objectapi.API, and
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -47,6 +47,8 @@
 	asked time.Time
 	// silent is true while the last check had no answer.
 	silent bool
+	// examined is how many health checks may still follow a broken connection, to find out whether the server crashed.
+	examined int
 	// misplaced is true when another server answers at the address.
 	misplaced bool
 	roundTrip time.Duration
