Learn usual times of backend servers without their queues

Cause: at 110 % of the slots every server has a queue. The keeper of the lab learnt the usual time of a server from answers that had waited, so the slow answers of a cold server passed for those of a warm one, and its allowance grew while it was still cold. Seen by printing each request above the allowance: one instance held two slots after the ramp had doubled on 9 answers. Ruled out: requests that were given up and still run (counting all of them instead of one changed no row). Change: usual times come from reports without a queue; the other servers stand in for one that has none; without any, a step needs 16 answers instead of 4.

--- a/internal/lab/keeper.go
+++ b/internal/lab/keeper.go
@@ -194,7 +194,9 @@
 	}
 	s.latency = smooth(s.latency, r.Latency, 4)
 	if !s.cold {
-		s.usual = smooth(s.usual, r.Latency, 64)
+		if r.Running < r.Slots { // the time in a queue says nothing about how fast a warm server works
+			s.usual = smooth(s.usual, r.Latency, 64)
+		}
 		return
 	}
 	s.answers += r.Good
@@ -206,6 +208,29 @@
 // request is in time at a cold server too.
 const warmAnswers = 4
 
+// blindAnswers is how many answers a step needs when no usual time is known to compare them with: every server has had a
+// queue since this keeper took over.
+const blindAnswers = 4 * warmAnswers
+
+// usualOf returns the usual time of a server without a queue, that of the others when its own is not known, or zero.
+func (k *keeper) usualOf(s *kept) time.Duration {
+	if s.usual > 0 {
+		return s.usual
+	}
+	var sum time.Duration
+	known := 0
+	for _, other := range k.servers {
+		if other.usual > 0 {
+			sum += other.usual
+			known++
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return sum / time.Duration(known)
+}
+
 // grow doubles the allowance of a cold server when the answers of a step came in time on average.
 func (k *keeper) grow(s *kept) {
 	enough, factor := warmAnswers, 1.5
@@ -215,7 +240,11 @@
 	if s.answers < enough || k.w.now.Sub(s.grownAt) < k.w.doc.Servers.WarmUpStep {
 		return
 	}
-	inTime := s.usual == 0 || float64(s.spent)/float64(s.answers) <= factor*float64(s.usual)
+	usual := k.usualOf(s)
+	if usual == 0 && s.answers < blindAnswers {
+		return
+	}
+	inTime := usual == 0 || float64(s.spent)/float64(s.answers) <= factor*float64(usual)
 	s.answers, s.spent = 0, 0
 	s.grownAt = k.w.now
 	if inTime {
