Serve services whose servers tell no load by first answers and early second copies

Their health checks wait for a slot and hide how slow the machine is, so a placement waited 8 ms for all checks and then took whatever report was at most a second old; usual times were means that slow machines had stretched, so look-ups were refused as late and second copies came after the objective. Ruled out: the time of a check as a sign of a slow machine (checks of chosen servers take within 0.3 ms of the quickest, while a quarter of the requests takes 3.5 times the work). Change: the first server that answers a check has a slot and gets the request; a server without room for a check is left out; the usual time is a quantile; a copy that is overdue marks its server as slow for 150 ms; second copies are sent at 1.25 times the usual time where they can still be in time, later only to save the answer. The last rule holds for all services.

--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -36,6 +36,9 @@
 	Cold bool
 	// Reported is false when the server has not reported its load recently.
 	Reported bool
+	// Delay is by how much the last health check of a server that tells no load took longer than its quickest one: it
+	// waited for a slot, or the machine is slow.
+	Delay time.Duration
 }
 
 // Demand is what a request needs.
@@ -78,6 +81,16 @@
 	YieldStretch float64
 	// UnreportedPenalty is added to servers that have not reported.
 	UnreportedPenalty time.Duration
+	// Hedge and BlindHedge are how many times the expected time passes before a second copy is sent. The second is for
+	// servers that tell no load: what is expected there is the time on an unhurried machine, and an answer that is not
+	// back by then comes from one that is several times slower.
+	Hedge, BlindHedge float64
+	// RescuePart is the part of the time that is left after which a second copy is sent though it will be late.
+	RescuePart float64
+	// DelayWeight is how much longer a request is expected to take for the delay of a health check, and MostDelay bounds
+	// that: the work of a check is a small part of that of a request, so a slow machine delays it by little.
+	DelayWeight float64
+	MostDelay   time.Duration
 }
 
 // DefaultTuning returns the model that the measurements in docs/measurements.md were made with.
@@ -85,6 +98,7 @@
 	return Tuning{
 		Residual: 150 * time.Millisecond, MeanSlowdown: 1.8, Knee: 0.8, KneeFactor: 1.7, ColdFactor: 2, LeastSuccess: 0.2,
 		YieldStretch: 1.2, FarGain: 100 * time.Millisecond, UnreportedPenalty: 200 * time.Millisecond,
+		Hedge: 1.7, BlindHedge: 1.25, RescuePart: 0.5, DelayWeight: 5, MostDelay: 300 * time.Millisecond,
 	}
 }
 
@@ -104,13 +118,27 @@
 	}
 	work = t.stretch(work, c.Slowdown, c.Usual)
 	work /= max(c.Success, t.LeastSuccess)
-	expected := time.Duration(work) + c.RoundTrip
+	expected := time.Duration(work) + c.RoundTrip + min(time.Duration(t.DelayWeight*float64(c.Delay)), t.MostDelay)
 	if !c.Reported {
 		expected += t.UnreportedPenalty
 	}
 	return expected
 }
 
+// HedgeAfter returns the time after which a second copy of an idempotent request is worth its price. Reported is true
+// when the servers tell their load. A second copy that would be late as well is sent only to save the answer.
+func (t Tuning) HedgeAfter(d Demand, expected time.Duration, reported bool) time.Duration {
+	stretch := t.Hedge
+	if !reported {
+		stretch = t.BlindHedge
+	}
+	after := time.Duration(stretch * float64(expected))
+	if after+expected <= d.Objective {
+		return after
+	}
+	return max(after, time.Duration(t.RescuePart*float64(d.Left)))
+}
+
 // stretch returns how long work takes when the present slowdown lasts for the residual time and the usual one follows.
 func (t Tuning) stretch(work, slowdown, usual float64) float64 {
 	if usual <= 0 {
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -92,7 +92,7 @@
 // instance, which the first forwarder used, and checks what callers get. It guards against a change that loses the gain.
 func TestChoiceServesMoreInTime(t *testing.T) {
 	for _, load := range []float64{0.3, 0.5, 0.7} {
-		old, present := play(load, fewestOwn), play(load, byReport)
+		old, present := play(load, fewestOwn, 0), play(load, byReport, 0)
 		t.Logf("load %.1f: in time %.3f with fewest own requests, %.3f with reports", load, old, present)
 		if present < old+0.05 {
 			t.Errorf("load %.1f: %.3f in time, %.3f before", load, present, old)
@@ -100,9 +100,25 @@
 	}
 }
 
+// The load of servers that tell no load and hide how slow their machines are. The test plays the same arrivals with
+// second copies after the time that suits servers which tell their load, and after the one for those that do not, and
+// checks what callers get. It guards against a change that loses the gain.
+func TestEarlySecondCopiesServeMoreInTime(t *testing.T) {
+	tuning := DefaultTuning()
+	for _, load := range []float64{0.2, 0.35} {
+		// The mean of times that hide slowness is 1.75 times the work; their quantile is the work itself.
+		old := play(load, free, tuning.HedgeAfter(demand, demand.Work*7/4, true))
+		present := play(load, free, tuning.HedgeAfter(demand, demand.Work, false))
+		t.Logf("load %.2f: in time %.3f with late second copies, %.3f with early ones", load, old, present)
+		if present < old+0.02 {
+			t.Errorf("load %.2f: %.3f in time, %.3f before", load, present, old)
+		}
+	}
+}
+
 type simServer struct {
 	running int
-	queue   []simRequest
+	queue   []*simRequest
 	slow    bool
 }
 
@@ -110,6 +126,9 @@
 	instance int
 	arrived  time.Duration
 	work     time.Duration
+	// on are the servers that run a copy. The first copy that ends answers and cancels the others.
+	on       []int
+	answered bool
 }
 
 type simEvent struct {
@@ -152,8 +171,23 @@
 	return max(DefaultTuning().Choose(demand, candidates).Index, 0)
 }
 
-// play returns the share of requests that are answered within the objective, at a load in parts of all slots.
-func play(load float64, choose func([]simServer, []int) int) float64 {
+// free chooses a server with a free slot, as the first answer to a health check does, without a view of its speed.
+func free(servers []simServer, own []int) int {
+	best := 0
+	for i, s := range servers {
+		if own[i]+s.running+len(s.queue) < own[best]+servers[best].running+len(servers[best].queue) {
+			best = i
+		}
+	}
+	return best
+}
+
+// hedgeBudget is the part of the requests that may have a second copy, as the platform allows.
+const hedgeBudget = 0.2
+
+// play returns the share of requests that are answered within the objective, at a load in parts of all slots. A second
+// copy is sent after the given time; none when it is zero.
+func play(load float64, choose func([]simServer, []int) int, hedge time.Duration) float64 {
 	const servers, slots, instances, length = 5, 6, 5, 60 * time.Second
 	rnd := rand.New(rand.NewPCG(7, 11))
 	var events simEvents
@@ -164,24 +198,38 @@
 	}
 	var now time.Duration
 	at := func(when time.Duration, what func()) { heap.Push(&events, simEvent{at: when, what: what}) }
-	inTime, all := 0, 0
-	var start func(s int, r simRequest)
-	start = func(s int, r simRequest) {
+	inTime, all, hedges := 0, 0, 0
+	var start func(s int, r *simRequest)
+	leave := func(s int, r *simRequest) {
+		state[s].running--
+		own[r.instance][s]--
+		for len(state[s].queue) > 0 {
+			next := state[s].queue[0]
+			state[s].queue = state[s].queue[1:]
+			if !next.answered {
+				start(s, next)
+				return
+			}
+			own[next.instance][s]--
+		}
+	}
+	start = func(s int, r *simRequest) {
 		state[s].running++
+		r.on = append(r.on, s)
 		work := r.work
 		if state[s].slow {
 			work *= 4
 		}
 		at(now+work, func() {
-			state[s].running--
-			own[r.instance][s]--
+			if r.answered {
+				return // the copy was cancelled
+			}
+			r.answered = true
 			if now-r.arrived <= demand.Objective {
 				inTime++
 			}
-			if len(state[s].queue) > 0 {
-				next := state[s].queue[0]
-				state[s].queue = state[s].queue[1:]
-				start(s, next)
+			for _, other := range r.on {
+				leave(other, r)
 			}
 		})
 	}
@@ -197,14 +245,25 @@
 	var arrive func()
 	arrive = func() {
 		i := rnd.IntN(instances)
-		s := choose(state, own[i])
-		r := simRequest{instance: i, arrived: now, work: time.Duration(float64(demand.Work) * (0.7 + 0.6*rnd.Float64()))}
-		own[i][s]++
+		r := &simRequest{instance: i, arrived: now, work: time.Duration(float64(demand.Work) * (0.7 + 0.6*rnd.Float64()))}
 		all++
-		if state[s].running < slots {
-			start(s, r)
-		} else {
-			state[s].queue = append(state[s].queue, r)
+		send := func() {
+			s := choose(state, own[i])
+			own[i][s]++
+			if state[s].running < slots {
+				start(s, r)
+			} else {
+				state[s].queue = append(state[s].queue, r)
+			}
+		}
+		send()
+		if hedge > 0 {
+			at(now+hedge, func() {
+				if !r.answered && float64(hedges) < hedgeBudget*float64(all) {
+					hedges++
+					send()
+				}
+			})
 		}
 		at(now+time.Duration(rnd.ExpFloat64()*gap), arrive)
 	}
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -19,6 +19,9 @@
 	directorCapacity = 1024
 	// workWeight is the weight of a new measurement of a route's work.
 	workWeight = 0.05
+	// blindQuantile is the quantile of the times that counts as usual where servers tell no load: below the share of
+	// requests that meet a machine at its usual speed.
+	blindQuantile = 0.4
 )
 
 // Messages to the director.
@@ -47,6 +50,8 @@
 		// worked is true when the server gave an answer that is not a failure of its own.
 		worked bool
 	}
+	// overdue tells that a copy has taken longer than expected and is still on its way.
+	overdue struct{ grant *grant }
 	// checked tells the outcome of a health check.
 	checked struct {
 		server *server
@@ -71,11 +76,15 @@
 	fingerprint quarantine.Fingerprint
 	// expected is the time in which the answer is expected.
 	expected time.Duration
+	// hedgeAfter is the time after which a second copy of an idempotent request is worth its price.
+	hedgeAfter time.Duration
 	// plain is true when the server was warm, unhurried and had room, so that the time of the copy shows the work.
 	plain bool
 	// reportAge is the age of the report behind the choice.
 	reportAge time.Duration
-	asked     int
+	// delay is that of the health check of a server that tells no load.
+	delay time.Duration
+	asked int
 }
 
 // unplaced is the answer to place when no server is chosen.
@@ -148,6 +157,8 @@
 		d.begin(ctx, now, m)
 	case released:
 		d.release(ctx, now, m)
+	case overdue:
+		m.grant.server.overdueAt = now
 	case checked:
 		d.takeCheck(ctx, now, m)
 	case believed:
@@ -235,11 +246,22 @@
 		s.observe(now, m.result)
 	}
 	if m.worked && m.grant.plain {
-		work := m.result.Elapsed - s.roundTrip
-		old := d.work[m.grant.routeID]
-		if old == 0 {
-			old = work
-		}
-		d.work[m.grant.routeID] = old + time.Duration(workWeight*float64(work-old))
+		d.learnWork(m.grant.routeID, m.result.Elapsed-s.roundTrip, s.report.load)
+	}
+}
+
+// learnWork takes the time of a copy on a server that was taken as unhurried. Servers that tell no load may have been
+// slow all the same, so for them the usual time is a quantile that slow answers hardly move.
+func (d *director) learnWork(route string, work time.Duration, known bool) {
+	old := d.work[route]
+	switch {
+	case old == 0:
+		d.work[route] = work
+	case known:
+		d.work[route] = old + time.Duration(workWeight*float64(work-old))
+	case work < old:
+		d.work[route] = old - time.Duration(workWeight*(1-blindQuantile)*float64(old))
+	default:
+		d.work[route] = old + time.Duration(workWeight*blindQuantile*float64(old))
 	}
 }
--- a/internal/gateway/director_test.go
+++ b/internal/gateway/director_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -55,3 +56,45 @@
 		t.Errorf("100 ms of work are expected to take %s", expected)
 	}
 }
+
+// Guards against requests that are sent to servers which had no room for a health check, or that are slow at the moment,
+// where servers tell no load: each such copy takes from the resend budget.
+func TestServersWithoutLoadReportsThatAreFullOrSlow(t *testing.T) {
+	settings := &Settings{Bounds: Bounds{ResendWindow: time.Second}}
+	self := fleet.Instance{Name: "edge-1", Place: fleet.Place{Zone: "a", Region: "east"}}
+	d := newDirector(self, settings, nil, nil, slog.New(slog.DiscardHandler), newCounters(metrics.NewRegistry()))
+	d.belief = &Belief{View: &fleet.View{Config: &fleet.Config{}}}
+	now := time.Unix(1000, 0)
+	answered := func(id string, fate call.Fate) *server {
+		s := &server{entry: &fleet.Backend{ID: id, Slots: 3}, roundTrip: assumedZone, score: outlier.NewScore()}
+		s.checked(now, backend.Result{Fate: fate, Answer: &call.Answer{Status: 200}, Elapsed: time.Millisecond})
+		d.servers[s.entry.Incarnation()] = s
+		return s
+	}
+	full, slow, good := answered("i-full", call.DeclaredNotRun), answered("i-slow", call.Answered), answered("i-good", call.Answered)
+	d.handle(t.Context(), now, overdue{grant: &grant{server: slow}})
+	p := &pending{place: place{service: "s", route: &fleet.Route{Objective: time.Second}, until: now.Add(time.Second), objective: now.Add(time.Second)}}
+	p.servers = []*server{full, slow, good}
+	servers, candidates := d.candidates(now, p)
+	choice := d.tuning.Choose(d.demand(now, &p.place), candidates)
+	if choice.Index < 0 || servers[choice.Index] != good || len(servers) != 2 {
+		t.Errorf("%d servers are left and number %d is chosen", len(servers), choice.Index)
+	}
+}
+
+// Guards against a usual time that slow machines stretch where servers tell no load: 35 of 100 requests take four times as
+// long, and second copies would come too late.
+func TestUsualTimeOfServersWithoutLoadReports(t *testing.T) {
+	d := newDirector(fleet.Instance{}, &Settings{}, nil, nil, slog.New(slog.DiscardHandler), newCounters(metrics.NewRegistry()))
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		work := 80*time.Millisecond + time.Duration(rnd.Int64N(int64(20*time.Millisecond)))
+		if rnd.Float64() < 0.35 {
+			work *= 4
+		}
+		d.learnWork("r", work, false)
+	}
+	if usual := d.work["r"]; usual < 75*time.Millisecond || usual > 115*time.Millisecond {
+		t.Errorf("the usual time is %s", usual)
+	}
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -28,9 +28,8 @@
 	answerSlack = 20 * time.Millisecond
 	// mostSends bounds the copies of one request, those that did not run included.
 	mostSends = 4
-	// hedgeStretch is how many times the expected time passes before a second copy is sent, hedgeLeast the least time.
-	hedgeStretch = 1.7
-	hedgeLeast   = 30 * time.Millisecond
+	// hedgeLeast is the least time after which a second copy is sent.
+	hedgeLeast = 30 * time.Millisecond
 	// staleConfig is the age of the configuration from which an unknown route may be one that was added since.
 	staleConfig = time.Second
 	// startReturn is when callers come back while the instance knows no configuration.
@@ -99,7 +98,9 @@
 	// slowAt is when a second copy is sent; zero when none is.
 	slowAt time.Time
 
+	// grant is the one that was not used yet, latest that of the last copy.
 	grant  *grant
+	latest *grant
 	tried  []string
 	sends  int
 	runs   int
@@ -195,6 +196,7 @@
 		f.fire("expired")
 	case <-slow:
 		f.slowAt = time.Time{}
+		f.tell(overdue{grant: f.latest})
 		f.fire("slow")
 	case <-f.ctx.Done():
 		f.fire("gone")
@@ -306,7 +308,7 @@
 // send sends one copy to the server that was granted.
 func (f *forward) send() {
 	g := f.grant
-	f.grant = nil
+	f.grant, f.latest = nil, g
 	f.sends++
 	f.runs++
 	f.copies++
@@ -319,10 +321,10 @@
 	f.tried = append(f.tried, g.entry.ID)
 	f.slowAt = time.Time{}
 	if f.route.Idempotent {
-		f.slowAt = time.Now().Add(max(time.Duration(hedgeStretch*float64(g.expected)), hedgeLeast))
+		f.slowAt = time.Now().Add(max(g.hedgeAfter, hedgeLeast))
 	}
 	f.log.Info("request is sent", "request", f.request.ID, "route", f.route.Name, "backend", g.entry.ID, "zone", g.entry.Place.Zone,
-		"expected_ms", g.expected.Milliseconds(), "report_age_ms", g.reportAge.Milliseconds(), "asked", g.asked, "copy", f.sends,
+		"expected_ms", g.expected.Milliseconds(), "report_age_ms", g.reportAge.Milliseconds(), "check_delay_us", g.delay.Microseconds(), "asked", g.asked, "copy", f.sends,
 		"waited_ms", time.Since(f.began).Milliseconds())
 	request := *f.request
 	request.Expect = g.entry.ID
@@ -362,7 +364,7 @@
 	}
 }
 
-func (f *forward) tell(m released) {
+func (f *forward) tell(m any) {
 	_ = f.director.Send(context.Background(), m) // losing the end of a copy would leak a slot; the director outlives requests
 }
 
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -26,12 +26,30 @@
 // pending is a placement that waits for reports.
 type pending struct {
 	place
-	began    time.Time
+	began time.Time
+	// asked is when servers were asked last, limit how long their reports may take.
+	asked    time.Time
+	limit    time.Duration
 	decideBy time.Time
 	far      bool
 	servers  []*server
 }
 
+// poll returns the state of the health checks.
+func (p *pending) poll(now time.Time) placement.Poll {
+	state := placement.Poll{Waited: now.Sub(p.asked)}
+	for _, s := range p.servers {
+		if s.probing {
+			state.Outstanding++
+		}
+		if s.isFresh(now) && !s.isFull(now) {
+			state.Fresh++
+		}
+		state.Blind = state.Blind || !s.report.load
+	}
+	return state
+}
+
 // begin takes a placement and asks servers whose reports are old.
 func (d *director) begin(ctx context.Context, now time.Time, m place) {
 	budget := d.budget(m.service)
@@ -46,7 +64,7 @@
 		m.reply(unplaced{reason: "equal requests crashed backend servers", retryAfter: d.retryAfter(now, &m, m.until.Sub(now))})
 		return
 	}
-	p := &pending{place: m, began: now, decideBy: now.Add(d.timing.Near)}
+	p := &pending{place: m, began: now, asked: now, limit: d.timing.Near}
 	p.servers = d.usable(now, &m, false, nearAsked)
 	if len(p.servers) == 0 {
 		d.extend(now, p)
@@ -67,7 +85,7 @@
 // extend adds servers of other regions to a placement.
 func (d *director) extend(now time.Time, p *pending) {
 	p.far = true
-	p.decideBy = now.Add(d.timing.Far)
+	p.asked, p.limit = now, d.timing.Far
 	most := farAsked
 	if len(p.servers) == 0 {
 		most = nearAsked // all that there is to choose from
@@ -131,7 +149,7 @@
 	}
 	s.probing, s.asked = true, now
 	d.counters.checks.Inc(1)
-	s.check(ctx, d.timing.Check, d.belief.Config.Services[s.entry.Service], func(r backend.Result) {
+	s.check(ctx, s.checkLimit(d.timing.Check), d.belief.Config.Services[s.entry.Service], func(r backend.Result) {
 		_ = d.inbox.Send(ctx, checked{server: s, result: r}) // only the end of the context stops it
 	})
 }
@@ -175,11 +193,12 @@
 
 // decide answers a placement and reports true, or reports false when it still waits.
 func (d *director) decide(ctx context.Context, now time.Time, p *pending) bool {
-	waits := slices.ContainsFunc(p.servers, func(s *server) bool { return s.probing })
-	if waits && now.Before(p.decideBy) {
+	demand := d.demand(now, &p.place)
+	poll := p.poll(now)
+	if remaining := poll.Remaining(p.limit, demand); remaining > 0 {
+		p.decideBy = now.Add(remaining)
 		return false
 	}
-	demand := d.demand(now, &p.place)
 	servers, candidates := d.candidates(now, p)
 	choice := d.tuning.Choose(demand, candidates)
 	if choice.Index >= 0 && (p.far || choice.Expected <= demand.Objective) {
@@ -191,7 +210,7 @@
 		d.ask(ctx, now, p.servers)
 		return d.decide(ctx, now, p)
 	}
-	if waits && len(servers) == 0 && now.Sub(p.began) < d.timing.Most {
+	if poll.Outstanding > 0 && len(servers) == 0 && now.Sub(p.began) < d.timing.Most {
 		p.decideBy = p.began.Add(d.timing.Most)
 		return false
 	}
@@ -224,6 +243,9 @@
 		if s.silent || s.report.at.IsZero() || !d.isUsable(now, s, &p.place) || d.servers[s.entry.Incarnation()] != s {
 			continue
 		}
+		if s.isFull(now) {
+			continue
+		}
 		if s.isCold(now) && !s.cold.Room(now, d.coldShare(now, s)) {
 			continue
 		}
@@ -260,19 +282,25 @@
 	p.reply(&grant{
 		fingerprint: p.fingerprint,
 		server:      s, entry: s.entry, pool: s.pool, sentAt: now, routeID: p.route.Name, expected: expected,
-		plain: c.Slowdown <= usualSlowdown && !c.Cold && c.Running+1 <= c.Slots, reportAge: now.Sub(s.report.at), asked: len(p.servers),
+		hedgeAfter: d.tuning.HedgeAfter(d.demand(now, &p.place), expected, s.report.load),
+		plain:      c.Slowdown <= usualSlowdown && !c.Cold && c.Running+1 <= c.Slots && c.Delay <= usualDelay, reportAge: now.Sub(s.report.at), delay: c.Delay, asked: len(p.servers),
 	})
 }
 
 // usualSlowdown is the most slowdown at which the time of a copy is taken as its work.
 const usualSlowdown = 1.05
 
+// usualDelay is the same for the delay of a health check: less than its usual time of a millisecond.
+const usualDelay = 500 * time.Microsecond
+
 // refuse answers that no server can take the request in time. It reports true.
 func (d *director) refuse(now time.Time, p *pending, demand placement.Demand, choice placement.Choice) bool {
 	reason := "no backend server can be reached"
 	switch {
 	case len(p.servers) == 0:
 		reason = "no backend server is known that may run the request"
+	case slices.ContainsFunc(p.servers, func(s *server) bool { return s.isFull(now) }):
+		reason = "no backend server has room"
 	case choice.Expected > demand.Left:
 		reason = "no backend server is expected to finish in time"
 	case choice.Expected > 0:
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -20,8 +20,14 @@
 	// of a server lasts, and for far servers more than the round trip that a newer one takes.
 	freshNear = 25 * time.Millisecond
 	freshFar  = 120 * time.Millisecond
-	// freshPlain is the same for services whose servers do not report load: their health checks wait for a slot.
-	freshPlain = time.Second
+	// overdueKept is how long a server that tells no load counts as slow after a copy was overdue: half of the 300 ms for
+	// which the speed of a machine lasts. overdueSlowdown is how slow it then counts.
+	overdueKept     = 150 * time.Millisecond
+	overdueSlowdown = 4
+	// blindCheck bounds a health check that may wait for a slot: a few times the time that requests take.
+	blindCheck = time.Second
+	// fullKept is how long a server that had no room for a health check is left out: several times the wait of a placement.
+	fullKept = 150 * time.Millisecond
 	// silencePause is the pause between checks of a server that does not answer.
 	silencePause = 150 * time.Millisecond
 	// reportKept is how long a report counts at all.
@@ -45,6 +51,8 @@
 	probing  bool
 	// asked is when the last check was sent.
 	asked time.Time
+	// overdueAt is when a copy was last found to take longer than expected.
+	overdueAt time.Time
 	// silent is true while the last check had no answer.
 	silent bool
 	// examined is how many health checks may still follow a broken connection, to find out whether the server crashed.
@@ -52,6 +60,8 @@
 	// misplaced is true when another server answers at the address.
 	misplaced bool
 	roundTrip time.Duration
+	// quickest is the least time of a health check; zero until one was answered.
+	quickest time.Duration
 	// usual is the mean slowdown of the last seconds; zero until one was reported.
 	usual float64
 	score outlier.Score
@@ -70,6 +80,10 @@
 	well bool
 	// load is false when the server did not tell its load.
 	load bool
+	// delay is by how much the check took longer than the quickest one.
+	delay time.Duration
+	// full is true when the server had no room for the check.
+	full bool
 }
 
 func distance(self, other fleet.Place) placement.Distance {
@@ -92,12 +106,15 @@
 	if s.distance == placement.OtherRegion {
 		limit = freshFar
 	}
-	if !s.report.load {
-		limit = freshPlain
+	if !s.report.load && s.report.sent > 0 {
+		return false // the slot that the check found free has been taken
 	}
 	return !s.report.at.IsZero() && !s.silent && now.Sub(s.report.at) <= limit
 }
 
+// isFull reports whether the server had no room for a health check a moment ago.
+func (s *server) isFull(now time.Time) bool { return s.report.full && now.Sub(s.report.at) <= fullKept }
+
 // isCold reports whether the server is cold, or may be because nothing recent is known.
 func (s *server) isCold(now time.Time) bool {
 	return s.report.at.IsZero() || now.Sub(s.report.at) > reportKept || now.Before(s.report.coldUntil)
@@ -111,6 +128,10 @@
 	}
 	if !s.report.load {
 		c.Slowdown, c.Usual = 1, 1 // the times that were measured are all that is known
+		if now.Sub(s.overdueAt) < overdueKept {
+			c.Slowdown = overdueSlowdown
+		}
+		c.Delay = s.delay(now)
 	}
 	if s.report.load && now.Sub(s.report.at) <= reportKept {
 		c.Running = max(s.report.running+s.report.sent, s.inFlight)
@@ -122,6 +143,14 @@
 	return c
 }
 
+// delay returns by how much health checks of a server that tells no load take longer than usual.
+func (s *server) delay(now time.Time) time.Duration {
+	if s.probing { // the check has waited so long already
+		return max(s.report.delay, now.Sub(s.asked)-s.quickest)
+	}
+	return s.report.delay
+}
+
 // observe takes what an answer or a health check told.
 func (s *server) observe(now time.Time, r backend.Result) {
 	if !r.LoadKnown {
@@ -130,7 +159,7 @@
 	s.learnUsual(now, r.Slowdown)
 	s.report = report{
 		at: now, running: r.Running, waiting: r.Waiting, slots: r.Slots, slowdown: r.Slowdown, load: true,
-		well: s.report.well, coldUntil: s.report.coldUntil,
+		well: s.report.well, full: s.report.full, coldUntil: s.report.coldUntil,
 	}
 }
 
@@ -157,6 +186,7 @@
 	}
 	s.misplaced = r.Identity != "" && r.Identity != s.entry.ID
 	s.report.well = r.Answer.Status < http.StatusMultipleChoices
+	s.report.full = r.Fate == call.DeclaredNotRun
 	s.report.load = r.LoadKnown
 	s.observe(now, r)
 	s.report.at, s.report.sent = now, 0
@@ -166,7 +196,21 @@
 	}
 	if r.LoadKnown { // without it, the check may have waited for a slot
 		s.roundTrip += time.Duration(roundTripWeight * float64(r.Elapsed-s.roundTrip))
+		return
+	}
+	if s.quickest == 0 || r.Elapsed < s.quickest {
+		s.quickest = r.Elapsed
+	}
+	s.report.delay = r.Elapsed - s.quickest
+}
+
+// checkLimit returns the time after which a health check without an answer shows that the server does not answer. That of
+// a server which tells no load may wait for a slot.
+func (s *server) checkLimit(usual time.Duration) time.Duration {
+	if s.report.load {
+		return usual
 	}
+	return max(usual, blindCheck)
 }
 
 // check asks the server for its health and load on a connection of its pool. The connection that answers is the next
