Take removed entries as gone unless the store was away for all, and count suspensions in the age of news

The feed of the instance still counted failures of a cut of its zone that had ended 3 s before, when it had gone back to following a peer; its next answer passed for the return of the store, and an entry that was removed then was kept for 2 s. Change: a feed forgets its failures when it stops reading; only a gap in the news from all sources counts as the store's absence; ages take in the time that CLOCK_BOOTTIME counts and the steady clock does not. Both tests failed before (the first with the two lines put back, the second had nothing to call).

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -13,6 +13,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/suspension"
 	"fuchsiahub.example/fuchsiahub/internal/task"
 )
 
@@ -53,6 +54,9 @@
 	// lapsed holds entries that were removed while the store was away or just after, until they count as gone.
 	lapsed     map[string]time.Time
 	regainedAt time.Time
+	// suspended returns how long the machine has been suspended so far, knownSuspended what it returned last.
+	suspended      func() time.Duration
+	knownSuspended time.Duration
 	// unanswered holds the kinds whose feeds had no answer to their last call.
 	unanswered map[objectapi.Kind]bool
 	// refused holds the revision of the last invalid object by kind and name, so that each is logged once.
@@ -64,17 +68,19 @@
 		inbox: task.NewMailbox[any]("board", boardCapacity), schema: schema, beliefs: beliefs, log: log,
 		backends: map[string]*fleet.Backend{}, evacuated: map[string]bool{}, instances: map[string]fleet.Instance{},
 		archive: archive{}, readBy: map[objectapi.Kind]string{}, asOf: map[objectapi.Kind]time.Time{}, lapsed: map[string]time.Time{},
-		unanswered: map[objectapi.Kind]bool{}, refused: map[string]uint64{},
+		unanswered: map[objectapi.Kind]bool{}, refused: map[string]uint64{}, suspended: suspension.Total, knownSuspended: suspension.Total(),
 	}
 }
 
 // run is the body of the task.
 func (b *board) run(ctx context.Context) error {
 	for {
+		b.noteSuspension()
 		b.reader.look(ctx, time.Now())
 		timer := time.NewTimer(min(b.untilLapse(), tick))
 		select {
 		case m := <-b.inbox.C():
+			b.noteSuspension()
 			b.handle(time.Now(), m)
 		case <-timer.C:
 		case <-ctx.Done():
@@ -86,6 +92,29 @@
 	}
 }
 
+// leastSuspension is the least time that counts as a suspension: below it lies the inaccuracy of the clocks.
+const leastSuspension = 10 * time.Millisecond
+
+// noteSuspension makes news older by the time for which the machine was suspended, which the steady clock leaves out. Peers
+// that ask would otherwise take them for new.
+func (b *board) noteSuspension() {
+	total := b.suspended()
+	missed := total - b.knownSuspended
+	if missed < leastSuspension {
+		return
+	}
+	b.knownSuspended = total
+	for kind, at := range b.asOf {
+		b.asOf[kind] = at.Add(-missed)
+	}
+	b.log.Warn("machine was suspended", "for_ms", missed.Milliseconds())
+}
+
+// countSuspension makes news older by the time for which the machine was suspended between the question and the answer.
+func (b *board) countSuspension(l *learned) {
+	l.asOf = l.asOf.Add(-max(b.knownSuspended-l.suspended, 0))
+}
+
 // idleWait is the wait when no entry is about to count as gone.
 const idleWait = time.Hour
 
@@ -102,8 +131,10 @@
 	case storeLost:
 		b.unanswered[m.kind] = true
 	case storeRegained:
-		b.regained(now, m.kind)
+		b.regained(m.kind)
 	case learned:
+		delete(b.unanswered, m.kind)
+		b.countSuspension(&m)
 		b.learn(now, m)
 		m.reply <- b.archive.shelf(m.kind).revision
 		if m.kind == objectapi.Backends {
@@ -119,12 +150,11 @@
 }
 
 // regained notes that the store answers a feed again.
-func (b *board) regained(now time.Time, kind objectapi.Kind) {
+func (b *board) regained(kind objectapi.Kind) {
 	delete(b.unanswered, kind)
 	if kind != objectapi.Backends {
 		return
 	}
-	b.regainedAt = now
 	// A call of another feed that began while the store was away may hang.
 	for other, f := range b.reader.feeds {
 		if other != kind {
@@ -171,7 +201,8 @@
 // silence is the age of the last news from which the store counts as having been away.
 const silence = 2500 * time.Millisecond
 
-// noteReturn takes news after a long silence as the return of the store.
+// noteReturn takes news after a long silence as the return of the store. A store that did not answer this instance while
+// peers passed on its news was not away: entries that were removed meanwhile did not lapse.
 func (b *board) noteReturn(now time.Time, l *learned) {
 	last := b.asOf[l.kind]
 	if l.kind == objectapi.Backends && !last.IsZero() && l.asOf.Sub(last) > silence {
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -157,6 +157,17 @@
 
 // startBoard runs board and feeds of one instance without peers until the context ends.
 func startBoard(t *testing.T, ctx context.Context, store Store) *Beliefs {
+	t.Helper()
+	beliefs, b := newTestBoard(t, store)
+	for _, f := range b.reader.feeds {
+		go func() { _ = f.run(ctx) }() // it ends with the context
+	}
+	go func() { _ = b.run(ctx) }() // same
+	return beliefs
+}
+
+// newTestBoard returns a board with feeds that do not run.
+func newTestBoard(t *testing.T, store Store) (*Beliefs, *board) {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	beliefs := &Beliefs{}
@@ -174,10 +185,8 @@
 			t.Fatal(err)
 		}
 		b.reader.feeds[kind] = f
-		go func() { _ = f.run(ctx) }() // it ends with the context
 	}
-	go func() { _ = b.run(ctx) }() // same
-	return beliefs
+	return beliefs, b
 }
 
 // Guards against news that come late after trouble of the store. In a hunt (Pecos, scale-1, seed 1046994915547) the feed
@@ -259,6 +268,70 @@
 	})
 }
 
+// Guards against servers that leave and are kept because the store once did not answer this instance while peers passed on
+// its news. Found in a hunt (varied copy of Pecos with long cold starts, machines.toml --vary --seed 1062172202600): the
+// feed still counted failures of a cut that had ended 3 s before, and a request reached a server 2.5 s after it had left.
+func TestServersThatLeaveWhilePeersPassOnTheNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(objectapi.Backends, "i-1", fleet.Backend{Service: "s"})
+		beliefs, b := newTestBoard(t, store)
+		f := b.reader.feeds[objectapi.Backends]
+		step := func(what func(context.Context) string) string {
+			ended := make(chan string, 1)
+			go func() { ended <- what(t.Context()) }()
+			for {
+				select {
+				case m := <-b.inbox.C():
+					b.handle(time.Now(), m)
+				case event := <-ended:
+					return event
+				}
+			}
+		}
+		step(f.list)
+		store.setFails(map[objectapi.Kind]string{objectapi.Backends: "refuses"})
+		for range 3 {
+			step(f.changes)
+		}
+		// A peer passes on that nothing has changed, and the feed is to rest.
+		events, _ := b.archive.shelf(objectapi.Backends).after(1)
+		b.learn(time.Now(), learned{kind: objectapi.Backends, base: b.archive.shelf(objectapi.Backends).revision,
+			revision: store.revision.Load(), events: events[:0], asOf: time.Now(), reader: "edge-2"})
+		f.assign(assignment{})
+		time.Sleep(time.Second)
+		store.setFails(nil)
+		store.remove(objectapi.Backends, "i-1")
+		f.assign(assignment{active: true})
+		step(f.changes)
+		if n := len(beliefs.Newest().Backends["s"]); n != 0 {
+			t.Errorf("%d servers are known although the only one has left", n)
+		}
+	})
+}
+
+// Guards against news that look new after the machine was suspended: the steady clock leaves that time out, and peers that
+// ask would stop to read the store.
+func TestNewsGrowOldWhileTheMachineIsSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, b := newTestBoard(t, newFakeStore())
+		var total time.Duration
+		b.suspended, b.knownSuspended = func() time.Duration { return total }, 0
+		now := time.Now()
+		b.learn(now, learned{kind: objectapi.Backends, whole: true, revision: 3, asOf: now})
+		total = 3 * time.Second
+		b.noteSuspension()
+		if age := b.reader.age(now); age != 3*time.Second {
+			t.Errorf("news from before a suspension of 3 s are taken as %s old", age)
+		}
+		late := learned{kind: objectapi.Backends, whole: true, revision: 4, asOf: now, suspended: 0}
+		b.countSuspension(&late)
+		if age := now.Sub(late.asOf); age != 3*time.Second {
+			t.Errorf("an answer that came before a suspension of 3 s is taken as %s old", age)
+		}
+	})
+}
+
 // Guards against a configuration that goes back, and against an older start of a server that replaces a newer one.
 func TestNothingGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -10,6 +10,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/chart"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/suspension"
 	"fuchsiahub.example/fuchsiahub/internal/task"
 )
 
@@ -62,6 +63,8 @@
 	revision uint64
 	// asOf is when the store was asked: its answer is at least as new.
 	asOf time.Time
+	// suspended is how long the machine had been suspended by then.
+	suspended time.Duration
 	// reader is the instance that asked the store.
 	reader string
 	// reply gets the revision that the board then knows; nil when nobody waits for it.
@@ -97,8 +100,11 @@
 	// step is the next call or pause; it returns the event that it ended with.
 	step     func(ctx context.Context) string
 	revision uint64
-	called   time.Time
-	failures int
+	// called is when the last call began, calledSuspended how long the machine had been suspended until then.
+	called          time.Time
+	calledSuspended time.Duration
+	suspended       func() time.Duration
+	failures        int
 	// interrupted is true when the last call was given up to ask again.
 	interrupted bool
 }
@@ -122,7 +128,7 @@
 	}
 	f := &feed{
 		kind: kind, pace: paceOf(kind, period), name: name, store: store, board: board, log: log.With("kind", string(kind)),
-		assigned: make(chan assignment, 1), recheck: make(chan struct{}, 1),
+		assigned: make(chan assignment, 1), recheck: make(chan struct{}, 1), suspended: suspension.Total,
 	}
 	f.machine = bound.New(time.Now(), f)
 	return f, nil
@@ -159,6 +165,7 @@
 
 func (f *feed) assign(a assignment) string {
 	if !a.active {
+		f.failures, f.interrupted = 0, false // what failed then says nothing when the feed reads again
 		return "deactivate"
 	}
 	f.revision = max(f.revision, a.revision)
@@ -176,7 +183,7 @@
 }
 
 func (f *feed) list(ctx context.Context) string {
-	f.called = time.Now()
+	f.called, f.calledSuspended = time.Now(), f.suspended()
 	objects, revision, err := f.store.List(ctx, f.kind)
 	if err != nil {
 		return f.failed(ctx, err)
@@ -185,7 +192,7 @@
 	for i, o := range objects {
 		events[i].Object = o
 	}
-	return f.succeeded(ctx, learned{kind: f.kind, whole: true, events: events, revision: revision, asOf: f.called}, "listed")
+	return f.succeeded(ctx, learned{kind: f.kind, whole: true, events: events, revision: revision, asOf: f.called, suspended: f.calledSuspended}, "listed")
 }
 
 func (f *feed) changes(ctx context.Context) string {
@@ -196,7 +203,7 @@
 	if f.failures > 0 || f.interrupted {
 		wait = 0 // shows at once whether the store is back
 	}
-	f.called = time.Now()
+	f.called, f.calledSuspended = time.Now(), f.suspended()
 	call, done := f.interruptible(ctx)
 	events, revision, err := f.store.Changes(call, f.kind, f.revision, wait)
 	f.interrupted = err != nil && call.Err() != nil
@@ -207,7 +214,7 @@
 	if err != nil {
 		return f.failed(ctx, err)
 	}
-	l := learned{kind: f.kind, events: events, base: f.revision, revision: max(revision, f.revision), asOf: f.called}
+	l := learned{kind: f.kind, events: events, base: f.revision, revision: max(revision, f.revision), asOf: f.called, suspended: f.calledSuspended}
 	return f.succeeded(ctx, l, "changed")
 }
 
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -45,9 +45,11 @@
 	newsGiven struct {
 		address string
 		asked   time.Time
-		known   map[objectapi.Kind]uint64
-		reply   *peerpb.NewsReply
-		err     error
+		// suspended is how long the machine had been suspended when the question was asked.
+		suspended time.Duration
+		known     map[objectapi.Kind]uint64
+		reply     *peerpb.NewsReply
+		err       error
 	}
 )
 
@@ -233,10 +235,10 @@
 		request.Known = append(request.Known, &peerpb.KnownKind{Kind: string(kind), Revision: known[kind]})
 	}
 	r.asking[address], r.askedAt[address] = true, now
-	inbox, client := r.board.inbox, r.client
+	inbox, client, suspended := r.board.inbox, r.client, r.board.knownSuspended
 	go func() {
 		reply, err := client.News(ctx, address, request)
-		_ = inbox.Send(ctx, newsGiven{address: address, asked: now, known: known, reply: reply, err: err}) // only the end stops it
+		_ = inbox.Send(ctx, newsGiven{address: address, asked: now, suspended: suspended, known: known, reply: reply, err: err}) // only the end stops it
 	}()
 }
 
@@ -259,6 +261,7 @@
 	}
 	for _, k := range m.reply.GetKinds() {
 		l := m.learned(k)
+		r.board.countSuspension(&l)
 		r.board.learn(now, l)
 		if l.kind == objectapi.Backends {
 			r.judge(now, &l)
@@ -272,7 +275,8 @@
 	kind := objectapi.Kind(k.GetKind())
 	held, age := time.Duration(m.reply.GetHeldMs())*time.Millisecond, time.Duration(k.GetAgeMs())*time.Millisecond
 	l := learned{
-		kind: kind, whole: k.GetWhole(), base: m.known[kind], revision: k.GetRevision(), asOf: m.asked.Add(held - age), reader: k.GetReader(),
+		kind: kind, whole: k.GetWhole(), base: m.known[kind], revision: k.GetRevision(), asOf: m.asked.Add(held - age), suspended: m.suspended,
+		reader: k.GetReader(),
 	}
 	for _, o := range k.GetObjects() {
 		l.events = append(l.events, objectapi.Event{
--- /dev/null
+++ b/internal/suspension/suspension_test.go
@@ -0,0 +1,19 @@
+package suspension
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a total that runs on by itself: each read of news would then make them older.
+func TestTotalStandsStill(t *testing.T) {
+	first := Total()
+	for range 1000 {
+		if grown := Total() - first; grown > 100*time.Millisecond || grown < -100*time.Millisecond {
+			t.Skipf("the machine was suspended for %s during the test", grown)
+		}
+	}
+	if first < 0 && first < -time.Millisecond {
+		t.Errorf("the machine was suspended for %s", first)
+	}
+}
