--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -48,6 +48,10 @@
 // settingsPause is the pause between two looks at the settings file, which may change without a signal.
 const settingsPause = 2 * time.Second
 
+// logEnd bounds the wait for the last log lines at the end of the process: a standard output that nobody reads must not
+// hold it up. It is the reserve that the platform's time to stop leaves after the drain.
+const logEnd = 250 * time.Millisecond
+
 // runGateway runs until the context ends, then stops gracefully.
 func runGateway(ctx context.Context, path string, s gateway.Settings, out io.Writer, level slog.Level) error {
 	hangUp := make(chan os.Signal, 1)
@@ -62,7 +66,10 @@
 	}()
 	defer func() {
 		endLog()
-		<-logged
+		select {
+		case <-logged:
+		case <-time.After(logEnd):
+		}
 	}()
 	logger := log.Logger()
 	listeners, err := gateway.Listen(ctx, &s)
--- a/internal/decide/resend/budget.go
+++ b/internal/decide/resend/budget.go
@@ -56,6 +56,11 @@
 	return use * (b.terms.Ratio*float64(sum(b.requests)-b.requests[buckets]) + b.terms.Slack/float64(max(instances, 1)))
 }
 
+// Left returns the resends that the share still allows, as of the last Request or Take.
+func (b *Budget) Left(instances int) float64 {
+	return max(b.Allowed(instances)-float64(sum(b.resends)), 0)
+}
+
 // advance moves the counts to older buckets as time passes.
 func (b *Budget) advance(now time.Time) {
 	step := b.terms.Window / buckets
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,122 @@
+package eventlog
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// stuck is an output that nobody reads until it is released.
+type stuck struct {
+	release chan struct{}
+	text    bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return s.text.Write(p)
+}
+
+// lineOf is what the tests read of a line.
+type lineOf struct {
+	Msg     string
+	LeftOut int `json:"left_out"`
+	Dropped int
+}
+
+func linesOf(t *testing.T, text []byte) []lineOf {
+	t.Helper()
+	var lines []lineOf
+	for decoder := json.NewDecoder(bytes.NewReader(text)); decoder.More(); {
+		var l lineOf
+		if err := decoder.Decode(&l); err != nil {
+			t.Fatal(err)
+		}
+		lines = append(lines, l)
+	}
+	return lines
+}
+
+// Guards against a request that waits for a standard output which nobody reads, and against lines that vanish uncounted.
+func TestStuckOutputDelaysNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stuck{release: make(chan struct{})}
+		l := New(out, slog.LevelInfo)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			l.Run(ctx)
+			close(ended)
+		}()
+		logger := l.Logger()
+		const burst = 4 * capacity
+		began := time.Now()
+		for i := range burst {
+			logger.Warn("request ended", "request", i, "padding", "some text so that the buffer is soon full")
+			if i%100 == 0 {
+				synctest.Wait()
+			}
+		}
+		if waited := time.Since(began); waited > 0 {
+			t.Errorf("%d lines took %s", burst, waited)
+		}
+		close(out.release)
+		synctest.Wait()
+		time.Sleep(2 * time.Second) // a new second has lines again
+		logger.Warn("request ended")
+		synctest.Wait()
+		cancel()
+		<-ended
+		lines := linesOf(t, out.text.Bytes())
+		counted := len(lines)
+		for _, line := range lines {
+			counted += line.LeftOut + line.Dropped
+		}
+		if counted != burst+1 || len(lines) > 2*warnPerSecond {
+			t.Errorf("%d lines are written and counted of %d; %d are written", counted, burst+1, len(lines))
+		}
+	})
+}
+
+// Guards against a volume that grows with the load. The users' heaviest day has about 250 requests a second for all
+// instances; the test logs ten times as many at one.
+func TestVolumeIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		l := New(&out, slog.LevelInfo)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			l.Run(ctx)
+			close(ended)
+		}()
+		logger := l.Logger()
+		const seconds, each = 5, 2500
+		for range seconds {
+			for range each {
+				logger.Info("request is sent")
+				logger.Warn("request ended")
+				synctest.Wait()
+			}
+			time.Sleep(time.Second)
+		}
+		cancel()
+		<-ended
+		count := map[string]int{}
+		counted := 0
+		for _, line := range linesOf(t, out.Bytes()) {
+			count[line.Msg]++
+			counted += 1 + line.LeftOut
+		}
+		if plain, warn := count["request is sent"], count["request ended"]; plain > seconds*plainPerSecond || warn > seconds*warnPerSecond || plain >= warn {
+			t.Errorf("%d plain lines and %d warnings are written in %d s", plain, warn, seconds)
+		}
+		if least := 2 * (seconds - 1) * each; counted < least {
+			t.Errorf("%d lines are written and counted, at least %d were logged before the last second", counted, least)
+		}
+	})
+}
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -39,6 +39,8 @@
 	reader    *reader
 	// struck is told of crashes of backend servers that instances have found.
 	struck func(quarantine.Strike)
+	// aged is told the age of the news of backend servers.
+	aged func(time.Duration)
 	// unregistered is told when the store has no entry of this instance, or another one.
 	unregistered func()
 
@@ -76,7 +78,9 @@
 func (b *board) run(ctx context.Context) error {
 	for {
 		b.noteSuspension()
-		b.reader.look(ctx, time.Now())
+		now := time.Now()
+		b.aged(b.reader.age(now))
+		b.reader.look(ctx, now)
 		timer := time.NewTimer(min(b.untilLapse(), tick))
 		select {
 		case m := <-b.inbox.C():
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -172,7 +172,7 @@
 	log := slog.New(slog.DiscardHandler)
 	beliefs := &Beliefs{}
 	b := newBoard(fakeSchema{}, beliefs, log)
-	b.unregistered = func() {}
+	b.unregistered, b.aged = func() {}, func(time.Duration) {}
 	b.struck = func(quarantine.Strike) {}
 	settings := &Settings{Bounds: Bounds{Drain: 2 * time.Second}}
 	var err error
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -1,8 +1,12 @@
 package gateway
 
-import "github.com/rcrowley/go-metrics"
+import (
+	"time"
 
-// counters are the measurements of a gateway.
+	"github.com/rcrowley/go-metrics"
+)
+
+// counters are the measurements of a gateway. The types of go-metrics may be used by any task.
 type counters struct {
 	registry metrics.Registry
 	// requests counts requests that were read; the others count how they ended.
@@ -11,8 +15,10 @@
 	resent, hedged, resendRefused metrics.Counter
 	// checks counts health checks of backend servers.
 	checks metrics.Counter
-	// callers is the number of open connections of callers.
-	callers metrics.Gauge
+	// callers is the number of open connections of callers, placing that of requests for which a server is being chosen.
+	callers, placing metrics.Gauge
+	// newsAge is the age of the news of backend servers, in milliseconds.
+	newsAge metrics.Gauge
 	// time is the time of answered requests at this instance, in microseconds.
 	time metrics.Histogram
 }
@@ -25,11 +31,45 @@
 
 func newCounters(registry metrics.Registry) *counters {
 	return &counters{
-		registry: registry,
-		requests: metrics.GetOrRegisterCounter("gateway.requests", registry), answered: metrics.GetOrRegisterCounter("gateway.answered", registry), refused: metrics.GetOrRegisterCounter("gateway.refused", registry),
-		failed: metrics.GetOrRegisterCounter("gateway.failed", registry), expired: metrics.GetOrRegisterCounter("gateway.expired", registry), abandoned: metrics.GetOrRegisterCounter("gateway.abandoned", registry),
-		resent: metrics.GetOrRegisterCounter("gateway.resent", registry), hedged: metrics.GetOrRegisterCounter("gateway.hedged", registry), resendRefused: metrics.GetOrRegisterCounter("gateway.resend_refused", registry),
-		checks: metrics.GetOrRegisterCounter("gateway.checks", registry), callers: metrics.GetOrRegisterGauge("gateway.callers", registry),
-		time: metrics.GetOrRegisterHistogram("gateway.time_us", registry, metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)),
+		registry:      registry,
+		requests:      metrics.GetOrRegisterCounter("gateway.requests", registry),
+		answered:      metrics.GetOrRegisterCounter("gateway.answered", registry),
+		refused:       metrics.GetOrRegisterCounter("gateway.refused", registry),
+		failed:        metrics.GetOrRegisterCounter("gateway.failed", registry),
+		expired:       metrics.GetOrRegisterCounter("gateway.expired", registry),
+		abandoned:     metrics.GetOrRegisterCounter("gateway.abandoned", registry),
+		resent:        metrics.GetOrRegisterCounter("gateway.resent", registry),
+		hedged:        metrics.GetOrRegisterCounter("gateway.hedged", registry),
+		resendRefused: metrics.GetOrRegisterCounter("gateway.resend_refused", registry),
+		checks:        metrics.GetOrRegisterCounter("gateway.checks", registry),
+		callers:       metrics.GetOrRegisterGauge("gateway.callers", registry),
+		placing:       metrics.GetOrRegisterGauge("gateway.placing", registry),
+		newsAge:       metrics.GetOrRegisterGauge("gateway.news_age_ms", registry),
+		time:          metrics.GetOrRegisterHistogram("gateway.time_us", registry, metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)),
+	}
+}
+
+// refuse counts a refusal and its reason.
+func (c *counters) refuse(r reason) {
+	c.refused.Inc(1)
+	metrics.GetOrRegisterCounter("gateway.refused_for."+r.code, c.registry).Inc(1)
+}
+
+// answer counts an answer of a backend server of a service, with its time at this instance.
+func (c *counters) answer(service string, idempotent bool, elapsed time.Duration) {
+	c.answered.Inc(1)
+	c.time.Update(elapsed.Microseconds())
+	kind := "once"
+	if idempotent {
+		kind = "repeatable"
+	}
+	sample := func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
 	}
+	c.registry.GetOrRegister("gateway.service_time_ms."+service+"."+kind, sample).(metrics.Histogram).Update(elapsed.Milliseconds())
+}
+
+// resendsLeft notes how many resends of a service this instance may still send.
+func (c *counters) resendsLeft(service string, left float64) {
+	metrics.GetOrRegisterGauge("gateway.resends_left."+service, c.registry).Update(int64(left))
 }
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -89,7 +89,7 @@
 
 // unplaced is the answer to place when no server is chosen.
 type unplaced struct {
-	reason     string
+	reason     reason
 	retryAfter time.Duration
 	asked      int
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -65,7 +65,7 @@
 			"ask_server":      (*forward).askServer,
 			"send":            (*forward).send,
 			"give_back":       func(f *forward) { f.tell(released{grant: f.grant, cancelled: true}) },
-			"refuse_expired":  func(f *forward) { f.refusal = unplaced{reason: "time was over before a backend server was chosen"} },
+			"refuse_expired":  func(f *forward) { f.refusal = unplaced{reason: reasonExpired} },
 			"refuse_declined": (*forward).refuseDeclined,
 			"deliver_answer":  (*forward).deliverAnswer,
 			"deliver_refusal": (*forward).deliverRefusal,
@@ -147,12 +147,12 @@
 // resolve finds the route by the newest belief and reports false with the answer when there is none.
 func (f *forward) resolve(belief *Belief) (reply, bool) {
 	if !belief.Ready() {
-		return f.refuseEarly("no configuration or no backend server is known yet", startReturn), false
+		return f.refuseEarly(reasonUninformed, startReturn), false
 	}
 	route, ok := belief.Routes.Match(f.host, f.request.Path)
 	if !ok {
 		if age := time.Since(belief.ConfigAsOf); age > staleConfig+rarePace.wait {
-			return f.refuseEarly("no route is known and the configuration may be old", startReturn), false
+			return f.refuseEarly(reasonOldRoutes, startReturn), false
 		}
 		f.log.Info("request has no route", "request", f.request.ID, "host", f.host, "path", f.request.Path, "version", uint64(belief.Config.Version))
 		return f.own(http.StatusNotFound, fault.New(fault.UnknownRoute, "use a host and path of the configuration", "no route matches"), 0), false
@@ -165,10 +165,10 @@
 	return reply{}, true
 }
 
-func (f *forward) refuseEarly(reason string, retryAfter time.Duration) reply {
-	f.counters.refused.Inc(1)
-	f.log.Warn("request is refused", "request", f.request.ID, "reason", reason, "retry_after_ms", retryAfter.Milliseconds())
-	return f.own(http.StatusServiceUnavailable, fault.New(fault.NoServer, "send the request again", "%s", reason), retryAfter)
+func (f *forward) refuseEarly(reason reason, retryAfter time.Duration) reply {
+	f.counters.refuse(reason)
+	f.log.Warn("request is refused", "request", f.request.ID, "reason", reason.text, "retry_after_ms", retryAfter.Milliseconds())
+	return f.own(http.StatusServiceUnavailable, fault.New(fault.NoServer, "send the request again", "%s", reason.text), retryAfter)
 }
 
 func (f *forward) fire(event string) {
@@ -289,7 +289,7 @@
 	route, ok := belief.Routes.Match(f.host, f.request.Path)
 	f.asking = true
 	if !ok {
-		f.events <- unplaced{reason: "the route was removed while the request waited", retryAfter: startReturn}
+		f.events <- unplaced{reason: reasonRouteRemoved, retryAfter: startReturn}
 		return
 	}
 	f.route = route
@@ -298,7 +298,7 @@
 		objective: f.began.Add(route.Objective), reply: func(m any) { f.events <- m },
 	}
 	if err := f.director.Offer(m); err != nil {
-		f.events <- unplaced{reason: "too many requests wait for a backend server", retryAfter: startReturn}
+		f.events <- unplaced{reason: reasonBusy, retryAfter: startReturn}
 	}
 }
 
@@ -369,12 +369,11 @@
 }
 
 func (f *forward) refuseDeclined() {
-	f.refusal = unplaced{reason: "backend servers declined the request", retryAfter: startReturn}
+	f.refusal = unplaced{reason: reasonDeclined, retryAfter: startReturn}
 }
 
 func (f *forward) deliverAnswer() {
-	f.counters.answered.Inc(1)
-	f.counters.time.Update(time.Since(f.began).Microseconds())
+	f.counters.answer(dispatch.PickPart(f.route, f.draw), f.route.Idempotent, time.Since(f.began))
 	a := f.answer.Answer
 	f.reply = reply{status: a.Status, header: headerOf(a.Header), body: a.Body, stream: a.Stream, length: a.Length}
 }
@@ -388,8 +387,8 @@
 }
 
 func (f *forward) deliverRefusal() {
-	f.counters.refused.Inc(1)
-	f.reply = f.own(http.StatusServiceUnavailable, fault.New(fault.Overloaded, "send the request again after the given time", "%s", f.refusal.reason), f.refusal.retryAfter)
+	f.counters.refuse(f.refusal.reason)
+	f.reply = f.own(http.StatusServiceUnavailable, fault.New(fault.Overloaded, "send the request again after the given time", "%s", f.refusal.reason.text), f.refusal.retryAfter)
 }
 
 func (f *forward) deliverFailure() {
@@ -419,7 +418,7 @@
 	}
 	f.log.Log(context.Background(), level, "request ended", "request", f.request.ID, "route", f.route.Name, "state", state,
 		"status", f.reply.status, "elapsed_ms", time.Since(f.began).Milliseconds(), "copies", f.sends, "tried", strings.Join(f.tried, " "),
-		"reason", f.refusal.reason, "retry_after_ms", f.refusal.retryAfter.Milliseconds(), "error", f.lastError)
+		"reason", f.refusal.reason.text, "retry_after_ms", f.refusal.retryAfter.Milliseconds(), "error", f.lastError)
 }
 
 // newForward returns the task of a request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,7 +88,7 @@
 	}
 	set := metric.NewSet()
 	g := &Gateway{
-		settings: settings, schema: schema, store: store, dialect: dialect, log: log, metrics: set,
+		settings: settings, schema: schema, store: measuredStore{store: store, registry: set.Registry()}, dialect: dialect, log: log, metrics: set,
 		counters: newCounters(set.Registry()), beliefs: &Beliefs{}, inbox: task.NewMailbox[any]("gateway", eventCapacity),
 		leaving: make(chan struct{}), quitting: make(chan struct{}), ready: make(chan struct{}), unregistered: make(chan struct{}, 1),
 		self: fleet.Instance{Name: settings.Name, Address: settings.PeerAddress, Place: settings.Place, Share: settings.Share, Incarnation: uint64(time.Now().UnixNano())},
@@ -107,6 +107,7 @@
 		return err
 	}
 	g.board.unregistered = g.wantEntry
+	g.board.aged = func(age time.Duration) { g.counters.newsAge.Update(age.Milliseconds()) }
 	g.director = newDirector(g.self, &g.settings, kind, crashes, g.log, g.counters)
 	requests, err := newForwarding(g.beliefs, g.director.inbox, g.dialect, g.log, g.counters)
 	if err != nil {
--- /dev/null
+++ b/internal/gateway/measured.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+// measuredStore counts the calls of a store by their outcome: each call is billed.
+type measuredStore struct {
+	store    Store
+	registry metrics.Registry
+}
+
+// count adds a call. The outcome is "answered" or the kind of error.
+func (s measuredStore) count(call string, err error) {
+	outcome := "answered"
+	if err != nil {
+		outcome = string(fault.KindOf(err))
+	}
+	metrics.GetOrRegisterCounter("store.calls."+call+"."+outcome, s.registry).Inc(1)
+}
+
+// List implements Store.
+func (s measuredStore) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, uint64, error) {
+	objects, revision, err := s.store.List(ctx, kind)
+	s.count("list", err)
+	return objects, revision, err
+}
+
+// Changes implements Store.
+func (s measuredStore) Changes(ctx context.Context, kind objectapi.Kind, after uint64, wait time.Duration) ([]objectapi.Event, uint64, error) {
+	events, revision, err := s.store.Changes(ctx, kind, after, wait)
+	s.count("changes", err)
+	return events, revision, err
+}
+
+// Write implements Store.
+func (s measuredStore) Write(ctx context.Context, kind objectapi.Kind, name string, value []byte) error {
+	err := s.store.Write(ctx, kind, name, value)
+	s.count("write", err)
+	return err
+}
+
+// Remove implements Store.
+func (s measuredStore) Remove(ctx context.Context, kind objectapi.Kind, name string) error {
+	err := s.store.Remove(ctx, kind, name)
+	s.count("remove", err)
+	return err
+}
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -55,13 +55,13 @@
 	budget := d.budget(m.service)
 	if m.first {
 		budget.Request(now)
-	} else if !budget.Take(now, len(d.belief.Instances)) {
+	} else if !d.takeResend(now, budget, m.service) {
 		d.counters.resendRefused.Inc(1)
-		m.reply(unplaced{reason: "resend budget is used up", retryAfter: d.retryAfter(now, &m, 0)})
+		m.reply(unplaced{reason: reasonBudget, retryAfter: d.retryAfter(now, &m, 0)})
 		return
 	}
 	if d.crashes.refuses(now, m.fingerprint) {
-		m.reply(unplaced{reason: "equal requests crashed backend servers", retryAfter: d.retryAfter(now, &m, m.until.Sub(now))})
+		m.reply(unplaced{reason: reasonCrashes, retryAfter: d.retryAfter(now, &m, m.until.Sub(now))})
 		return
 	}
 	p := &pending{place: m, began: now, asked: now, limit: d.timing.Near}
@@ -73,6 +73,13 @@
 	d.pending = append(d.pending, p)
 }
 
+// takeResend takes one resend from the budget of a service and reports false when it is used up.
+func (d *director) takeResend(now time.Time, budget *resend.Budget, service string) bool {
+	taken := budget.Take(now, len(d.belief.Instances))
+	d.counters.resendsLeft(service, budget.Left(len(d.belief.Instances)))
+	return taken
+}
+
 func (d *director) budget(service string) *resend.Budget {
 	b := d.budgets[service]
 	if b == nil {
@@ -189,6 +196,7 @@
 	}
 	clear(d.pending[len(waiting):])
 	d.pending = waiting
+	d.counters.placing.Update(int64(len(waiting)))
 }
 
 // decide answers a placement and reports true, or reports false when it still waits.
@@ -295,16 +303,16 @@
 
 // refuse answers that no server can take the request in time. It reports true.
 func (d *director) refuse(now time.Time, p *pending, demand placement.Demand, choice placement.Choice) bool {
-	reason := "no backend server can be reached"
+	reason := reasonUnreachable
 	switch {
 	case len(p.servers) == 0:
-		reason = "no backend server is known that may run the request"
+		reason = reasonNoServer
 	case slices.ContainsFunc(p.servers, func(s *server) bool { return s.isFull(now) }):
-		reason = "no backend server has room"
+		reason = reasonNoRoom
 	case choice.Expected > demand.Left:
-		reason = "no backend server is expected to finish in time"
+		reason = reasonLate
 	case choice.Expected > 0:
-		reason = "the answer would be late and more urgent requests need the room"
+		reason = reasonYields
 	}
 	p.reply(unplaced{reason: reason, retryAfter: d.retryAfter(now, &p.place, choice.Expected), asked: len(p.servers)})
 	return true
