--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,6 +202,7 @@
 		return err
 	}
 	g.log.Info("instance starts", "name", g.settings.Name, "zone", g.settings.Place.Zone, "callers", g.settings.CallerAddress,
+		"readiness", g.settings.ReadinessAddress, "peers", g.settings.PeerAddress, "metrics", g.settings.MetricsAddress,
 		"incarnation", g.self.Incarnation)
 	go g.accept(ctx)
 	g.loop(ctx, stop)
