--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -52,7 +52,9 @@
 	backends  map[string]*fleet.Backend
 	evacuated map[string]bool
 	instances map[string]fleet.Instance
-	asOf      map[objectapi.Kind]time.Time
+	// strikes holds when the crashes happened whose objects are in the store.
+	strikes map[string]time.Time
+	asOf    map[objectapi.Kind]time.Time
 	// lapsed holds entries that were removed while the store was away or just after, until they count as gone.
 	lapsed     map[string]time.Time
 	regainedAt time.Time
@@ -68,7 +70,7 @@
 func newBoard(schema Schema, beliefs *Beliefs, log *slog.Logger) *board {
 	return &board{
 		inbox: task.NewMailbox[any]("board", boardCapacity), schema: schema, beliefs: beliefs, log: log,
-		backends: map[string]*fleet.Backend{}, evacuated: map[string]bool{}, instances: map[string]fleet.Instance{},
+		backends: map[string]*fleet.Backend{}, evacuated: map[string]bool{}, instances: map[string]fleet.Instance{}, strikes: map[string]time.Time{},
 		archive: archive{}, readBy: map[objectapi.Kind]string{}, asOf: map[objectapi.Kind]time.Time{}, lapsed: map[string]time.Time{},
 		unanswered: map[objectapi.Kind]bool{}, refused: map[string]uint64{}, suspended: suspension.Total, knownSuspended: suspension.Total(),
 	}
@@ -148,6 +150,8 @@
 		b.reader.wanted(now, m)
 	case newsGiven:
 		b.reader.given(now, m)
+	case holdingsWanted:
+		m.reply <- b.holdings(now)
 	case rebound:
 		b.reader.pace = news.NewPace(m.bounds.Drain)
 	}
@@ -245,8 +249,9 @@
 		b.refuse(o, err)
 		return
 	}
+	b.strikes[o.Name] = s.Crash.At
 	if age := time.Since(s.Crash.At); age > strikeKept {
-		return // the store keeps objects that nobody removes
+		return // the janitor has not removed it yet
 	}
 	b.struck(s)
 }
@@ -307,6 +312,8 @@
 		b.log.Info("availability zone is back", "zone", name)
 	case objectapi.Instances:
 		delete(b.instances, name)
+	case objectapi.Strikes:
+		delete(b.strikes, name)
 	}
 }
 
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -153,7 +154,11 @@
 }
 
 func (s *fakeStore) Write(context.Context, objectapi.Kind, string, []byte) error { return nil }
-func (s *fakeStore) Remove(context.Context, objectapi.Kind, string) error        { return nil }
+
+func (s *fakeStore) Remove(_ context.Context, kind objectapi.Kind, name string) error {
+	s.remove(kind, name)
+	return nil
+}
 
 // startBoard runs board and feeds of one instance without peers until the context ends.
 func startBoard(t *testing.T, ctx context.Context, store Store) *Beliefs {
@@ -352,6 +357,53 @@
 	})
 }
 
+// Guards against entries of removed instances and strikes of long ago that stay in the store: the first count in the shares
+// of cold servers, and both are read at each start.
+func TestEntriesOfNobodyAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		_, b := newTestBoard(t, store)
+		for _, name := range []string{"edge-1", "edge-2", "edge-3", "edge-4"} {
+			store.put(objectapi.Instances, name, fleet.Instance{Address: name})
+		}
+		crash := func(at time.Time) quarantine.Strike {
+			return quarantine.Strike{Crash: quarantine.Crash{Server: quarantine.Server{Name: "i-1"}, At: at}}
+		}
+		store.put(objectapi.Strikes, "old", crash(time.Now().Add(-time.Hour)))
+		store.put(objectapi.Strikes, "new", crash(time.Now().Add(time.Hour)))
+		names := func(kind objectapi.Kind) string {
+			objects, revision, err := store.List(t.Context(), kind)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var events []objectapi.Event
+			var list []string
+			for _, o := range objects {
+				events, list = append(events, objectapi.Event{Object: o}), append(list, o.Name)
+			}
+			b.learn(time.Now(), learned{kind: kind, whole: true, events: events, revision: revision, asOf: time.Now(), reader: "edge-1"})
+			slices.Sort(list)
+			return strings.Join(list, " ")
+		}
+		j := newJanitor("edge-1", b.inbox, store, slog.New(slog.DiscardHandler))
+		j.reach = func(_ context.Context, address string) bool { return address != "edge-3" }
+		for minute := range 13 {
+			instances, strikes := names(objectapi.Instances), names(objectapi.Strikes)
+			if wanted := "edge-1 edge-2 edge-3 edge-4"; minute <= 10 && instances != wanted {
+				t.Errorf("after %d minutes the store has %s, want %s", minute, instances, wanted)
+			}
+			if minute > 0 && strikes != "new" {
+				t.Errorf("after %d minutes the store has the strikes %s", minute, strikes)
+			}
+			j.round(t.Context(), b.holdings(time.Now()))
+			time.Sleep(time.Minute)
+		}
+		if left := names(objectapi.Instances); left != "edge-1 edge-2 edge-4" {
+			t.Errorf("after 13 minutes the store has %s", left)
+		}
+	})
+}
+
 // Guards against calls without number: each is billed. On a calm day one reader makes at most two calls a second.
 func TestCallsOfAReaderAreBounded(t *testing.T) {
 	for _, trouble := range []string{"", "refuses", "silent"} {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,6 +229,7 @@
 	tasks.Go("board", g.board.run)
 	tasks.Go("director", g.director.run)
 	tasks.Go("registrar", g.register)
+	tasks.Go("janitor", newJanitor(g.self.Name, g.board.inbox, g.store, g.log).run)
 	serveOperations(tasks, listeners.Readiness, g.readiness())
 	if listeners.Metrics != nil {
 		serveOperations(tasks, listeners.Metrics, g.measurements())
