Ask the seeds while no peer is known

With logs: 104 of 110 instances began to read at the same moment, 1.1 s after they had started to follow. The first news that they got came before the entries of any instance, so they knew nobody to ask, and their news grew old together. Ruled out: lists at the start of each instance (only 3 instances read then). Change: a follower that knows no peer asks the addresses of its settings. The test failed before.

--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -404,6 +404,19 @@
 	})
 }
 
+// Guards against a whole fleet that reads the store a second after its start, because the first news came before the entries
+// of any instance, so that nobody knew whom to ask next. At 110 instances that took 700 of 1,035 calls.
+func TestFollowersThatKnowNoPeerAskTheSeeds(t *testing.T) {
+	_, b := newTestBoard(t, newFakeStore())
+	now := time.Now()
+	b.reader.seeds = []string{"seed-1", "seed-2"}
+	b.learn(now, learned{kind: objectapi.Backends, whole: true, revision: 3, asOf: now, reader: "edge-9"})
+	b.reader.fire("informed")
+	if asked := b.reader.targets(now); !slices.Equal(asked, []string{"seed-1"}) {
+		t.Errorf("peers asked: %v", asked)
+	}
+}
+
 // Guards against calls without number: each is billed. On a calm day one reader makes at most two calls a second.
 func TestCallsOfAReaderAreBounded(t *testing.T) {
 	for _, trouble := range []string{"", "refuses", "silent"} {
--- a/internal/gateway/reader.go
+++ b/internal/gateway/reader.go
@@ -178,6 +178,9 @@
 	if len(before) == 0 {
 		before = r.everyone()
 	}
+	if len(before) == 0 {
+		before = r.seeds // the first news may be older than the entries of all others
+	}
 	count := 1
 	if r.age(now) > r.pace.AskNext {
 		count = 2
