--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -81,10 +81,10 @@
 	YieldStretch float64
 	// UnreportedPenalty is added to servers that have not reported.
 	UnreportedPenalty time.Duration
-	// Hedge and BlindHedge are how many times the expected time passes before a second copy is sent. The second is for
+	// Hedge and NoLoadHedge are how many times the expected time passes before a second copy is sent. The second is for
 	// servers that tell no load: what is expected there is the time on an unhurried machine, and an answer that is not
 	// back by then comes from one that is several times slower.
-	Hedge, BlindHedge float64
+	Hedge, NoLoadHedge float64
 	// RescuePart is the part of the time that is left after which a second copy is sent though it will be late.
 	RescuePart float64
 	// DelayWeight is how much longer a request is expected to take for the delay of a health check, and MostDelay bounds
@@ -98,7 +98,7 @@
 	return Tuning{
 		Residual: 150 * time.Millisecond, MeanSlowdown: 1.8, Knee: 0.8, KneeFactor: 1.7, ColdFactor: 2, LeastSuccess: 0.2,
 		YieldStretch: 1.2, FarGain: 100 * time.Millisecond, UnreportedPenalty: 200 * time.Millisecond,
-		Hedge: 1.7, BlindHedge: 1.25, RescuePart: 0.5, DelayWeight: 5, MostDelay: 300 * time.Millisecond,
+		Hedge: 1.7, NoLoadHedge: 1.25, RescuePart: 0.5, DelayWeight: 5, MostDelay: 300 * time.Millisecond,
 	}
 }
 
@@ -130,7 +130,7 @@
 func (t Tuning) HedgeAfter(d Demand, expected time.Duration, reported bool) time.Duration {
 	stretch := t.Hedge
 	if !reported {
-		stretch = t.BlindHedge
+		stretch = t.NoLoadHedge
 	}
 	after := time.Duration(stretch * float64(expected))
 	if after+expected <= d.Objective {
--- a/internal/decide/placement/poll_test.go
+++ b/internal/decide/placement/poll_test.go
@@ -7,7 +7,7 @@
 
 // Guards against a placement that waits for the busiest of the servers that tell no load, whose health checks wait for a
 // slot, and against one that does not wait for any of them.
-func TestBlindPollTakesTheFirstAnswer(t *testing.T) {
+func TestFirstAnswerIsTakenWhereNoLoadIsTold(t *testing.T) {
 	d := Demand{Objective: 400 * time.Millisecond}
 	for name, c := range map[string]struct {
 		poll Poll
@@ -16,10 +16,10 @@
 		"all answered":                  {Poll{Fresh: 3}, 0},
 		"load told, one outstanding":    {Poll{Waited: 2 * time.Millisecond, Outstanding: 1, Fresh: 3}, 6 * time.Millisecond},
 		"load told, limit over":         {Poll{Waited: 9 * time.Millisecond, Outstanding: 1, Fresh: 3}, 0},
-		"no load, first answer":         {Poll{Blind: true, Waited: time.Millisecond, Outstanding: 2, Fresh: 1}, 2 * time.Millisecond},
-		"no load, first answer is late": {Poll{Blind: true, Waited: 20 * time.Millisecond, Outstanding: 2, Fresh: 1}, 0},
-		"no load, no answer yet":        {Poll{Blind: true, Waited: 20 * time.Millisecond, Outstanding: 3}, 80 * time.Millisecond},
-		"no load, no answer at all":     {Poll{Blind: true, Waited: 100 * time.Millisecond, Outstanding: 3}, 0},
+		"no load, first answer":         {Poll{NoLoad: true, Waited: time.Millisecond, Outstanding: 2, Fresh: 1}, 2 * time.Millisecond},
+		"no load, first answer is late": {Poll{NoLoad: true, Waited: 20 * time.Millisecond, Outstanding: 2, Fresh: 1}, 0},
+		"no load, no answer yet":        {Poll{NoLoad: true, Waited: 20 * time.Millisecond, Outstanding: 3}, 80 * time.Millisecond},
+		"no load, no answer at all":     {Poll{NoLoad: true, Waited: 100 * time.Millisecond, Outstanding: 3}, 0},
 	} {
 		if got := c.poll.Remaining(8*time.Millisecond, d); got != c.want {
 			t.Errorf("%s: waits for another %s, want %s", name, got, c.want)
@@ -32,9 +32,9 @@
 func TestHedgeAfter(t *testing.T) {
 	tuning := DefaultTuning()
 	d := Demand{Left: 1500 * time.Millisecond, Objective: 600 * time.Millisecond}
-	reported, blind := tuning.HedgeAfter(d, 200*time.Millisecond, true), tuning.HedgeAfter(d, 200*time.Millisecond, false)
-	if blind >= reported || reported+200*time.Millisecond > d.Objective {
-		t.Errorf("second copies are sent after %s, and %s where no load is told", reported, blind)
+	reported, noLoad := tuning.HedgeAfter(d, 200*time.Millisecond, true), tuning.HedgeAfter(d, 200*time.Millisecond, false)
+	if noLoad >= reported || reported+200*time.Millisecond > d.Objective {
+		t.Errorf("second copies are sent after %s, and %s where no load is told", reported, noLoad)
 	}
 	d.Objective = 300 * time.Millisecond
 	if rescue := tuning.HedgeAfter(d, 200*time.Millisecond, false); rescue < d.Left/2 || rescue > d.Left*3/4 {
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -150,8 +150,8 @@
 		b.reader.wanted(now, m)
 	case newsGiven:
 		b.reader.given(now, m)
-	case holdingsWanted:
-		m.reply <- b.holdings(now)
+	case entriesWanted:
+		m.reply <- b.fleetEntries(now)
 	case rebound:
 		b.reader.pace = news.NewPace(m.bounds.Drain)
 	}
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -396,7 +396,7 @@
 			if minute > 0 && strikes != "new" {
 				t.Errorf("after %d minutes the store has the strikes %s", minute, strikes)
 			}
-			j.round(t.Context(), b.holdings(time.Now()))
+			j.round(t.Context(), b.fleetEntries(time.Now()))
 			time.Sleep(time.Minute)
 		}
 		if left := names(objectapi.Instances); left != "edge-1 edge-2 edge-4" {
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -19,9 +19,9 @@
 	directorCapacity = 1024
 	// workWeight is the weight of a new measurement of a route's work.
 	workWeight = 0.05
-	// blindQuantile is the quantile of the times that counts as usual where servers tell no load: below the share of
+	// noLoadQuantile is the quantile of the times that counts as usual where servers tell no load: below the share of
 	// requests that meet a machine at its usual speed.
-	blindQuantile = 0.4
+	noLoadQuantile = 0.4
 )
 
 // Messages to the director.
@@ -260,8 +260,8 @@
 	case known:
 		d.work[route] = old + time.Duration(workWeight*float64(work-old))
 	case work < old:
-		d.work[route] = old - time.Duration(workWeight*(1-blindQuantile)*float64(old))
+		d.work[route] = old - time.Duration(workWeight*(1-noLoadQuantile)*float64(old))
 	default:
-		d.work[route] = old + time.Duration(workWeight*blindQuantile*float64(old))
+		d.work[route] = old + time.Duration(workWeight*noLoadQuantile*float64(old))
 	}
 }
--- a/internal/gateway/janitor.go
+++ b/internal/gateway/janitor.go
@@ -21,11 +21,11 @@
 	reachTimeout = 2 * time.Second
 )
 
-// holdingsWanted asks the board for the entries of the fleet that it knows.
-type holdingsWanted struct{ reply chan<- holdings }
+// entriesWanted asks the board for the entries of the fleet that it knows.
+type entriesWanted struct{ reply chan<- fleetEntries }
 
-// holdings are entries in the store that the instances have written.
-type holdings struct {
+// fleetEntries are entries in the store that the instances have written.
+type fleetEntries struct {
 	// reading is true when this instance reads the store.
 	reading   bool
 	instances []fleet.Instance
@@ -65,7 +65,7 @@
 // run is the body of the task.
 func (j *janitor) run(ctx context.Context) error {
 	for task.Pause(ctx, roundPause) {
-		held, err := task.Ask(ctx, j.board, func(reply chan<- holdings) any { return holdingsWanted{reply: reply} })
+		held, err := task.Ask(ctx, j.board, func(reply chan<- fleetEntries) any { return entriesWanted{reply: reply} })
 		if err != nil {
 			return nil // the instance stops
 		}
@@ -78,7 +78,7 @@
 	return nil
 }
 
-func (j *janitor) round(ctx context.Context, held holdings) {
+func (j *janitor) round(ctx context.Context, held fleetEntries) {
 	reached := map[string]bool{}
 	for _, i := range held.instances {
 		if i.Name != j.self {
@@ -98,9 +98,9 @@
 	j.log.Info("entry is removed from the store since it belongs to nobody", "kind", string(kind), "name", name, "error", err)
 }
 
-// holdings returns the entries of the fleet.
-func (b *board) holdings(now time.Time) holdings {
-	held := holdings{reading: b.reader.machine.In("reading")}
+// fleetEntries returns the entries of the fleet.
+func (b *board) fleetEntries(now time.Time) fleetEntries {
+	held := fleetEntries{reading: b.reader.machine.In("reading")}
 	for _, i := range b.instances {
 		held.instances = append(held.instances, i)
 	}
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -45,7 +45,7 @@
 		if s.isFresh(now) && !s.isFull(now) {
 			state.Fresh++
 		}
-		state.Blind = state.Blind || !s.report.load
+		state.NoLoad = state.NoLoad || !s.report.load
 	}
 	return state
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -24,8 +24,8 @@
 	// which the speed of a machine lasts. overdueSlowdown is how slow it then counts.
 	overdueKept     = 150 * time.Millisecond
 	overdueSlowdown = 4
-	// blindCheck bounds a health check that may wait for a slot: a few times the time that requests take.
-	blindCheck = time.Second
+	// noLoadCheck bounds a health check that may wait for a slot: a few times the time that requests take.
+	noLoadCheck = time.Second
 	// fullKept is how long a server that had no room for a health check is left out: several times the wait of a placement.
 	fullKept = 150 * time.Millisecond
 	// silencePause is the pause between checks of a server that does not answer.
@@ -210,7 +210,7 @@
 	if s.report.load {
 		return usual
 	}
-	return max(usual, blindCheck)
+	return max(usual, noLoadCheck)
 }
 
 // check asks the server for its health and load on a connection of its pool. The connection that answers is the next
