--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -416,9 +416,13 @@
 	if state == "abandoned" {
 		f.counters.abandoned.Inc(1)
 	}
+	why := "reason"
+	if state != "refused" {
+		why = "not_repeated" // a further copy was wanted and not placed
+	}
 	f.log.Log(context.Background(), level, "request ended", "request", f.request.ID, "route", f.route.Name, "state", state,
 		"status", f.reply.status, "elapsed_ms", time.Since(f.began).Milliseconds(), "copies", f.sends, "tried", strings.Join(f.tried, " "),
-		"reason", f.refusal.reason.text, "retry_after_ms", f.refusal.retryAfter.Milliseconds(), "error", f.lastError)
+		why, f.refusal.reason.text, "retry_after_ms", f.refusal.retryAfter.Milliseconds(), "error", f.lastError)
 }
 
 // newForward returns the task of a request.
