--- a/internal/gateway/janitor.go
+++ b/internal/gateway/janitor.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net"
 	"slices"
 	"time"
 
@@ -53,7 +52,6 @@
 func reach(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	var conn net.Conn
 	conn, err := tcp.Dial(ctx, address)
 	if err != nil {
 		return false
@@ -94,8 +92,11 @@
 }
 
 func (j *janitor) remove(ctx context.Context, kind objectapi.Kind, name string) {
-	err := j.store.Remove(ctx, kind, name)
-	j.log.Info("entry is removed from the store since it belongs to nobody", "kind", string(kind), "name", name, "error", err)
+	if err := j.store.Remove(ctx, kind, name); err != nil {
+		j.log.Warn("entry that belongs to nobody is not removed; the next round tries again", "kind", string(kind), "name", name, "error", err)
+		return
+	}
+	j.log.Info("entry that belongs to nobody is removed from the store", "kind", string(kind), "name", name)
 }
 
 // fleetEntries returns the entries of the fleet.
