Show the orders of events that lose a caller's request

The task of a caller's connection knows a request only from the moment at which it has been read and taken up; from its first byte to that moment the connection counts as idle, and the idle timeout or a planned stop closes it. An answer can also end a connection that still owes answers or holds unread bytes, and a deadline that passes while the process does not run drops a request that has arrived.

Each test forces one order of events with connections in memory and virtual time.

Creation and loop of the task become two functions, so that a test can hold the task back. No change of behaviour.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -94,12 +94,22 @@
 
 // serve is the body of the task of one caller connection.
 func (s *callerServer) serve(ctx context.Context, conn net.Conn) {
+	c := s.newCaller(ctx, conn)
+	go c.read()
+	c.run()
+}
+
+func (s *callerServer) newCaller(ctx context.Context, conn net.Conn) *caller {
 	c := &caller{callerServer: s, conn: conn, writer: bufio.NewWriterSize(conn, writeBuffer), readEvents: make(chan any),
 		idleSince: time.Now()}
 	c.ctx, c.cancel = context.WithCancel(ctx)
-	defer c.cancel()
 	c.machine = s.bound.New(time.Now(), c)
-	go c.read()
+	return c
+}
+
+// run handles events until the connection is closed.
+func (c *caller) run() {
+	defer c.cancel()
 	for !c.machine.Final() {
 		c.waitForEvent()
 	}
--- /dev/null
+++ b/internal/gateway/caller_test.go
@@ -0,0 +1,602 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/decide/dispatch"
+	"fuchsiahub.example/fuchsiahub/internal/fleet"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+const (
+	testPost      = "POST /crew HTTP/1.1\r\nHost: hotline\r\nContent-Length: 4\r\n\r\nmain"
+	testLastPost  = "POST /crew HTTP/1.1\r\nHost: hotline\r\nConnection: close\r\nContent-Length: 4\r\n\r\nmain"
+	testHalfPost  = "POST /crew HTTP/1.1\r\nHost: hot"
+	testOtherHalf = "line\r\nContent-Length: 4\r\n\r\nmain"
+	// raceRepeats is the number of connections in a test whose order of events the scheduler may change.
+	raceRepeats = 64
+)
+
+// fakeDialect adds nothing to requests and answers.
+type fakeDialect struct{}
+
+func (fakeDialect) Encode(http.Header, *call.Request, time.Time) {}
+func (fakeDialect) Decode(*backend.Result, int, http.Header)     {}
+func (fakeDialect) RequestInfo(http.Header) RequestInfo          { return RequestInfo{} }
+func (fakeDialect) SetRequestID(header http.Header, id string)   {}
+func (fakeDialect) CheckOwnership(*call.Request, int, http.Header) backend.Ownership {
+	return backend.OwnAnswer
+}
+
+// callerTest serves caller connections. Its requests wait for refuse, in place of the director.
+type callerTest struct {
+	t                    *testing.T
+	server               *callerServer
+	director             *task.Mailbox[any]
+	leaving, closingIdle chan struct{}
+}
+
+func newCallerTest(t *testing.T) *callerTest {
+	t.Helper()
+	config := &fleet.Config{Routes: []fleet.Route{{Name: "crew", Host: "hotline", Prefix: "/", Attempts: 1,
+		Shares: []fleet.ServiceShare{{Service: "intake", Weight: 1}}}}}
+	snapshots := &SnapshotPublisher{}
+	snapshots.newest.Store(&Snapshot{Routes: dispatch.NewTable(config), View: &fleet.View{Config: config,
+		Backends: map[string][]*fleet.Backend{"intake": {{ID: "w-1"}}}}})
+	test := &callerTest{t: t, director: task.NewMailbox[any]("director", 2*raceRepeats), leaving: make(chan struct{}),
+		closingIdle: make(chan struct{})}
+	log, set := slog.New(slog.DiscardHandler), newCounters(metrics.NewRegistry())
+	requests, err := newForwarder(snapshots, test.director, fakeDialect{}, log, set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	test.server, err = newCallerServer(requests, fakeDialect{}, snapshots, test.leaving, test.closingIdle)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		for test.refuse() { // a request whose caller has gone waits for the director
+			continue
+		}
+	})
+	return test
+}
+
+// refuse answers one request with 503. It returns false if none is waiting.
+func (c *callerTest) refuse() bool {
+	synctest.Wait()
+	select {
+	case m := <-c.director.C():
+		m.(placeRequest).reply(placeRefusal{reason: reasonNoRoom})
+		return true
+	default:
+		return false
+	}
+}
+
+// connect serves a new connection and returns the caller's end of it.
+func (c *callerTest) connect() *testConn {
+	near, far := net.Pipe()
+	go c.server.serve(c.t.Context(), far)
+	return newTestConn(c.t, near)
+}
+
+// testConn is the caller's end of a connection.
+type testConn struct {
+	net.Conn
+	t       *testing.T
+	reader  *bufio.Reader
+	texts   chan string
+	written chan error
+}
+
+func newTestConn(t *testing.T, conn net.Conn) *testConn {
+	c := &testConn{Conn: conn, t: t, reader: bufio.NewReader(conn), texts: make(chan string, 8), written: make(chan error, 8)}
+	go func() {
+		for text := range c.texts {
+			_, err := io.WriteString(conn, text)
+			c.written <- err
+		}
+	}()
+	t.Cleanup(func() {
+		_ = conn.Close()
+		close(c.texts)
+	})
+	return c
+}
+
+// send writes without waiting until the other end has read.
+func (c *testConn) send(text string) {
+	c.texts <- text
+	synctest.Wait()
+}
+
+// answer reads the next answer to a request with the method POST.
+func (c *testConn) answer() (*http.Response, error) {
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response, err
+}
+
+// expectRefusal reports an error unless the next answer is a 503.
+func (c *testConn) expectRefusal(what string) *http.Response {
+	c.t.Helper()
+	response, err := c.answer()
+	if err != nil {
+		c.t.Errorf("%s: connection ended without an answer: %v", what, err)
+		return &http.Response{}
+	}
+	if response.StatusCode != http.StatusServiceUnavailable {
+		c.t.Errorf("%s: status %d", what, response.StatusCode)
+	}
+	return response
+}
+
+// expectEnd reports an error unless the connection ends.
+func (c *testConn) expectEnd() {
+	c.t.Helper()
+	if _, err := c.reader.ReadByte(); !errors.Is(err, io.EOF) {
+		c.t.Errorf("connection did not end: %v", err)
+	}
+}
+
+// Guards against an idle timeout that closes a connection whose bytes arrive at the same instant.
+func TestRequestThatArrivesAtIdleTimeoutIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		for range raceRepeats {
+			conn := test.connect()
+			time.Sleep(defaultIdleTimeout)
+			conn.send(testPost)
+			test.refuse()
+			conn.expectRefusal("request at the idle timeout")
+			_ = conn.Close()
+		}
+	})
+}
+
+// Guards against an idle timeout that wins over a request that was read while the task could not run.
+func TestRequestReadBeforeIdleTimeoutIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		for range raceRepeats {
+			near, far := net.Pipe()
+			conn := newTestConn(t, near)
+			c := test.server.newCaller(t.Context(), far)
+			go c.read()
+			conn.send(testPost)
+			time.Sleep(defaultIdleTimeout + time.Second)
+			go c.run()
+			test.refuse()
+			conn.expectRefusal("request read and not taken up")
+			_ = conn.Close()
+		}
+	})
+}
+
+// Guards against an idle timeout that closes a connection on which a request has begun.
+func TestRequestHalfReadAtIdleTimeoutIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		conn := test.connect()
+		time.Sleep(defaultIdleTimeout - time.Second)
+		conn.send(testHalfPost)
+		time.Sleep(2 * time.Second)
+		conn.send(testOtherHalf)
+		test.refuse()
+		conn.expectRefusal("request half read at the idle timeout")
+	})
+}
+
+// Guards against an idle connection that stays open.
+func TestIdleConnectionEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		conn := test.connect()
+		start := time.Now()
+		conn.expectEnd()
+		if elapsed := time.Since(start); elapsed < defaultIdleTimeout || elapsed > defaultIdleTimeout+time.Second {
+			t.Errorf("idle connection ended after %v", elapsed)
+		}
+	})
+}
+
+// Guards against a planned stop that closes a connection on which a request has begun.
+func TestPlannedStopAnswersRequestHalfRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		conn := test.connect()
+		conn.send(testHalfPost)
+		close(test.leaving)
+		close(test.closingIdle)
+		time.Sleep(time.Second)
+		conn.send(testOtherHalf)
+		test.refuse()
+		if !conn.expectRefusal("request half read at the stop").Close {
+			t.Error("the last answer of a leaving instance does not close the connection")
+		}
+		conn.expectEnd()
+	})
+}
+
+// Guards against a planned stop that wins over a request that was read and not taken up.
+func TestPlannedStopAnswersRequestRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		close(test.leaving)
+		close(test.closingIdle)
+		for range raceRepeats {
+			near, far := net.Pipe()
+			conn := newTestConn(t, near)
+			c := test.server.newCaller(t.Context(), far)
+			go c.read()
+			conn.send(testPost)
+			go c.run()
+			test.refuse()
+			conn.expectRefusal("request read and not taken up")
+			conn.expectEnd()
+		}
+	})
+}
+
+// Guards against a planned stop that closes a connection whose request lies unread in the socket.
+func TestPlannedStopAnswersRequestInSocket(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		close(test.leaving)
+		close(test.closingIdle)
+		for range raceRepeats {
+			near, far := net.Pipe()
+			conn := newTestConn(t, near)
+			conn.send(testPost)
+			go test.server.serve(t.Context(), far)
+			test.refuse()
+			conn.expectRefusal("request in the socket")
+			conn.expectEnd()
+		}
+	})
+}
+
+// Guards against a leaving instance that cuts requests which it has passed on behind another one of the same connection.
+func TestPlannedStopAnswersPipelinedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		conn := test.connect()
+		conn.send(testPost)
+		conn.send(testPost)
+		close(test.leaving)
+		test.refuse()
+		if conn.expectRefusal("first request").Close {
+			t.Error("an answer closes the connection before the answer to a later request")
+		}
+		test.refuse()
+		if !conn.expectRefusal("second request").Close {
+			t.Error("the last answer of a leaving instance does not close the connection")
+		}
+		conn.expectEnd()
+	})
+}
+
+// Guards against requests that are passed on behind a request after which the caller wants the connection closed.
+func TestNothingIsPassedOnBehindLastRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		conn := test.connect()
+		conn.send(testLastPost + testPost)
+		if !test.refuse() || test.refuse() {
+			t.Error("not exactly one request was passed on")
+		}
+		conn.expectRefusal("last request")
+		conn.expectEnd()
+	})
+}
+
+// Guards against a request that keeps running after its caller has gone, because nothing more is read from the connection.
+func TestDisconnectBehindLastRequestIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		conn := test.connect()
+		conn.send(testLastPost)
+		_ = conn.Close()
+		synctest.Wait()
+		if n := test.server.requests.counters.abandoned.Count(); n != 1 {
+			t.Errorf("%d requests are abandoned", n)
+		}
+	})
+}
+
+// halfCloseConn is a connection whose write side can be closed. It reports when it is closed altogether.
+type halfCloseConn struct {
+	net.Conn
+	writeClosed, closed chan struct{}
+}
+
+func newHalfCloseConn(conn net.Conn) *halfCloseConn {
+	return &halfCloseConn{Conn: conn, writeClosed: make(chan struct{}), closed: make(chan struct{}, 8)}
+}
+
+func (c *halfCloseConn) CloseWrite() error {
+	close(c.writeClosed)
+	return nil
+}
+
+func (c *halfCloseConn) Close() error {
+	c.closed <- struct{}{}
+	return c.Conn.Close()
+}
+
+// Guards against a reset that takes the last answer with it: a socket that is closed with unread bytes resets.
+func TestUnreadBytesDoNotResetLastAnswer(t *testing.T) {
+	for name, request := range map[string]string{"last request": testLastPost, "malformed": "nonsense\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				test := newCallerTest(t)
+				near, far := net.Pipe()
+				conn, server := newTestConn(t, near), newHalfCloseConn(far)
+				go test.server.serve(t.Context(), server)
+				conn.send(request)
+				conn.send(testPost)
+				conn.send(strings.Repeat("x", 2*readBuffer))
+				test.refuse()
+				if _, err := conn.answer(); err != nil {
+					t.Errorf("no answer: %v", err)
+				}
+				synctest.Wait()
+				for range 3 {
+					select {
+					case err := <-conn.written:
+						if err != nil {
+							t.Errorf("connection was reset: %v", err)
+						}
+					default:
+						t.Error("the connection holds unread bytes")
+					}
+				}
+				select {
+				case <-server.writeClosed:
+				default:
+					t.Error("the end of the answers is not shown to the caller")
+				}
+				if len(server.closed) > 0 {
+					t.Error("connection is closed before the caller has closed it")
+				}
+				_ = conn.Close()
+				synctest.Wait()
+				if len(server.closed) == 0 {
+					t.Error("connection is not closed after the caller has closed it")
+				}
+			})
+		})
+	}
+}
+
+// Guards against a connection that stays open because its caller never closes it.
+func TestLingeringConnectionEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		near, far := net.Pipe()
+		conn, server := newTestConn(t, near), newHalfCloseConn(far)
+		go test.server.serve(t.Context(), server)
+		conn.send(testLastPost)
+		test.refuse()
+		conn.expectRefusal("last request")
+		time.Sleep(time.Second)
+		if len(server.closed) == 0 {
+			t.Error("connection is open although its caller had time to close it")
+		}
+	})
+}
+
+// Guards against a caller that waits for 100 Continue, and then for its answer, on a connection whose last answer is older
+// than the write timeout.
+func TestContinueAfterWriteTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		conn := test.connect()
+		conn.send(testPost)
+		test.refuse()
+		conn.expectRefusal("first request")
+		time.Sleep(writeTimeout + time.Second)
+		conn.send("POST /crew HTTP/1.1\r\nHost: hotline\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+		if err := conn.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		line, err := conn.reader.ReadString('\n')
+		if err != nil || !strings.HasPrefix(line, "HTTP/1.1 100 ") {
+			t.Errorf("%q instead of 100 Continue: %v", line, err)
+		}
+		_, _ = conn.reader.ReadString('\n') // the empty line
+		conn.send("main")
+		test.refuse()
+		conn.expectRefusal("second request")
+	})
+}
+
+// heldConn holds back the reads of its connection from the given one on.
+type heldConn struct {
+	net.Conn
+	reads   int
+	held    int
+	release chan struct{}
+}
+
+func (c *heldConn) Read(p []byte) (int, error) {
+	c.reads++
+	if c.reads == c.held {
+		<-c.release
+	}
+	return c.Conn.Read(p)
+}
+
+// Guards against a request that has arrived in time and is refused or dropped because the process read it late.
+func TestRequestReadLateIsAnswered(t *testing.T) {
+	head, body, _ := strings.Cut(testPost, "main")
+	for name, parts := range map[string][2]string{"head": {testHalfPost, testOtherHalf}, "body": {head, "main" + body}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				test := newCallerTest(t)
+				near, far := net.Pipe()
+				conn, held := newTestConn(t, near), &heldConn{Conn: far, held: 2, release: make(chan struct{})}
+				go test.server.serve(t.Context(), held)
+				conn.send(parts[0])
+				conn.send(parts[1])
+				time.Sleep(max(defaultHeaderTimeout, bodyTimeout) + time.Second)
+				close(held.release)
+				test.refuse()
+				conn.expectRefusal("request that was read late")
+			})
+		})
+	}
+}
+
+// Guards against a caller that keeps a connection open by sending a request slowly.
+func TestSlowRequestIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		conn := test.connect()
+		conn.send("POST /")
+		start := time.Now()
+		go func() {
+			for {
+				time.Sleep(10 * time.Millisecond)
+				if _, err := io.WriteString(conn, "x"); err != nil {
+					return
+				}
+			}
+		}()
+		response, err := conn.answer()
+		if err != nil || response.StatusCode != http.StatusRequestTimeout {
+			t.Errorf("slow request: %v, %v", response, err)
+		}
+		if elapsed := time.Since(start); elapsed > 2*defaultHeaderTimeout+time.Second {
+			t.Errorf("slow request was read for %v", elapsed)
+		}
+		_ = conn.Close()
+		time.Sleep(time.Second) // the sender notices the close
+	})
+}
+
+// brokenStream ends with an error.
+type brokenStream struct{ io.Reader }
+
+func (s brokenStream) Read(p []byte) (int, error) {
+	n, err := s.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = errors.New("backend server reset the connection")
+	}
+	return n, err
+}
+
+// Guards against a streamed answer of unknown length that closes a kept connection, and against a truncated one that looks
+// complete.
+func TestStreamOfUnknownLengthIsChunked(t *testing.T) {
+	write := func(stream io.Reader) (*http.Response, error) {
+		var wire bytes.Buffer
+		r := reply{status: http.StatusOK, header: http.Header{}, stream: io.NopCloser(stream), length: -1}
+		_ = r.write(bufio.NewWriter(&wire), http.MethodGet) // the caller sees what has been written
+		return http.ReadResponse(bufio.NewReader(&wire), &http.Request{Method: http.MethodGet})
+	}
+	long := strings.Repeat("x", 1<<17)
+	response, err := write(strings.NewReader(long))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response.Close {
+		t.Error("the answer closes the connection")
+	}
+	if body, err := io.ReadAll(response.Body); err != nil || string(body) != long {
+		t.Errorf("%d bytes, %v", len(body), err)
+	}
+	response, err = write(brokenStream{strings.NewReader(long)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(response.Body); err == nil {
+		t.Error("a truncated answer looks complete")
+	}
+}
+
+// lateListener hands out a connection that was accepted before the listener was closed only after that.
+type lateListener struct {
+	net.Listener
+	conn   chan net.Conn
+	closed chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.closed
+	select {
+	case conn := <-l.conn:
+		return conn, nil
+	default:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *lateListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+// Guards against a planned stop that ends while accepted connections wait to be taken up.
+func TestPlannedStopServesAcceptedConnections(t *testing.T) {
+	for _, where := range []string{"inbox", "accept"} {
+		t.Run(where, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				for range raceRepeats {
+					ctx, cancel := context.WithCancel(t.Context())
+					g, err := New(Settings{Name: "edge-1", Place: fleet.Place{Region: "east", Zone: "a"},
+						CallerAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+						StoreAddress: "127.0.0.1:0", Timing: DefaultTiming(),
+						Bounds: Bounds{Grace: 6 * time.Second, Drain: time.Second, ResendWindow: time.Second}},
+						newFakeStore(), fakeSchema{}, fakeDialect{}, slog.New(slog.DiscardHandler))
+					if err != nil {
+						t.Fatal(err)
+					}
+					near, far := net.Pipe()
+					conn, listener := newTestConn(t, near), &lateListener{conn: make(chan net.Conn, 1), closed: make(chan struct{})}
+					g.listener = listener
+					if where == "inbox" {
+						if err := g.inbox.Offer(acceptEvent{conn: far}); err != nil {
+							t.Fatal(err)
+						}
+					} else {
+						listener.conn <- far
+					}
+					conn.send(testPost)
+					stop, stopNow := context.WithCancel(ctx)
+					stopNow()
+					ended := make(chan struct{})
+					go g.accept(ctx)
+					go func() {
+						g.loop(ctx, stop)
+						close(ended)
+						cancel()
+						_ = far.Close() // as the exit of the process does
+					}()
+					conn.expectRefusal("request on an accepted connection")
+					_ = conn.Close()
+					<-ended
+				}
+			})
+		})
+	}
+}
