Give 100 Continue a write deadline of its own

Callers that send Expect: 100-continue on a connection whose last answer is older than 10 s got neither 100 Continue nor an answer, and the connection was closed after the request had been read.

Cause: 100 Continue was written under the write deadline of the answer before. When it had passed, the write failed, and the buffered writer keeps such an error, so the answer failed too. A pooled connection may be used again after 12 s.

Before: "" instead of 100 Continue: read pipe: i/o timeout; second request: connection ended without an answer (TestContinueAfterWriteTimeout). It passes now. net/http's server sets a deadline before each write of its own.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -247,6 +247,8 @@
 		return
 	}
 	c.continuePending = false
+	// Without a new deadline, that of the last answer would fail this write and all later ones.
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // a broken connection is detected by the next read or write
 	if _, err := c.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err == nil {
 		_ = c.writer.Flush() // a broken connection is detected by the next read or write
 	}
