Send streamed answers of unknown length in chunks

Callers on a kept connection got a streamed answer of unknown length with Connection: close, although the task kept the connection open, so they waited for its end; and an answer that the backend server broke off looked complete.

Cause: without a length and a transfer coding net/http's Response.Write falls back to a body that ends with the connection. Change: such answers are chunked. A caller that speaks HTTP/1.0, which has no chunks, gets a body that ends with its connection; its connections are not kept, which they were without saying so.

Before: "the answer closes the connection", "a truncated answer looks complete" (TestStreamOfUnknownLengthIsChunked). It passes now, and so does TestStreamToHTTP10EndsWithConnection. The tests of connections get a context that outlives them.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -83,6 +83,8 @@
 // pendingRequest is an unanswered request.
 type pendingRequest struct {
 	method string
+	// http10 is true if the caller speaks HTTP/1.0.
+	http10 bool
 	// closing is true if the connection ends after the answer.
 	closing bool
 	// reply receives the answer.
@@ -202,7 +204,7 @@
 
 // startRequest starts the task of a request. Its answer is written after the answers to all earlier requests.
 func (c *caller) startRequest() {
-	q := pendingRequest{method: c.incoming.method, closing: c.incoming.closing, reply: make(chan reply, 1)}
+	q := pendingRequest{method: c.incoming.method, http10: c.incoming.http10, closing: c.incoming.closing, reply: make(chan reply, 1)}
 	c.queue = append(c.queue, q)
 	f := c.requests.newForward(c.ctx, c.incoming)
 	go func() { q.reply <- f.run() }()
@@ -219,6 +221,7 @@
 func (c *caller) writeAnswer(r reply) {
 	q := c.queue[0]
 	r.closing = r.closing || q.closing || isClosed(c.leaving)
+	r.unframed = q.http10
 	err := c.writeReply(&r, q.method)
 	r.release()
 	c.queue = c.queue[1:]
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -92,7 +92,7 @@
 // connect serves a new connection and returns the caller's end of it.
 func (c *callerTest) connect() *testConn {
 	near, far := net.Pipe()
-	go c.server.serve(c.t.Context(), far)
+	go c.server.serve(context.Background(), far)
 	return newTestConn(c.t, near)
 }
 
@@ -180,7 +180,7 @@
 		for range raceRepeats {
 			near, far := net.Pipe()
 			conn := newTestConn(t, near)
-			c := test.server.newCaller(t.Context(), far)
+			c := test.server.newCaller(context.Background(), far)
 			go c.read()
 			conn.send(testPost)
 			time.Sleep(defaultIdleTimeout + time.Second)
@@ -246,7 +246,7 @@
 		for range raceRepeats {
 			near, far := net.Pipe()
 			conn := newTestConn(t, near)
-			c := test.server.newCaller(t.Context(), far)
+			c := test.server.newCaller(context.Background(), far)
 			go c.read()
 			conn.send(testPost)
 			go c.run()
@@ -267,7 +267,7 @@
 			near, far := net.Pipe()
 			conn := newTestConn(t, near)
 			conn.send(testPost)
-			go test.server.serve(t.Context(), far)
+			go test.server.serve(context.Background(), far)
 			test.refuse()
 			conn.expectRefusal("request in the socket")
 			conn.expectEnd()
@@ -351,7 +351,7 @@
 				test := newCallerTest(t)
 				near, far := net.Pipe()
 				conn, server := newTestConn(t, near), newHalfCloseConn(far)
-				go test.server.serve(t.Context(), server)
+				go test.server.serve(context.Background(), server)
 				conn.send(request)
 				conn.send(testPost)
 				conn.send(strings.Repeat("x", 2*readBuffer))
@@ -394,7 +394,7 @@
 		test := newCallerTest(t)
 		near, far := net.Pipe()
 		conn, server := newTestConn(t, near), newHalfCloseConn(far)
-		go test.server.serve(t.Context(), server)
+		go test.server.serve(context.Background(), server)
 		conn.send(testLastPost)
 		test.refuse()
 		conn.expectRefusal("last request")
@@ -455,7 +455,7 @@
 				test := newCallerTest(t)
 				near, far := net.Pipe()
 				conn, held := newTestConn(t, near), &heldConn{Conn: far, held: 2, release: make(chan struct{})}
-				go test.server.serve(t.Context(), held)
+				go test.server.serve(context.Background(), held)
 				conn.send(parts[0])
 				conn.send(parts[1])
 				time.Sleep(max(defaultHeaderTimeout, bodyTimeout) + time.Second)
@@ -534,6 +534,28 @@
 	}
 }
 
+// Guards against a chunked answer to a caller that speaks HTTP/1.0, and against a connection that such a caller is not told
+// to be kept.
+func TestStreamToHTTP10EndsWithConnection(t *testing.T) {
+	var wire bytes.Buffer
+	r := reply{status: http.StatusOK, header: http.Header{}, stream: io.NopCloser(strings.NewReader("x")), length: -1,
+		unframed: true, closing: true}
+	if err := r.write(bufio.NewWriter(&wire), http.MethodGet); err != nil {
+		t.Fatal(err)
+	}
+	if text := wire.String(); !strings.Contains(text, "Connection: close") || !strings.HasSuffix(text, "\r\n\r\nx") {
+		t.Errorf("answer is %q", text)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		conn := test.connect()
+		conn.send("GET /crew HTTP/1.0\r\nHost: hotline\r\nConnection: keep-alive\r\n\r\n")
+		test.refuse()
+		conn.expectRefusal("request in HTTP/1.0")
+		conn.expectEnd()
+	})
+}
+
 // lateListener hands out a connection that was accepted before the listener was closed only after that.
 type lateListener struct {
 	net.Listener
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -40,6 +40,8 @@
 	method        string
 	// closing is true if the connection ends after the answer, as the caller asked.
 	closing bool
+	// http10 is true for HTTP/1.0, which has no chunked coding. Such a connection is not kept.
+	http10 bool
 }
 
 // rejection is the error answer to a request that cannot be read. The rest of the connection is not read.
@@ -235,6 +237,6 @@
 	return &incomingRequest{
 		request: &call.Request{ID: info.ID, Method: request.Method, Path: path, Query: query, Header: header, Body: body},
 		host:    strings.ToLower(host), receivedAt: time.Now(), callerTimeout: info.Timeout, method: request.Method,
-		closing: request.Close,
+		closing: request.Close || !request.ProtoAtLeast(1, 1), http10: !request.ProtoAtLeast(1, 1),
 	}
 }
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -19,6 +19,9 @@
 	// stream is the body if it is too long to be buffered, and length its length in bytes or -1 if unknown.
 	stream io.ReadCloser
 	length int64
+	// unframed is true if the caller does not know the chunked coding, so that a body of unknown length ends with the
+	// connection.
+	unframed bool
 	// closing is true if the connection ends after the reply.
 	closing bool
 	// done releases the resources of the request; nil when there are none.
@@ -67,6 +70,9 @@
 	switch {
 	case r.stream != nil:
 		response.Body, response.ContentLength = r.stream, r.length
+		if r.length < 0 && !r.unframed {
+			response.TransferEncoding = []string{"chunked"}
+		}
 	case len(r.body) > 0:
 		response.Body = io.NopCloser(bytes.NewReader(r.body))
 	case method == http.MethodHead && r.length > 0:
