Close a caller's connection only when no request has begun

Callers saw a request on a kept connection end without an answer: at the idle timeout, at a planned stop, or behind another request of the same connection.

Cause: the task of a connection knew a request only from the moment at which it took it up. While the request was read, or had been read and waited for the task, the connection counted as idle. When the task runs late, the idle timer and the request are both ready, and select takes either. In the same way any answer of a leaving instance closed the connection, although requests behind it had been passed on; requests behind one with Connection: close were passed on and then cut; the socket was closed with unread bytes, which resets it; and a read after its deadline fails without looking, so a request that had arrived was refused because the process was late.

Change: the chart gets the states stopping and lingering. On the idle timeout or a leave the task asks the reading goroutine to stop. It looks at the socket a last time, reads what has begun to its end, marks the last request, and reports when it holds nothing. Only the answer to the last request closes the connection, whatever made it the last: the caller's Connection: close, a planned stop, or a request that cannot be read. Reads after a deadline still return bytes that have arrived.

One test waits until the reader has stopped before the first answer: an answer that is ready earlier is not held back for it.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -41,9 +42,15 @@
 		return nil, err
 	}
 	bound, err := chart.Bind(ch, chart.Bindings[*caller]{
-		Guards: map[string]func(*caller) bool{"all_answered": func(c *caller) bool { return len(c.queue) == 0 }},
-		Actions: map[string]func(*caller){"start_request": (*caller).startRequest, "reject": (*caller).reject,
-			"close_socket": (*caller).closeSocket},
+		Guards: map[string]func(*caller) bool{
+			"all_answered": func(c *caller) bool { return len(c.queue) == 0 },
+			"can_linger":   func(c *caller) bool { _, ok := c.conn.(halfCloser); return ok },
+		},
+		Actions: map[string]func(*caller){
+			"start_request": (*caller).startRequest, "reject": (*caller).reject,
+			"stop_reading": func(c *caller) { c.stopReading() }, "discard_input": func(c *caller) { close(c.discarding) },
+			"close_write_side": (*caller).closeWriteSide, "close_socket": (*caller).closeSocket,
+		},
 	})
 	if err != nil {
 		return nil, err
@@ -69,6 +76,11 @@
 	machine *chart.Machine[*caller]
 	// readEvents receives what the reading goroutine has read.
 	readEvents chan any
+	// stopOrder is done when the reading goroutine should end as soon as it holds no byte of a request.
+	stopOrder   context.Context
+	stopReading context.CancelFunc
+	// discarding is closed when the reading goroutine should discard all further bytes until the end of the connection.
+	discarding chan struct{}
 	// queue holds the unanswered requests in the order in which they were read.
 	queue []pendingRequest
 	// incoming and rejection are the arguments of the current event.
@@ -85,8 +97,6 @@
 	method string
 	// http10 is true if the caller speaks HTTP/1.0.
 	http10 bool
-	// closing is true if the connection ends after the answer.
-	closing bool
 	// reply receives the answer.
 	reply chan reply
 }
@@ -94,6 +104,12 @@
 // readEnd reports that the caller has closed the connection or that it broke.
 type readEnd struct{ err error }
 
+// readingStopped reports that no further request is read and that none has begun.
+type readingStopped struct{}
+
+// halfCloser is a connection whose write side can be closed on its own.
+type halfCloser interface{ CloseWrite() error }
+
 // serve is the body of the task of one caller connection.
 func (s *callerServer) serve(ctx context.Context, conn net.Conn) {
 	c := s.newCaller(ctx, conn)
@@ -103,8 +119,9 @@
 
 func (s *callerServer) newCaller(ctx context.Context, conn net.Conn) *caller {
 	c := &caller{callerServer: s, conn: conn, writer: bufio.NewWriterSize(conn, writeBuffer), readEvents: make(chan any),
-		idleSince: time.Now()}
+		discarding: make(chan struct{}), idleSince: time.Now()}
 	c.ctx, c.cancel = context.WithCancel(ctx)
+	c.stopOrder, c.stopReading = context.WithCancel(c.ctx)
 	c.machine = s.bound.New(time.Now(), c)
 	return c
 }
@@ -117,7 +134,7 @@
 	}
 }
 
-// read reads requests and passes them to the task until the connection ends.
+// read reads requests and passes them to the task until the last one or the end of the connection.
 func (c *caller) read() {
 	send := func(m any) {
 		select {
@@ -125,21 +142,39 @@
 		case <-c.ctx.Done():
 		}
 	}
-	r := &requestReader{conn: c.conn, buffer: bufio.NewReaderSize(c.conn, readBuffer), limits: c.limits,
-		dialect: c.dialect, notify: send}
+	r := newRequestReader(c.conn, c.limits, c.dialect, c.stopOrder, send)
 	for c.ctx.Err() == nil {
-		m, err := r.next()
+		m, last, err := r.next()
 		if err != nil {
 			send(readEnd{err: err})
 			return
 		}
 		send(m)
-		if _, rejected := m.(rejection); rejected {
+		if last {
+			send(readEnd{err: c.discardInput()})
 			return
 		}
 	}
 }
 
+// discardInput discards what follows the last request, so that the end of the connection is noticed and no unread byte
+// resets it. It begins when the task has decided that an answer follows: a connection that ends without one must not take
+// in a request that crosses its end.
+func (c *caller) discardInput() error {
+	select {
+	case <-c.discarding:
+	case <-c.ctx.Done():
+		return c.ctx.Err()
+	}
+	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, c.conn); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 func (c *caller) fire(event string) {
 	if err := c.machine.Fire(time.Now(), event); err != nil {
 		panic(err) // events are constants of this package; a missing one is a programming error
@@ -148,6 +183,11 @@
 
 // waitForEvent waits for one event and handles it.
 func (c *caller) waitForEvent() {
+	leave := c.leaveOrder()
+	if isClosed(leave) {
+		c.fire("leave") // comes first, so that an answer that is ready can be the last one
+		return
+	}
 	readEvents := c.readEvents
 	if len(c.queue) >= maxPipelined {
 		readEvents = nil
@@ -156,25 +196,49 @@
 	if len(c.queue) > 0 {
 		firstReply = c.queue[0].reply
 	}
-	var closingIdle <-chan struct{}
-	var idle <-chan time.Time
-	if len(c.queue) == 0 {
-		closingIdle = c.closingIdle
-		timer := time.NewTimer(time.Until(c.idleDeadline()))
+	due, limited := c.deadline()
+	var timeout <-chan time.Time
+	if limited {
+		timer := time.NewTimer(time.Until(due))
 		defer timer.Stop()
-		idle = timer.C
+		timeout = timer.C
 	}
 	select {
 	case m := <-readEvents:
 		c.handle(m)
 	case r := <-firstReply:
 		c.writeAnswer(r)
-	case <-closingIdle:
+	case <-leave:
 		c.fire("leave")
-	case now := <-idle:
-		if !now.Before(c.idleDeadline()) { // a new configuration may have changed the idle timeout
-			c.fire("idle_timeout")
-		}
+	case now := <-timeout:
+		c.handleTimeout(now)
+	}
+}
+
+// leaveOrder returns the channel that is closed when the connection should end: at once when it is idle, and with the
+// answers to its pending requests otherwise. It is nil when the connection is ending already.
+func (c *caller) leaveOrder() <-chan struct{} {
+	switch {
+	case c.stopOrder.Err() != nil:
+		return nil
+	case len(c.queue) > 0:
+		return c.leaving
+	}
+	return c.closingIdle
+}
+
+// deadline returns when the idle timeout or a timeout of the chart is due.
+func (c *caller) deadline() (time.Time, bool) {
+	if c.machine.In("waiting") {
+		return c.idleDeadline(), true
+	}
+	return c.machine.Deadline()
+}
+
+func (c *caller) handleTimeout(now time.Time) {
+	c.machine.Tick(now)
+	if c.machine.In("waiting") && !now.Before(c.idleDeadline()) { // a new configuration may have changed the idle timeout
+		c.fire("idle_timeout")
 	}
 }
 
@@ -190,13 +254,19 @@
 	switch m := m.(type) {
 	case *incomingRequest:
 		c.incoming = m
-		c.fire("request")
+		if m.last {
+			c.fire("last_request")
+		} else {
+			c.fire("request")
+		}
 	case rejection:
 		c.rejection = m
 		c.fire("malformed")
 	case continueExpected:
 		c.continuePending = true
 		c.sendContinue()
+	case readingStopped:
+		c.fire("stopped")
 	case readEnd:
 		c.fire("disconnected")
 	}
@@ -204,7 +274,7 @@
 
 // startRequest starts the task of a request. Its answer is written after the answers to all earlier requests.
 func (c *caller) startRequest() {
-	q := pendingRequest{method: c.incoming.method, http10: c.incoming.http10, closing: c.incoming.closing, reply: make(chan reply, 1)}
+	q := pendingRequest{method: c.incoming.method, http10: c.incoming.http10, reply: make(chan reply, 1)}
 	c.queue = append(c.queue, q)
 	f := c.requests.newForward(c.ctx, c.incoming)
 	go func() { q.reply <- f.run() }()
@@ -212,7 +282,7 @@
 
 // reject queues the error answer to a request that cannot be read. The connection ends after it.
 func (c *caller) reject() {
-	q := pendingRequest{method: http.MethodGet, closing: true, reply: make(chan reply, 1)}
+	q := pendingRequest{method: http.MethodGet, reply: make(chan reply, 1)}
 	q.reply <- localReply(c.dialect, "", c.rejection.status, c.rejection.err, 0)
 	c.queue = append(c.queue, q)
 }
@@ -220,7 +290,7 @@
 // writeAnswer writes the answer to the first pending request.
 func (c *caller) writeAnswer(r reply) {
 	q := c.queue[0]
-	r.closing = r.closing || q.closing || isClosed(c.leaving)
+	r.closing = len(c.queue) == 1 && c.machine.In("closing")
 	r.unframed = q.http10
 	err := c.writeReply(&r, q.method)
 	r.release()
@@ -257,6 +327,13 @@
 	}
 }
 
+// closeWriteSide shows the caller that no further answer follows.
+func (c *caller) closeWriteSide() {
+	if conn, ok := c.conn.(halfCloser); ok {
+		_ = conn.CloseWrite() // a broken connection is detected by the next read
+	}
+}
+
 // closeSocket closes the connection. Unanswered requests are cancelled; their replies are released when they arrive.
 func (c *caller) closeSocket() {
 	c.cancel()
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -283,6 +283,7 @@
 		conn.send(testPost)
 		conn.send(testPost)
 		close(test.leaving)
+		time.Sleep(time.Second) // the reading goroutine stops
 		test.refuse()
 		if conn.expectRefusal("first request").Close {
 			t.Error("an answer closes the connection before the answer to a later request")
@@ -622,3 +623,60 @@
 		})
 	}
 }
+
+// Guards against a planned stop that drops requests which were read together with an earlier one.
+func TestPlannedStopAnswersBufferedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newCallerTest(t)
+		close(test.leaving)
+		close(test.closingIdle)
+		conn := test.connect()
+		conn.send(testPost + testPost + testHalfPost)
+		conn.send(testOtherHalf)
+		for range 3 {
+			test.refuse()
+		}
+		for _, what := range []string{"first request", "second request", "third request"} {
+			conn.expectRefusal(what)
+		}
+		conn.expectEnd()
+	})
+}
+
+// Guards against a read that fails after its deadline although the bytes have arrived.
+func TestReadAfterDeadlineReturnsArrivedBytes(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	near, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = near.Close() }()
+	far, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = far.Close() }()
+	if _, err := io.WriteString(near, "ab"); err != nil {
+		t.Fatal(err)
+	}
+	reader, one := &arrivedReader{conn: far}, make([]byte, 1)
+	if _, err := reader.Read(one); err != nil {
+		t.Fatal(err)
+	}
+	if err := reader.setDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := reader.Read(one); err != nil || string(one) != "b" {
+		t.Errorf("%q, %v", one, err)
+	}
+	if err := reader.setDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := reader.Read(one); !isTimeout(err) {
+		t.Errorf("a read without bytes: %v", err)
+	}
+}
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -38,8 +39,9 @@
 	// callerTimeout is the timeout sent by the caller; zero if it sent none.
 	callerTimeout time.Duration
 	method        string
-	// closing is true if the connection ends after the answer, as the caller asked.
-	closing bool
+	// last is true if no further request is read from the connection, because the caller asked for its end or reading was
+	// stopped.
+	last bool
 	// http10 is true for HTTP/1.0, which has no chunked coding. Such a connection is not kept.
 	http10 bool
 }
@@ -56,26 +58,88 @@
 // requestReader reads the requests of one connection, one after the other. It belongs to the reading goroutine of a
 // caller's connection.
 type requestReader struct {
-	conn    net.Conn
+	source  *arrivedReader
 	buffer  *bufio.Reader
 	limits  func() fleet.Limits
 	dialect Dialect
+	// stopOrder is done when reading should end as soon as no request has begun.
+	stopOrder context.Context
+	// readSinceStop is the number of requests that were read since then.
+	readSinceStop int
 	// notify reports an event before the request is complete.
 	notify func(any)
 }
 
+func newRequestReader(conn net.Conn, limits func() fleet.Limits, dialect Dialect, stopOrder context.Context,
+	notify func(any)) *requestReader {
+	source := &arrivedReader{conn: conn}
+	return &requestReader{source: source, buffer: bufio.NewReaderSize(source, readBuffer), limits: limits, dialect: dialect,
+		stopOrder: stopOrder, notify: notify}
+}
+
 var errMalformed = errors.New("malformed head")
 
-// next returns an incoming request, a rejection, or an error when the connection has ended.
-func (r *requestReader) next() (any, error) {
-	if _, err := r.buffer.Peek(1); err != nil {
-		return nil, err
+// next returns an incoming request, a rejection, or readingStopped; last is true if it is the last one. It returns an error
+// when the connection has ended.
+func (r *requestReader) next() (m any, last bool, err error) {
+	begun, err := r.awaitRequest()
+	if err != nil {
+		return nil, false, err
+	}
+	if !begun {
+		return readingStopped{}, true, nil
+	}
+	m, err = r.readRequest()
+	switch m := m.(type) {
+	case rejection:
+		last = true
+	case *incomingRequest:
+		m.last = m.last || r.isLast()
+		last = m.last
+	}
+	return m, last, err
+}
+
+// awaitRequest waits for the first byte of a request. It returns false if reading was stopped before one arrived.
+func (r *requestReader) awaitRequest() (bool, error) {
+	if r.buffer.Buffered() > 0 {
+		return true, nil
+	}
+	if err := r.source.setDeadline(time.Time{}); err != nil {
+		return false, err
+	}
+	interrupted := make(chan struct{})
+	cancel := context.AfterFunc(r.stopOrder, func() {
+		_ = r.source.conn.SetReadDeadline(time.Unix(1, 0)) // a broken connection ends the read as well
+		close(interrupted)
+	})
+	_, err := r.buffer.Peek(1)
+	if !cancel() {
+		<-interrupted // the deadline is not changed any more
+	}
+	if err != nil && r.stopOrder.Err() != nil && isTimeout(err) {
+		return false, nil
 	}
+	return err == nil, err
+}
+
+// isLast reports whether reading ends with the request that has just been read. Requests that had begun when reading was
+// stopped are read, up to the limit for pipelined ones.
+func (r *requestReader) isLast() bool {
+	if r.stopOrder.Err() == nil {
+		return false
+	}
+	r.readSinceStop++
+	return r.buffer.Buffered() == 0 || r.readSinceStop >= maxPipelined
+}
+
+// readRequest reads a request that has begun.
+func (r *requestReader) readRequest() (any, error) {
 	limits := r.limits()
 	if limits.HeaderTimeout <= 0 {
 		limits.HeaderTimeout = defaultHeaderTimeout
 	}
-	if err := r.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
+	if err := r.source.setDeadline(time.Now().Add(limits.HeaderTimeout)); err != nil {
 		return nil, err
 	}
 	head, err := r.head(limits)
@@ -92,8 +156,12 @@
 	return r.body(request, limits)
 }
 
-func rejectionOf(err error) (any, error) {
+func isTimeout(err error) bool {
 	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+func rejectionOf(err error) (any, error) {
 	switch {
 	case errors.Is(err, errMalformed):
 		return rejection{http.StatusBadRequest, fault.New(fault.BadRequest, "send HTTP/1.1 with one clear length",
@@ -101,7 +169,7 @@
 	case errors.Is(err, bufio.ErrBufferFull):
 		return rejection{http.StatusRequestHeaderFieldsTooLarge,
 			fault.New(fault.TooLarge, "send a shorter header", "header is too long")}, nil
-	case errors.As(err, &timeout) && timeout.Timeout():
+	case isTimeout(err):
 		return rejection{http.StatusRequestTimeout, fault.New(fault.BadRequest, "send the request in time",
 			"request did not arrive in time")}, nil
 	}
@@ -148,7 +216,7 @@
 // grow replaces the buffer by one that can hold a head of the maximum size.
 func (r *requestReader) grow(seen []byte, limit int) {
 	kept := bytes.Clone(seen)
-	r.buffer = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(kept), r.conn), limit+readBuffer)
+	r.buffer = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(kept), r.source), limit+readBuffer)
 }
 
 // checkHead rejects heads that two parsers could read as different requests (request smuggling): bare line feeds, folded
@@ -198,7 +266,7 @@
 			r.notify(continueExpected{})
 		}
 	}
-	if err := r.conn.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
+	if err := r.source.setDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, err
 	}
 	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
@@ -214,9 +282,6 @@
 	case int64(len(body)) > limit:
 		return tooLarge, nil
 	}
-	if err := r.conn.SetReadDeadline(time.Time{}); err != nil {
-		return nil, err
-	}
 	return r.translate(request, body), nil
 }
 
@@ -237,6 +302,6 @@
 	return &incomingRequest{
 		request: &call.Request{ID: info.ID, Method: request.Method, Path: path, Query: query, Header: header, Body: body},
 		host:    strings.ToLower(host), receivedAt: time.Now(), callerTimeout: info.Timeout, method: request.Method,
-		closing: request.Close || !request.ProtoAtLeast(1, 1), http10: !request.ProtoAtLeast(1, 1),
+		last: request.Close || !request.ProtoAtLeast(1, 1), http10: !request.ProtoAtLeast(1, 1),
 	}
 }
--- /dev/null
+++ b/internal/tcp/unread.go
@@ -0,0 +1,27 @@
+package tcp
+
+import (
+	"errors"
+	"net"
+	"syscall"
+)
+
+// HasUnread reports whether a read of the connection would return at once, with bytes, the end of the stream or an error.
+// It does not block and ignores deadlines, while a read after its deadline fails without looking. Result known is false for
+// a connection without a file descriptor.
+func HasUnread(conn net.Conn) (unread, known bool) {
+	withDescriptor, ok := conn.(syscall.Conn)
+	if !ok {
+		return false, false
+	}
+	raw, err := withDescriptor.SyscallConn()
+	if err != nil {
+		return false, false
+	}
+	err = raw.Control(func(descriptor uintptr) {
+		var peeked [1]byte
+		_, _, err := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = !errors.Is(err, syscall.EAGAIN)
+	})
+	return unread, err == nil
+}
