Serve accepted connections before a planned stop ends

Callers that had just connected to a stopping instance lost their request: the process ended although the connection had been accepted.

Cause: the gateway task counted a connection from the moment at which it took it up. While it waited in the task's inbox, or the accepting goroutine held it, no connection seemed open, and connections_closed ended the stop.

Change: the accepting goroutine reports its end, behind all connections that it has passed on, and connections_closed needs that report.

Before: "request on an accepted connection: connection ended without an answer: unexpected EOF", 64 of 64 connections in the inbox and 64 of 64 in the accepting goroutine (TestPlannedStopServesAcceptedConnections). It passes now. Connections that wait in the kernel's queue when the listener closes are still reset, before anything of them was read.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,11 +75,14 @@
 	ready chan struct{}
 	// openConnections is the number of open caller connections.
 	openConnections int
+	// acceptingEnded is true when all accepted connections have reached this task.
+	acceptingEnded bool
 }
 
 // Messages to the gateway task.
 type (
 	acceptEvent    struct{ conn net.Conn }
+	acceptEnd      struct{}
 	closeEvent     struct{}
 	readyEvent     struct{}
 	settingsUpdate struct{ settings Settings }
@@ -301,7 +304,7 @@
 			}
 		}
 		timer.Stop()
-		if g.openConnections == 0 {
+		if g.acceptingEnded && g.openConnections == 0 {
 			g.fire("connections_closed")
 		}
 	}
@@ -337,6 +340,8 @@
 			g.callers.serve(ctx, m.conn)
 			_ = g.inbox.Send(ctx, closeEvent{}) // fails only at the end of the process
 		}()
+	case acceptEnd:
+		g.acceptingEnded = true
 	case closeEvent:
 		g.openConnections--
 		g.counters.callers.Update(int64(g.openConnections))
@@ -367,6 +372,7 @@
 
 // accept passes connections to the gateway task until the listener is closed.
 func (g *Gateway) accept(ctx context.Context) {
+	defer func() { _ = g.inbox.Send(ctx, acceptEnd{}) }() // fails only at the end of the process
 	for {
 		conn, err := g.listener.Accept()
 		switch {
