Log what a configuration costs when it comes into force

Callers saw a request lost while a configuration of 1,400 more routes was applied; no line said how long it held the process up. Cause: "configuration is in force" had neither size nor durations. Change: the line has bytes, decode_ms, table_ms and age_ms, the time since the call of the store. Evidence: TestCostOfConfigurationIsLogged decodes for 120 ms of a synctest bubble and reads the four values off the line.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -282,7 +282,9 @@
 	if o.Name != configObject {
 		return
 	}
+	began := time.Now()
 	config, err := b.schema.Config(o)
+	decoded := time.Now()
 	if err != nil {
 		b.logInvalid(o, err)
 		return
@@ -291,8 +293,10 @@
 		return
 	}
 	b.config, b.routes = config, dispatch.NewTable(config)
+	built := time.Now()
 	b.log.Info("configuration is in force", "version", uint64(config.Version), "revision", o.Version,
-		"routes", len(config.Routes))
+		"routes", len(config.Routes), "bytes", len(o.Value), "decode_ms", decoded.Sub(began).Milliseconds(),
+		"table_ms", built.Sub(decoded).Milliseconds(), "age_ms", built.Sub(b.asOf[objectapi.Configuration]).Milliseconds())
 }
 
 // applyBackend keeps the newest entry of a server. An entry that cannot be decoded removes the server.
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -542,3 +543,28 @@
 		}
 	}
 }
+
+// slowSchema decodes a configuration slowly.
+type slowSchema struct{ fakeSchema }
+
+func (slowSchema) Config(o objectapi.Object) (*fleet.Config, error) {
+	time.Sleep(120 * time.Millisecond) // of the bubble
+	return fakeSchema{}.Config(o)
+}
+
+// Guards against a large configuration that holds the process up without a line that says so.
+func TestCostOfConfigurationIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		_, b := newTestBoard(t, newFakeStore())
+		b.schema, b.log = slowSchema{}, slog.New(slog.NewJSONHandler(&log, nil))
+		b.asOf[objectapi.Configuration] = time.Now().Add(-time.Second)
+		value := []byte(`{"Version":7}`)
+		b.applyConfig(objectapi.Object{Kind: objectapi.Configuration, Name: configObject, Value: value})
+		for _, field := range []string{`"bytes":13`, `"decode_ms":120`, `"table_ms":0`, `"age_ms":1120`} {
+			if !strings.Contains(log.String(), field) {
+				t.Errorf("the line does not contain %s: %s", field, log.String())
+			}
+		}
+	})
+}
