Log and count the end of a caller's connection

Callers saw a connection end without an answer; the instance wrote no line and no counter, so none of the hypotheses could be told from another, nor from a caller that disconnects. Cause: the task of a connection closed its socket silently, and knew a request only once it had taken it up. Change: each end has one of 13 causes and counts in gateway.connections_closed.CAUSE; requests that were read and got no complete answer count in gateway.requests_cut.CAUSE. An end with a request in hand writes a line of level warn with the ids, which "fuchsiahub trace" finds. The reading goroutine reports the first byte of a request, and at the end the task takes what the reading goroutine still waits to pass on. Its channel holds one message, so that the report does not delay the read. Connections are closed as before, except that they report and close within 20 ms after the drain time, when the process ends.

--- a/internal/cli/trace.go
+++ b/internal/cli/trace.go
@@ -22,9 +22,11 @@
 // Keys of a log line that trace handles specially.
 const (
 	fieldRequest = "request"
-	fieldTime    = "time"
-	fieldMessage = "msg"
-	fieldLevel   = "level"
+	// fieldRequests lists several requests.
+	fieldRequests = "requests"
+	fieldTime     = "time"
+	fieldMessage  = "msg"
+	fieldLevel    = "level"
 )
 
 // maxLogLine is the maximum length of a log line, in bytes.
@@ -98,7 +100,7 @@
 		}
 		message, _ := line.fields[fieldMessage].(string)
 		switch {
-		case line.fields[fieldRequest] == id:
+		case line.isAbout(id):
 			t.lines = append(t.lines, slices.Collect(maps.Values(latestContext))...)
 			clear(latestContext)
 			t.lines = append(t.lines, line)
@@ -135,6 +137,12 @@
 	return nil
 }
 
+// isAbout reports whether the line names the request, alone or in a list.
+func (l logLine) isAbout(id string) bool {
+	list, _ := l.fields[fieldRequests].([]any)
+	return l.fields[fieldRequest] == id || slices.Contains(list, any(id))
+}
+
 // String returns the time, source, level and message, followed by the other fields in order of their keys.
 func (l logLine) String() string {
 	parts := []string{l.at.Format("15:04:05.000"), l.source, fmt.Sprint(l.fields[fieldLevel]), fmt.Sprint(l.fields[fieldMessage])}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -30,12 +30,12 @@
 	snapshots *SnapshotPublisher
 	bound     *chart.Bound[*caller]
 	// leaving is closed when connections should end after the next answer, closingIdle when idle connections should end at
-	// once.
-	leaving, closingIdle <-chan struct{}
+	// once, processEnding when all should.
+	leaving, closingIdle, processEnding <-chan struct{}
 }
 
 func newCallerServer(requests *forwarder, dialect Dialect, snapshots *SnapshotPublisher,
-	leaving, closingIdle <-chan struct{}) (*callerServer, error) {
+	leaving, closingIdle, processEnding <-chan struct{}) (*callerServer, error) {
 	ch, err := charts.Load("caller", nil)
 	if err != nil {
 		return nil, err
@@ -44,12 +44,13 @@
 		Guards: map[string]func(*caller) bool{"all_answered": func(c *caller) bool { return len(c.queue) == 0 }},
 		Actions: map[string]func(*caller){"start_request": (*caller).startRequest, "reject": (*caller).reject,
 			"close_socket": (*caller).closeSocket},
+		Observe: func(c *caller, from, _, _ string) { c.stateBefore = from },
 	})
 	if err != nil {
 		return nil, err
 	}
 	return &callerServer{requests: requests, dialect: dialect, snapshots: snapshots, bound: bound, leaving: leaving,
-		closingIdle: closingIdle}, nil
+		closingIdle: closingIdle, processEnding: processEnding}, nil
 }
 
 func (s *callerServer) limits() fleet.Limits {
@@ -67,7 +68,8 @@
 	conn    net.Conn
 	writer  *bufio.Writer
 	machine *chart.Machine[*caller]
-	// readEvents receives what the reading goroutine has read.
+	// readEvents receives what the reading goroutine has read. Its capacity of one keeps the report of a first byte from
+	// delaying the read.
 	readEvents chan any
 	// queue holds the unanswered requests in the order in which they were read.
 	queue []pendingRequest
@@ -78,13 +80,27 @@
 	idleSince time.Time
 	// continuePending is true when 100 Continue has to be sent after the pending answers.
 	continuePending bool
+	// begunAt is when the first byte of the request that is being read arrived; zero when none is being read.
+	begunAt time.Time
+	// unwritten is the request whose answer could not be written completely.
+	unwritten *pendingRequest
+	// cause and endError are the cause of the event that is being handled, should it end the connection, and stateBefore
+	// the state before the last change.
+	cause       ending
+	endError    error
+	stateBefore string
 }
 
 // pendingRequest is an unanswered request.
 type pendingRequest struct {
-	method string
+	// id is empty if the request could not be read.
+	id         string
+	receivedAt time.Time
+	method     string
 	// closing is true if the connection ends after the answer.
 	closing bool
+	// rejected is true if the request could not be read.
+	rejected bool
 	// reply receives the answer.
 	reply chan reply
 }
@@ -94,17 +110,22 @@
 
 // serve is the body of the task of one caller connection.
 func (s *callerServer) serve(ctx context.Context, conn net.Conn) {
-	c := &caller{callerServer: s, conn: conn, writer: bufio.NewWriterSize(conn, writeBuffer), readEvents: make(chan any),
-		idleSince: time.Now()}
-	c.ctx, c.cancel = context.WithCancel(ctx)
+	c := s.newCaller(ctx, conn)
 	defer c.cancel()
-	c.machine = s.bound.New(time.Now(), c)
 	go c.read()
 	for !c.machine.Final() {
 		c.waitForEvent()
 	}
 }
 
+func (s *callerServer) newCaller(ctx context.Context, conn net.Conn) *caller {
+	c := &caller{callerServer: s, conn: conn, writer: bufio.NewWriterSize(conn, writeBuffer), readEvents: make(chan any, 1),
+		idleSince: time.Now()}
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	c.machine = s.bound.New(time.Now(), c)
+	return c
+}
+
 // read reads requests and passes them to the task until the connection ends.
 func (c *caller) read() {
 	send := func(m any) {
@@ -158,10 +179,12 @@
 	case r := <-firstReply:
 		c.writeAnswer(r)
 	case <-closingIdle:
-		c.fire("leave")
+		c.endWith(endStop, nil, "leave")
+	case <-c.processEnding:
+		c.endWith(endProcess, nil, "process_ends")
 	case now := <-idle:
 		if !now.Before(c.idleDeadline()) { // a new configuration may have changed the idle timeout
-			c.fire("idle_timeout")
+			c.endWith(endIdle, nil, "idle_timeout")
 		}
 	}
 }
@@ -175,6 +198,7 @@
 }
 
 func (c *caller) handle(m any) {
+	c.noteRead(m)
 	switch m := m.(type) {
 	case *incomingRequest:
 		c.incoming = m
@@ -186,13 +210,20 @@
 		c.continuePending = true
 		c.sendContinue()
 	case readEnd:
-		c.fire("disconnected")
+		c.endWith(endOfRead(m.err), m.err, "disconnected")
 	}
 }
 
+// endWith fires an event that may end the connection.
+func (c *caller) endWith(cause ending, err error, event string) {
+	c.cause, c.endError = cause, err
+	c.fire(event)
+}
+
 // startRequest starts the task of a request. Its answer is written after the answers to all earlier requests.
 func (c *caller) startRequest() {
-	q := pendingRequest{method: c.incoming.method, closing: c.incoming.closing, reply: make(chan reply, 1)}
+	q := pendingRequest{id: c.incoming.request.ID, receivedAt: c.incoming.receivedAt, method: c.incoming.method,
+		closing: c.incoming.closing, reply: make(chan reply, 1)}
 	c.queue = append(c.queue, q)
 	f := c.requests.newForward(c.ctx, c.incoming)
 	go func() { q.reply <- f.run() }()
@@ -200,7 +231,8 @@
 
 // reject queues the error answer to a request that cannot be read. The connection ends after it.
 func (c *caller) reject() {
-	q := pendingRequest{method: http.MethodGet, closing: true, reply: make(chan reply, 1)}
+	q := pendingRequest{receivedAt: time.Now(), method: http.MethodGet, closing: true, rejected: true,
+		reply: make(chan reply, 1)}
 	q.reply <- localReply(c.dialect, "", c.rejection.status, c.rejection.err, 0)
 	c.queue = append(c.queue, q)
 }
@@ -213,13 +245,18 @@
 	r.release()
 	c.queue = c.queue[1:]
 	c.idleSince = time.Now()
+	cause := endAnswer
+	if q.rejected {
+		cause = endRejected
+	}
 	switch {
 	case err != nil:
-		c.fire("disconnected")
+		c.unwritten = &q
+		c.endWith(endOfWrite(err), err, "disconnected")
 	case r.closing:
-		c.fire("final_answer_written")
+		c.endWith(cause, nil, "final_answer_written")
 	default:
-		c.fire("answer_written")
+		c.endWith(cause, nil, "answer_written")
 		c.sendContinue()
 	}
 }
@@ -244,6 +281,7 @@
 
 // closeSocket closes the connection. Unanswered requests are cancelled; their replies are released when they arrive.
 func (c *caller) closeSocket() {
+	c.reportEnd()
 	c.cancel()
 	for _, q := range c.queue {
 		go func() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,9 @@
 const (
 	// graceReserve is the part of the grace period that is kept for the exit of the process.
 	graceReserve = 300 * time.Millisecond
+	// endReportTime bounds the wait for the reports of connections that are open when the process ends. It is a part of
+	// graceReserve.
+	endReportTime = 20 * time.Millisecond
 	// idleConnectionTimeout is the idle time after which a connection to a backend server is closed. It is shorter than the
 	// idle timeout of most servers.
 	idleConnectionTimeout = 8 * time.Second
@@ -66,9 +69,9 @@
 	self      fleet.Instance
 
 	// leaving is closed when caller connections should end after their next answer, closingIdle when idle ones should end
-	// at once.
-	leaving, closingIdle chan struct{}
-	listener             net.Listener
+	// at once, and processEnding when all should because the drain time has elapsed.
+	leaving, closingIdle, processEnding chan struct{}
+	listener                            net.Listener
 	// registrationDue signals the registrar to write the entry of the instance.
 	registrationDue chan struct{}
 	// ready is closed when the snapshot is complete enough to serve. The readiness check reads it together with leaving.
@@ -95,7 +98,7 @@
 		settings: settings, schema: schema, store: measuredStore{store: store, registry: set.Registry()},
 		dialect: dialect, log: log, metrics: set, counters: newCounters(set.Registry()), snapshots: &SnapshotPublisher{},
 		inbox:   task.NewMailbox[any]("gateway", gatewayInboxCapacity),
-		leaving: make(chan struct{}), closingIdle: make(chan struct{}), ready: make(chan struct{}),
+		leaving: make(chan struct{}), closingIdle: make(chan struct{}), processEnding: make(chan struct{}), ready: make(chan struct{}),
 		registrationDue: make(chan struct{}, 1),
 		self: fleet.Instance{Name: settings.Name, Address: settings.PeerAddress, Place: settings.Place,
 			CPUShare: settings.CPUShare, Incarnation: uint64(time.Now().UnixNano())},
@@ -121,7 +124,7 @@
 	if err != nil {
 		return err
 	}
-	g.callers, err = newCallerServer(requests, g.dialect, g.snapshots, g.leaving, g.closingIdle)
+	g.callers, err = newCallerServer(requests, g.dialect, g.snapshots, g.leaving, g.closingIdle, g.processEnding)
 	if err != nil {
 		return err
 	}
@@ -217,11 +220,30 @@
 		"incarnation", g.self.Incarnation)
 	go g.accept(ctx)
 	g.loop(ctx, stop)
+	g.endConnections()
 	tasks.Stop()
 	g.log.Info("instance stops", "open_connections", g.openConnections)
 	return tasks.Wait()
 }
 
+// endConnections makes the tasks of the remaining connections report the requests that they cut off, and waits for them
+// for a short time.
+func (g *Gateway) endConnections() {
+	close(g.processEnding)
+	limit := time.NewTimer(endReportTime)
+	defer limit.Stop()
+	for open := g.openConnections; open > 0; {
+		select {
+		case m := <-g.inbox.C():
+			if _, closed := m.(closeEvent); closed {
+				open--
+			}
+		case <-limit.C:
+			return
+		}
+	}
+}
+
 // start starts the tasks that run for the lifetime of the instance.
 func (g *Gateway) start(tasks *task.Group, listeners *Listeners) error {
 	g.board.subscribers = []func(*Snapshot){
@@ -328,6 +350,7 @@
 	case acceptEvent:
 		if limit := int(callerFileFraction * float64(g.settings.MaxFiles)); limit > 0 && g.openConnections >= limit {
 			g.log.Warn("caller connection is refused: too many are open", "open_connections", g.openConnections)
+			g.counters.closeConnection(endTooMany, 0)
 			_ = m.conn.Close() // the caller can connect to another instance
 			return
 		}
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -51,6 +51,9 @@
 // continueExpected reports that the caller waits for 100 Continue before it sends the body.
 type continueExpected struct{}
 
+// requestBegun reports the first byte of a request.
+type requestBegun struct{ at time.Time }
+
 // requestReader reads the requests of one connection, one after the other. It belongs to the reading goroutine of a
 // caller's connection.
 type requestReader struct {
@@ -69,6 +72,7 @@
 	if _, err := r.buffer.Peek(1); err != nil {
 		return nil, err
 	}
+	r.notify(requestBegun{at: time.Now()})
 	limits := r.limits()
 	if limits.HeaderTimeout <= 0 {
 		limits.HeaderTimeout = defaultHeaderTimeout
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -64,16 +64,48 @@
 		StatusCode: r.status, ProtoMajor: 1, ProtoMinor: 1, Header: r.header, Close: r.closing,
 		Request: &http.Request{Method: method}, ContentLength: int64(len(r.body)), Body: http.NoBody,
 	}
+	stream := &checkedStream{ReadCloser: r.stream, left: r.length}
 	switch {
 	case r.stream != nil:
-		response.Body, response.ContentLength = r.stream, r.length
+		response.Body, response.ContentLength = stream, r.length
 	case len(r.body) > 0:
 		response.Body = io.NopCloser(bytes.NewReader(r.body))
 	case method == http.MethodHead && r.length > 0:
 		response.ContentLength = r.length
 	}
 	if err := response.Write(w); err != nil {
+		if stream.err != nil {
+			return streamError{stream.err}
+		}
 		return err
 	}
 	return w.Flush()
 }
+
+// streamError is an error of the backend server's side of a long answer.
+type streamError struct{ error }
+
+// Unwrap returns the error of the read.
+func (e streamError) Unwrap() error { return e.error }
+
+// checkedStream keeps the error of a read, which http.Response does not tell from an error of a write.
+type checkedStream struct {
+	io.ReadCloser
+	// left is the number of bytes to come; negative if the length is unknown.
+	left int64
+	err  error
+}
+
+// Read implements io.Reader.
+func (s *checkedStream) Read(p []byte) (int, error) {
+	n, err := s.ReadCloser.Read(p)
+	short := s.left > int64(n)
+	s.left -= int64(n)
+	switch {
+	case err == io.EOF && short:
+		s.err = io.ErrUnexpectedEOF
+	case err != nil && err != io.EOF:
+		s.err = err
+	}
+	return n, err
+}
