Measure how late a connection's task takes up a request

Callers saw a request lost while the process may have lacked processor time; no metric showed whether tasks ran late. Cause: nothing measured the time between the reading goroutine and the task of the connection. Change: the histogram gateway.takeup_us, from when a request was read completely until the task took it up. Evidence: TestTimeToTakeUpIsMeasured holds a task back for 250 ms of a synctest bubble and reads 250000 µs.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -201,6 +201,7 @@
 	c.noteRead(m)
 	switch m := m.(type) {
 	case *incomingRequest:
+		c.requests.counters.takeup.Update(time.Since(m.receivedAt).Microseconds())
 		c.incoming = m
 		c.fire("request")
 	case rejection:
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -22,6 +22,8 @@
 	newsAge metrics.Gauge
 	// time is the time that answered requests spent at this instance, in microseconds.
 	time metrics.Histogram
+	// takeup is the time from when a request was read until its connection's task took it up, in microseconds.
+	takeup metrics.Histogram
 }
 
 // reservoirSize and reservoirAlpha are the parameters of go-metrics for an exponentially decaying sample of about the last
@@ -49,6 +51,8 @@
 		newsAge:       metrics.GetOrRegisterGauge("gateway.news_age_ms", registry),
 		time: metrics.GetOrRegisterHistogram("gateway.time_us", registry,
 			metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)),
+		takeup: metrics.GetOrRegisterHistogram("gateway.takeup_us", registry,
+			metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)),
 	}
 }
 
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -250,6 +250,27 @@
 	})
 }
 
+// Guards against a late task that no metric shows.
+func TestTimeToTakeUpIsMeasured(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCallerTest(t)
+		c := s.server.newCaller(t.Context(), s.conn)
+		defer c.cancel()
+		go c.read()
+		s.send(request("/held/x", "late"))
+		time.Sleep(250 * time.Millisecond) // of the bubble: the task runs late
+		for len(c.queue) == 0 {
+			c.waitForEvent()
+		}
+		c.cancel()
+		_ = s.caller.Close() // ends the reading goroutine
+		s.refuseHeld()
+		if h := c.requests.counters.takeup; h.Count() != 1 || h.Max() != 250_000 {
+			t.Errorf("%d values, maximum %d µs, want one of 250000 µs", h.Count(), h.Max())
+		}
+	})
+}
+
 // brokenStream is an answer that breaks off with an error.
 type brokenStream struct{ err error }
 
