Log and count requests of the daemon that are cut off

Callers of the daemon could see a connection end without an answer, and the instance wrote no line about it: the same gap as in the gateway mode. Cause: errors of writing an answer were dropped, and a broken stream aborted the connection silently. Change: when a handler ends and the connection has ended, broken off or is being closed with the process, the request is logged with its cause under the message of the gateway mode, so that "fuchsiahub trace" finds it, and counted in request.cut.CAUSE. When connections are closed is unchanged.

--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -55,3 +55,34 @@
 		}
 	})
 }
+
+// Guards against requests that the end of the process cuts off and that are reported as given up by their callers.
+func TestEndOfProcessIsReportedBeforeConnectionsClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		listener, ending, cut := memnet.Listen(), make(chan struct{}), make(chan bool, 1)
+		held := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			select {
+			case <-ending:
+				cut <- true
+			default:
+				cut <- false
+			}
+		})
+		w := &httpServers{callers: newHTTPServer(held, slog.New(slog.DiscardHandler)),
+			operations: newHTTPServer(held, slog.New(slog.DiscardHandler)), ending: ending}
+		w.listeners.callers = listener
+		client := &http.Client{Transport: &http.Transport{DialContext: listener.Dial, DisableKeepAlives: true}}
+		go func() { _ = w.serveCallers(t.Context()) }() // ends with close
+		go func() {
+			if answer, err := client.Get("http://entry/"); err == nil {
+				_ = answer.Body.Close()
+			}
+		}()
+		synctest.Wait()
+		w.close()
+		if !<-cut {
+			t.Error("the connections were closed before the end of the process was announced")
+		}
+	})
+}
--- a/internal/daemon/web.go
+++ b/internal/daemon/web.go
@@ -30,6 +30,8 @@
 	operations *http.Server
 	listeners  struct{ callers, operations net.Listener }
 	log        *slog.Logger
+	// ending is closed before the remaining connections of callers are.
+	ending chan struct{}
 }
 
 func (d *Daemon) buildHTTPServers() error {
@@ -40,9 +42,12 @@
 	if tlsConfig == nil {
 		d.log.Warn("connections of callers are not encrypted; set [tls.callers] to serve HTTPS")
 	}
-	handler := frontend.NewHandler(d.requestServer, d.newRequestID, frontend.WithLog(d.log))
+	ending := make(chan struct{})
+	handler := frontend.NewHandler(d.requestServer, d.newRequestID, frontend.WithLog(d.log),
+		frontend.WithCutCounter(d.metrics.Cut), frontend.WithProcessEnding(ending))
 	d.httpServers = &httpServers{
 		callers: newHTTPServer(d.closeWhenNotReady(handler), d.log), operations: newHTTPServer(ops.NewHandler(&statusSource{d}), d.log), log: d.log,
+		ending: ending,
 	}
 	d.httpServers.callers.TLSConfig = tlsConfig
 	d.httpServers.listeners.callers, d.httpServers.listeners.operations = d.callers, d.operations
@@ -96,6 +101,7 @@
 
 // close closes the connections that remain after drain.
 func (s *httpServers) close() {
+	close(s.ending)
 	_ = s.callers.Close()    // the process exits, so an error has no consequence
 	_ = s.operations.Close() // same
 }
--- a/internal/frontend/answer.go
+++ b/internal/frontend/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,7 +13,8 @@
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 )
 
-func writeAnswer(w http.ResponseWriter, id string, answer *call.Answer) {
+// writeAnswer writes an answer. After an error the answer is incomplete; the error of a stream is a streamError.
+func writeAnswer(w http.ResponseWriter, id string, answer *call.Answer) error {
 	header := w.Header()
 	for _, f := range answer.Header {
 		header[f.Name] = append(header[f.Name], f.Value)
@@ -21,15 +23,20 @@
 	header.Set(backend.HeaderRequestID, id)
 	if answer.Stream == nil {
 		w.WriteHeader(answer.Status)
-		_, _ = w.Write(answer.Body) // write errors, such as a disconnected caller, are ignored
-		return
+		_, err := w.Write(answer.Body)
+		if errors.Is(err, http.ErrBodyNotAllowed) {
+			return nil // the answer to HEAD has no body
+		}
+		return err
 	}
 	defer func() { _ = answer.Stream.Close() }() // the unread rest of the answer is discarded
 	w.WriteHeader(answer.Status)
-	if _, err := io.Copy(w, answer.Stream); err != nil {
-		// Aborts the caller's connection, so that a truncated answer cannot be mistaken for a complete one.
-		panic(http.ErrAbortHandler)
+	stream := &checkedStream{Reader: answer.Stream}
+	_, err := io.Copy(w, stream)
+	if stream.err != nil {
+		return streamError{stream.err}
 	}
+	return err
 }
 
 // errorBody is the JSON body of an answer that reports an error of the load balancer, not of a backend server.
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -48,6 +48,9 @@
 	server Server
 	newID  func() string
 	log    *slog.Logger
+	// countCut counts a request that was cut off, by cause. processEnding is closed before the remaining connections are.
+	countCut      func(cause string)
+	processEnding <-chan struct{}
 }
 
 // Option configures a handler.
@@ -56,9 +59,17 @@
 // WithLog sets the log for refused and failed requests. By default they are not logged.
 func WithLog(log *slog.Logger) Option { return func(h *Handler) { h.log = log } }
 
+// WithCutCounter sets the function that counts a request whose connection ended without a complete answer.
+func WithCutCounter(count func(cause string)) Option { return func(h *Handler) { h.countCut = count } }
+
+// WithProcessEnding sets the channel that is closed before the remaining connections are closed at the end of the process.
+func WithProcessEnding(ending <-chan struct{}) Option {
+	return func(h *Handler) { h.processEnding = ending }
+}
+
 // NewHandler returns the HTTP handler for callers. Function newID generates IDs for requests without one.
 func NewHandler(server Server, newID func() string, options ...Option) http.Handler {
-	h := &Handler{server: server, newID: newID, log: slog.New(slog.DiscardHandler)}
+	h := &Handler{server: server, newID: newID, log: slog.New(slog.DiscardHandler), countCut: func(string) {}}
 	for _, option := range options {
 		option(h)
 	}
@@ -70,17 +81,28 @@
 }
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
 	req, err := h.readRequest(r)
 	if err != nil {
-		h.answerError(w, h.requestID(r), serviceOf(r), err)
+		id := h.requestID(r)
+		h.answerError(w, id, serviceOf(r), err)
+		h.reportCut(r, &exchange{id: id, began: began, beingRead: true, err: err, isCut: errors.Is(err, io.ErrUnexpectedEOF)})
 		return
 	}
+	x := &exchange{id: req.ID, began: began}
 	answer, err := h.server.Do(r.Context(), req)
 	if err != nil {
 		h.answerError(w, req.ID, req.Service, err)
+		h.reportCut(r, x)
 		return
 	}
-	writeAnswer(w, req.ID, answer)
+	x.err = writeAnswer(w, req.ID, answer)
+	x.isCut = x.err != nil
+	h.reportCut(r, x)
+	if x.err != nil && answer.Stream != nil {
+		// Aborts the caller's connection, so that a truncated answer cannot be mistaken for a complete one.
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // answerError logs an error and answers with it. The log contains neither path nor body, which must not leave the home regions.
--- a/internal/metric/set.go
+++ b/internal/metric/set.go
@@ -55,6 +55,9 @@
 	s.set.counter("request.failed." + string(kind) + "." + s.name).Inc(1)
 }
 
+// Cut counts a request that was read and got no complete answer because the connection of its caller ended, by cause.
+func (s *Set) Cut(cause string) { s.counter("request.cut." + cause).Inc(1) }
+
 // Resent adds to the number of resends.
 func (s *Service) Resent(n int64) { s.resent.Inc(n) }
 
