Merge the reports of connections that end into the new lifecycle

The causes stay true. A connection whose reading was stopped ends for the cause that stopped it; while it lingers, the last answer stays the cause. The end of the process closes connections in the new states too.

Two expectations of the tests change because their order of events can't occur any more. A request behind one with Connection: close is not read, so it is in no line; the row still checks cause and counter. The idle timeout no longer cuts a request that was read and not taken up, so TestRequestNotTakenUpIsReported checks the same fields and counter with the end of the process, which still does.

--- a/internal/gateway/arrived.go
+++ b/internal/gateway/arrived.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"errors"
 	"net"
+	"os"
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/tcp"
@@ -14,23 +16,28 @@
 // deadline fails without looking, and the process may have been late and not the caller.
 type arrivedReader struct {
 	conn net.Conn
+	// limited is true when a deadline is set.
+	limited bool
 	// looked is true when a read has been tried after the deadline.
 	looked bool
 }
 
 // setDeadline sets the deadline of further reads; zero sets none.
 func (r *arrivedReader) setDeadline(t time.Time) error {
-	r.looked = false
+	if t.IsZero() && !r.limited {
+		return nil
+	}
+	r.limited, r.looked = !t.IsZero(), false
 	return r.conn.SetReadDeadline(t)
 }
 
 func (r *arrivedReader) Read(p []byte) (int, error) {
 	for {
 		n, err := r.conn.Read(p)
-		if n > 0 || !isTimeout(err) || !r.mayHaveArrived() {
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !r.mayHaveArrived() {
 			return n, err
 		}
-		r.looked = true
+		r.limited, r.looked = true, true
 		if err := r.conn.SetReadDeadline(time.Now().Add(lookTime)); err != nil {
 			return 0, err
 		}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -31,12 +31,12 @@
 	snapshots *SnapshotPublisher
 	bound     *chart.Bound[*caller]
 	// leaving is closed when connections should end after the next answer, closingIdle when idle connections should end at
-	// once.
-	leaving, closingIdle <-chan struct{}
+	// once, processEnding when all should.
+	leaving, closingIdle, processEnding <-chan struct{}
 }
 
 func newCallerServer(requests *forwarder, dialect Dialect, snapshots *SnapshotPublisher,
-	leaving, closingIdle <-chan struct{}) (*callerServer, error) {
+	leaving, closingIdle, processEnding <-chan struct{}) (*callerServer, error) {
 	ch, err := charts.Load("caller", nil)
 	if err != nil {
 		return nil, err
@@ -51,12 +51,13 @@
 			"stop_reading": func(c *caller) { c.stopReading() }, "discard_input": func(c *caller) { close(c.discarding) },
 			"close_write_side": (*caller).closeWriteSide, "close_socket": (*caller).closeSocket,
 		},
+		Observe: func(c *caller, from, _, _ string) { c.stateBefore = from },
 	})
 	if err != nil {
 		return nil, err
 	}
 	return &callerServer{requests: requests, dialect: dialect, snapshots: snapshots, bound: bound, leaving: leaving,
-		closingIdle: closingIdle}, nil
+		closingIdle: closingIdle, processEnding: processEnding}, nil
 }
 
 func (s *callerServer) limits() fleet.Limits {
@@ -74,7 +75,8 @@
 	conn    net.Conn
 	writer  *bufio.Writer
 	machine *chart.Machine[*caller]
-	// readEvents receives what the reading goroutine has read.
+	// readEvents receives what the reading goroutine has read. Its capacity of one keeps the report of a first byte from
+	// delaying the read.
 	readEvents chan any
 	// stopOrder is done when the reading goroutine should end as soon as it holds no byte of a request.
 	stopOrder   context.Context
@@ -90,13 +92,29 @@
 	idleSince time.Time
 	// continuePending is true when 100 Continue has to be sent after the pending answers.
 	continuePending bool
+	// begunAt is when the first byte of the request that is being read arrived; zero when none is being read.
+	begunAt time.Time
+	// unwritten is the request whose answer could not be written completely.
+	unwritten *pendingRequest
+	// stopCause is the cause for which reading stops.
+	stopCause ending
+	// cause and endError are the cause of the event that is being handled, should it end the connection, and stateBefore
+	// the state before the last change.
+	cause       ending
+	endError    error
+	stateBefore string
 }
 
 // pendingRequest is an unanswered request.
 type pendingRequest struct {
-	method string
+	// id is empty if the request could not be read.
+	id         string
+	receivedAt time.Time
+	method     string
 	// http10 is true if the caller speaks HTTP/1.0.
 	http10 bool
+	// rejected is true if the request could not be read.
+	rejected bool
 	// reply receives the answer.
 	reply chan reply
 }
@@ -118,7 +136,7 @@
 }
 
 func (s *callerServer) newCaller(ctx context.Context, conn net.Conn) *caller {
-	c := &caller{callerServer: s, conn: conn, writer: bufio.NewWriterSize(conn, writeBuffer), readEvents: make(chan any),
+	c := &caller{callerServer: s, conn: conn, writer: bufio.NewWriterSize(conn, writeBuffer), readEvents: make(chan any, 1),
 		discarding: make(chan struct{}), idleSince: time.Now()}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.stopOrder, c.stopReading = context.WithCancel(c.ctx)
@@ -185,7 +203,7 @@
 func (c *caller) waitForEvent() {
 	leave := c.leaveOrder()
 	if isClosed(leave) {
-		c.fire("leave") // comes first, so that an answer that is ready can be the last one
+		c.stopFor(endStop, "leave") // comes first, so that an answer that is ready can be the last one
 		return
 	}
 	readEvents := c.readEvents
@@ -209,7 +227,9 @@
 	case r := <-firstReply:
 		c.writeAnswer(r)
 	case <-leave:
-		c.fire("leave")
+		c.stopFor(endStop, "leave")
+	case <-c.processEnding:
+		c.endWith(endProcess, nil, "process_ends")
 	case now := <-timeout:
 		c.handleTimeout(now)
 	}
@@ -238,7 +258,7 @@
 func (c *caller) handleTimeout(now time.Time) {
 	c.machine.Tick(now)
 	if c.machine.In("waiting") && !now.Before(c.idleDeadline()) { // a new configuration may have changed the idle timeout
-		c.fire("idle_timeout")
+		c.stopFor(endIdle, "idle_timeout")
 	}
 }
 
@@ -251,8 +271,10 @@
 }
 
 func (c *caller) handle(m any) {
+	c.noteRead(m)
 	switch m := m.(type) {
 	case *incomingRequest:
+		c.requests.counters.takeup.Update(time.Since(m.receivedAt).Microseconds())
 		c.incoming = m
 		if m.last {
 			c.fire("last_request")
@@ -266,15 +288,30 @@
 		c.continuePending = true
 		c.sendContinue()
 	case readingStopped:
-		c.fire("stopped")
+		c.endWith(c.stopCause, nil, "stopped")
 	case readEnd:
-		c.fire("disconnected")
+		c.endWith(endOfRead(m.err), m.err, "disconnected")
 	}
 }
 
+// stopFor fires an event after which reading stops. It is the cause of the end if the connection then holds no request.
+func (c *caller) stopFor(cause ending, event string) {
+	c.stopCause = cause
+	c.endWith(cause, nil, event)
+}
+
+// endWith fires an event that may end the connection.
+func (c *caller) endWith(cause ending, err error, event string) {
+	if !c.machine.In("lingering") { // there the last answer is the cause
+		c.cause, c.endError = cause, err
+	}
+	c.fire(event)
+}
+
 // startRequest starts the task of a request. Its answer is written after the answers to all earlier requests.
 func (c *caller) startRequest() {
-	q := pendingRequest{method: c.incoming.method, http10: c.incoming.http10, reply: make(chan reply, 1)}
+	q := pendingRequest{id: c.incoming.request.ID, receivedAt: c.incoming.receivedAt, method: c.incoming.method,
+		http10: c.incoming.http10, reply: make(chan reply, 1)}
 	c.queue = append(c.queue, q)
 	f := c.requests.newForward(c.ctx, c.incoming)
 	go func() { q.reply <- f.run() }()
@@ -282,7 +319,7 @@
 
 // reject queues the error answer to a request that cannot be read. The connection ends after it.
 func (c *caller) reject() {
-	q := pendingRequest{method: http.MethodGet, reply: make(chan reply, 1)}
+	q := pendingRequest{receivedAt: time.Now(), method: http.MethodGet, rejected: true, reply: make(chan reply, 1)}
 	q.reply <- localReply(c.dialect, "", c.rejection.status, c.rejection.err, 0)
 	c.queue = append(c.queue, q)
 }
@@ -296,13 +333,18 @@
 	r.release()
 	c.queue = c.queue[1:]
 	c.idleSince = time.Now()
+	cause := endAnswer
+	if q.rejected {
+		cause = endRejected
+	}
 	switch {
 	case err != nil:
-		c.fire("disconnected")
+		c.unwritten = &q
+		c.endWith(endOfWrite(err), err, "disconnected")
 	case r.closing:
-		c.fire("final_answer_written")
+		c.endWith(cause, nil, "final_answer_written")
 	default:
-		c.fire("answer_written")
+		c.endWith(cause, nil, "answer_written")
 		c.sendContinue()
 	}
 }
@@ -336,6 +378,7 @@
 
 // closeSocket closes the connection. Unanswered requests are cancelled; their replies are released when they arrive.
 func (c *caller) closeSocket() {
+	c.reportEnd()
 	c.cancel()
 	for _, q := range c.queue {
 		go func() {
