Drain the daemon's callers without cutting a request that has begun

Callers of the product's own mode lost requests at a planned stop: a connection was closed while the head of a request was read, or after the request had been read.

Cause: the stop used Shutdown of net/http. It closes connections that it believes idle, and they are believed so until a head is complete (a new one after 5 s). It also drops a request whose head was read after Shutdown had begun: conn.serve returns when the server is shutting down. A read after its deadline fails without looking, as in the other mode.

Change: the drain closes the listener and asks each connection to stop. That ends only a read which waits for the first byte of a request; the goroutine that reads looks at the socket once more and then ends the connection, or serves the request that has begun. The drain ends when the server has stopped accepting and all connections are closed, or with its time limit. The wrapper of a connection lies above TLS, so net/http no longer sees the TLS connection: Request.TLS, which nothing reads, is nil, and a caller that speaks HTTP to an HTTPS port gets no hint.

Evidence, before: --- FAIL: TestDrainAnswersRequestHalfRead/kept,_first_byte the drain returned while a request was read connection was closed within a request: io: read/write on closed pipe connection ended without an answer: unexpected EOF and the same for half a head on a kept connection and on a new one. They pass now, also with TLS and the race detector. With refused closes under Shutdown (trial) the requests were still dropped after they had been read.

--- /dev/null
+++ b/internal/daemon/callerconn.go
@@ -0,0 +1,181 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/tcp"
+)
+
+// lookTime is the maximum time of a read of bytes that have already arrived.
+const lookTime = 10 * time.Millisecond
+
+// callerConnections is what the connections of callers share.
+type callerConnections struct {
+	// open counts the accepted connections that are not closed, and the server while it accepts.
+	open sync.WaitGroup
+	// stopping is done when connections should end unless a request has begun.
+	stopping context.Context
+	stop     context.CancelFunc
+}
+
+func newCallerConnections() *callerConnections {
+	c := &callerConnections{}
+	c.stopping, c.stop = context.WithCancel(context.Background())
+	return c
+}
+
+// wait waits until all connections are closed.
+func (c *callerConnections) wait(ctx context.Context) error {
+	closed := make(chan struct{})
+	go func() {
+		c.open.Wait()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// callerListener accepts connections that are not closed as idle once a request has begun.
+type callerListener struct {
+	net.Listener
+	connections *callerConnections
+}
+
+// Accept implements net.Listener.
+func (l *callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.connections.open.Add(1)
+	c := &callerConn{Conn: conn, connections: l.connections}
+	c.idle.Store(true)
+	c.forgetStop = context.AfterFunc(l.connections.stopping, c.stop)
+	return c, nil
+}
+
+// callerConn is a connection of a caller. The server of net/http takes it for idle until the head of a request is complete,
+// and its Shutdown drops requests that it has just read. So the stop of a connection only ends a read that waits for the
+// first byte of a request; the goroutine that reads then closes the connection, or serves the request that has begun. The
+// fields are atomic because the stop runs in another goroutine.
+type callerConn struct {
+	net.Conn
+	connections *callerConnections
+	forgetStop  func() bool
+	// idle is true while the server waits for a request or reads its head, begun when the first byte has arrived.
+	idle, begun atomic.Bool
+	// deadlines counts the deadlines that the server has set since the connection became idle.
+	deadlines atomic.Int64
+	// stopping is true when the connection should end unless a request has begun.
+	stopping atomic.Bool
+	closed   atomic.Bool
+	// deadline is the deadline that the server has set for reads; nil for none.
+	deadline atomic.Pointer[time.Time]
+}
+
+// noteConnState follows the state of a connection. It is the ConnState of the server.
+func noteConnState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		c.begun.Store(false)
+		c.deadlines.Store(0)
+		c.idle.Store(true)
+	case http.StateActive:
+		c.idle.Store(false)
+	}
+}
+
+// Read implements net.Conn. A read after its deadline fails without looking, but the process may have been late and not the
+// caller, so bytes that have arrived are still returned.
+func (c *callerConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n > 0 {
+			c.begun.Store(true)
+		}
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		deadline, ok := c.nextDeadline()
+		if !ok {
+			return n, err
+		}
+		if err := c.Conn.SetReadDeadline(deadline); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// nextDeadline returns the deadline of another read after one has failed. It returns false if the read has to fail.
+func (c *callerConn) nextDeadline() (time.Time, bool) {
+	if c.stopping.Load() && c.hasRequest() { // the order to stop may have come after the first byte
+		if deadline := c.deadline.Load(); deadline == nil {
+			return time.Time{}, true
+		} else if deadline.IsZero() || time.Now().Before(*deadline) {
+			return *deadline, true
+		}
+	}
+	unread, known := tcp.HasUnread(c.Conn)
+	return time.Now().Add(lookTime), known && unread
+}
+
+func (c *callerConn) hasRequest() bool { return c.begun.Load() || !c.idle.Load() }
+
+// SetReadDeadline implements net.Conn. The server sets one deadline for the first byte of a request and a second one when a
+// request has begun, perhaps with bytes that it read together with the request before.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if c.deadlines.Add(1) > 1 {
+		c.begun.Store(true)
+	}
+	c.deadline.Store(&t)
+	if err := c.Conn.SetReadDeadline(t); err != nil {
+		return err
+	}
+	if c.stopping.Load() && !c.hasRequest() {
+		return c.interrupt()
+	}
+	return nil
+}
+
+func (c *callerConn) interrupt() error { return c.Conn.SetReadDeadline(time.Unix(1, 0)) }
+
+// CloseWrite closes the write side, which the server does before it closes a connection with unread bytes.
+func (c *callerConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// stop ends the connection unless a request has begun.
+func (c *callerConn) stop() {
+	c.stopping.Store(true)
+	if !c.hasRequest() {
+		_ = c.interrupt() // a broken connection ends the read as well
+	}
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	if c.closed.Swap(true) {
+		return nil
+	}
+	c.forgetStop()
+	defer c.connections.open.Done()
+	return c.Conn.Close()
+}
--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -1,11 +1,19 @@
 package daemon
 
 import (
+	"bufio"
 	"context"
+	"crypto/tls"
+	"errors"
+	"io"
 	"log/slog"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/standin/memnet"
 )
@@ -16,7 +24,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		listener, finish := memnet.Listen(), make(chan struct{})
 		slow := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { <-finish; w.WriteHeader(http.StatusAccepted) })
-		w := &httpServers{callers: newHTTPServer(slow, slog.New(slog.DiscardHandler))}
+		w := &httpServers{callers: newHTTPServer(slow, slog.New(slog.DiscardHandler)), connections: newCallerConnections()}
 		w.listeners.callers = listener
 		client := &http.Client{Transport: &http.Transport{DialContext: listener.Dial, DisableKeepAlives: true}}
 		served, answered, drained := make(chan error, 1), make(chan int, 1), make(chan error, 1)
@@ -70,7 +78,7 @@
 			}
 		})
 		w := &httpServers{callers: newHTTPServer(held, slog.New(slog.DiscardHandler)),
-			operations: newHTTPServer(held, slog.New(slog.DiscardHandler)), ending: ending}
+			operations: newHTTPServer(held, slog.New(slog.DiscardHandler)), connections: newCallerConnections(), ending: ending}
 		w.listeners.callers = listener
 		client := &http.Client{Transport: &http.Transport{DialContext: listener.Dial, DisableKeepAlives: true}}
 		go func() { _ = w.serveCallers(t.Context()) }() // ends with close
@@ -86,3 +94,199 @@
 		}
 	})
 }
+
+// drainTest serves requests over connections in memory. It answers 202.
+type drainTest struct {
+	listener *memnet.Listener
+	servers  *httpServers
+	served   chan error
+}
+
+func newDrainTest(t *testing.T, wrap ...func(net.Listener) net.Listener) *drainTest {
+	accept := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(http.StatusAccepted)
+	})
+	d := &drainTest{listener: memnet.Listen(), served: make(chan error, 1), servers: &httpServers{
+		callers:    newHTTPServer(accept, slog.New(slog.DiscardHandler)),
+		operations: newHTTPServer(accept, slog.New(slog.DiscardHandler)), connections: newCallerConnections(), ending: make(chan struct{})}}
+	d.servers.listeners.callers = d.listener
+	for _, w := range wrap {
+		d.servers.listeners.callers = w(d.listener)
+	}
+	go func() { d.served <- d.servers.serveCallers(context.Background()) }()
+	t.Cleanup(func() {
+		d.servers.close()
+		<-d.served
+	})
+	return d
+}
+
+func (d *drainTest) connect(t *testing.T) (net.Conn, *bufio.Reader) {
+	conn, err := d.listener.Dial(t.Context(), "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
+func sendText(t *testing.T, conn net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Errorf("connection was closed within a request: %v", err)
+	}
+	synctest.Wait()
+}
+
+func expectAccepted(t *testing.T, reader *bufio.Reader) {
+	t.Helper()
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Errorf("connection ended without an answer: %v", err)
+		return
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusAccepted {
+		t.Errorf("status %d", response.StatusCode)
+	}
+}
+
+const drainPost = "POST / HTTP/1.1\r\nHost: entry\r\nContent-Length: 4\r\n\r\nmain"
+
+// Guards against a drain that closes a connection on which a request has begun: net/http takes it for idle until the head
+// is complete.
+func TestDrainAnswersRequestHalfRead(t *testing.T) {
+	for name, test := range map[string]struct {
+		before bool
+		begun  int
+		wait   time.Duration
+	}{
+		"kept, first byte": {before: true, begun: 1}, "kept, half a head": {before: true, begun: 20},
+		"kept, head": {before: true, begun: len(drainPost) - 4}, "new, half a head": {begun: 20, wait: 7 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newDrainTest(t)
+				conn, reader := d.connect(t)
+				if test.before {
+					sendText(t, conn, drainPost)
+					expectAccepted(t, reader)
+				}
+				sendText(t, conn, drainPost[:test.begun])
+				time.Sleep(test.wait)
+				drained := make(chan error, 1)
+				go func() { drained <- d.servers.drain(context.Background()) }()
+				time.Sleep(time.Second)
+				if len(drained) > 0 {
+					t.Error("the drain returned while a request was read")
+				}
+				sendText(t, conn, drainPost[test.begun:])
+				expectAccepted(t, reader)
+				if err := <-drained; err != nil {
+					t.Errorf("drain: %v", err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a drain that waits for connections without a request.
+func TestDrainClosesIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrainTest(t)
+		conn, reader := d.connect(t)
+		sendText(t, conn, drainPost)
+		expectAccepted(t, reader)
+		start := time.Now()
+		if err := d.servers.drain(context.Background()); err != nil {
+			t.Errorf("drain: %v", err)
+		}
+		if elapsed := time.Since(start); elapsed > time.Second {
+			t.Errorf("the drain took %v", elapsed)
+		}
+		if _, err := reader.ReadByte(); !errors.Is(err, io.EOF) {
+			t.Errorf("idle connection did not end: %v", err)
+		}
+	})
+}
+
+// Guards against a drain without an end because a request does not arrive completely.
+func TestDrainIsBoundedWithRequestHalfRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrainTest(t)
+		conn, _ := d.connect(t)
+		sendText(t, conn, drainPost[:20])
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		if err := d.servers.drain(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("drain: %v", err)
+		}
+	})
+}
+
+// Guards against a read that fails after its deadline although the bytes have arrived: the head of a request that the
+// process read late would end with its connection.
+func TestReadAfterDeadlineReturnsArrivedBytes(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = inner.Close() }()
+	near, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = near.Close() }()
+	far, err := (&callerListener{Listener: inner, connections: newCallerConnections()}).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = far.Close() }()
+	if _, err := io.WriteString(near, "ab"); err != nil {
+		t.Fatal(err)
+	}
+	one := make([]byte, 1)
+	if _, err := far.Read(one); err != nil {
+		t.Fatal(err)
+	}
+	if err := far.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := far.Read(one); err != nil || string(one) != "b" {
+		t.Errorf("%q, %v", one, err)
+	}
+	if err := far.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := far.Read(one); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a read without bytes: %v", err)
+	}
+}
+
+// Guards against a drain that cuts a request half read on an encrypted connection.
+func TestDrainAnswersEncryptedRequestHalfRead(t *testing.T) {
+	certified := httptest.NewTLSServer(nil)
+	certificates := certified.TLS.Certificates
+	certified.Close()
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrainTest(t, func(l net.Listener) net.Listener {
+			return tls.NewListener(l, &tls.Config{Certificates: certificates, MinVersion: tls.VersionTLS13})
+		})
+		plain, _ := d.connect(t)
+		conn := tls.Client(plain, &tls.Config{InsecureSkipVerify: true}) // the certificate is not what is tested
+		reader := bufio.NewReader(conn)
+		sendText(t, conn, drainPost)
+		expectAccepted(t, reader)
+		sendText(t, conn, drainPost[:20])
+		drained := make(chan error, 1)
+		go func() { drained <- d.servers.drain(context.Background()) }()
+		time.Sleep(time.Second)
+		sendText(t, conn, drainPost[20:])
+		expectAccepted(t, reader)
+		go func() { _, _ = io.Copy(io.Discard, conn) }() // reads the alert with which the server closes the connection
+		if err := <-drained; err != nil {
+			t.Errorf("drain: %v", err)
+		}
+	})
+}
--- a/internal/daemon/web.go
+++ b/internal/daemon/web.go
@@ -31,7 +31,8 @@
 	listeners  struct{ callers, operations net.Listener }
 	log        *slog.Logger
 	// ending is closed before the remaining connections of callers are.
-	ending chan struct{}
+	ending      chan struct{}
+	connections *callerConnections
 }
 
 func (d *Daemon) buildHTTPServers() error {
@@ -47,7 +48,7 @@
 		frontend.WithCutCounter(d.metrics.Cut), frontend.WithProcessEnding(ending))
 	d.httpServers = &httpServers{
 		callers: newHTTPServer(d.closeWhenNotReady(handler), d.log), operations: newHTTPServer(ops.NewHandler(&statusSource{d}), d.log), log: d.log,
-		ending: ending,
+		connections: newCallerConnections(), ending: ending,
 	}
 	d.httpServers.callers.TLSConfig = tlsConfig
 	d.httpServers.listeners.callers, d.httpServers.listeners.operations = d.callers, d.operations
@@ -60,7 +61,7 @@
 func newHTTPServer(handler http.Handler, log *slog.Logger) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug), ConnState: noteConnState,
 	}
 }
 
@@ -81,7 +82,13 @@
 }
 
 func (s *httpServers) serveCallers(context.Context) error {
-	return ignoreServerClosed(s.callers.Serve(s.listeners.callers))
+	s.connections.open.Add(1)
+	defer s.connections.open.Done()
+	err := s.callers.Serve(&callerListener{Listener: s.listeners.callers, connections: s.connections})
+	if errors.Is(err, net.ErrClosed) && s.connections.stopping.Err() != nil {
+		return nil
+	}
+	return ignoreServerClosed(err)
 }
 
 func (s *httpServers) serveOperations(context.Context) error {
@@ -97,7 +104,11 @@
 }
 
 // drain closes the listener for callers and returns when no request is in flight.
-func (s *httpServers) drain(ctx context.Context) error { return s.callers.Shutdown(ctx) }
+func (s *httpServers) drain(ctx context.Context) error {
+	s.connections.stop()
+	_ = s.listeners.callers.Close() // the server reports errors of the listener
+	return s.connections.wait(ctx)
+}
 
 // close closes the connections that remain after drain.
 func (s *httpServers) close() {
--- a/internal/tcp/unread.go
+++ b/internal/tcp/unread.go
@@ -8,8 +8,11 @@
 
 // HasUnread reports whether a read of the connection would return at once, with bytes, the end of the stream or an error.
 // It does not block and ignores deadlines, while a read after its deadline fails without looking. Result known is false for
-// a connection without a file descriptor.
+// a connection without a file descriptor. For a TLS connection it is that of the bytes below TLS.
 func HasUnread(conn net.Conn) (unread, known bool) {
+	if outer, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = outer.NetConn()
+	}
 	withDescriptor, ok := conn.(syscall.Conn)
 	if !ok {
 		return false, false
