Bound the head of an answer of a backend server

What callers saw: while a server sent a status line, a header line, header lines or interim answers without an end, a request waited until its deadline, and the instance kept all that the server sent: with a fast server the memory of the whole machine, and with it all requests in flight.

Cause: http.ReadResponse reads lines and fields of any length, and interim (1xx) answers were skipped without a limit.

Evidence, before the change (a server in memory that is cut off by the test after 8 MB):

--- FAIL: TestEndlessBytesEndExchange/header_lines fate maybe-run, answer <nil>, error read pipe: i/o timeout, context context deadline exceeded the server could send 8388617 bytes, at most 131072 are accepted and the same for status_line, header_line, continued_header_line, interim_answers, head_of_interim_answer

Change: a head with the interim answers before it may have 32 KB, counted where the socket is read, and there may be at most 8 interim answers. The error says whether the bytes or the connection were the cause. The connection is closed and the fate is that the request may have run.

Result: the server gets rid of at most 128 KB, the exchange ends at once, and the next request has a new connection. Chunk sizes, chunk extensions and trailers were bounded already by net/http; a trickle ends at the deadline. The test shows both.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -31,7 +31,7 @@
 	pool      *task.Mailbox[any]
 	exchanges chan Exchange
 	machine   *chart.Machine[*connection]
-	socket    *countingConn
+	socket    *limitedConn
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	reusable  bool
@@ -102,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	c.socket = &countingConn{Conn: socket}
+	c.socket = &limitedConn{Conn: socket, readable: unlimitedBytes}
 	c.reader = bufio.NewReader(c.socket)
 	c.writer = bufio.NewWriter(c.socket)
 	return nil
@@ -200,7 +200,7 @@
 	}
 	response, err := c.readAnswer(exchange.Request)
 	if err != nil {
-		return c.brokenResult(err), body{}
+		return c.brokenResult(c.socket.answerError(err)), body{}
 	}
 	result := Result{Fate: call.Answered, Elapsed: time.Since(start), ClosesConnection: response.Close}
 	c.codec.Decode(&result, response.StatusCode, response.Header)
@@ -241,12 +241,15 @@
 
 // readHead reads the head of the next answer and skips interim (1xx) answers.
 func (c *connection) readHead(method string) (*http.Response, error) {
-	for {
+	c.socket.readable = maxHeadBytes
+	defer func() { c.socket.readable = unlimitedBytes }()
+	for range maxInterimAnswers + 1 {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
 	}
+	return nil, errTooLong
 }
 
 // keepAliveTimeout returns the idle timeout that a server announces in whole seconds; zero when it announces none.
@@ -276,7 +279,7 @@
 	answer := &call.Answer{Status: response.StatusCode, Header: decodeHeader(response.Header), Length: response.ContentLength}
 	prefix, err := io.ReadAll(io.LimitReader(response.Body, MaxBufferedAnswerBytes+1))
 	if err != nil {
-		return Result{Fate: call.MaybeRun, Err: errors.Join(errTruncated, err)}, body{}
+		return Result{Fate: call.MaybeRun, Err: errors.Join(errTruncated, c.socket.answerError(err))}, body{}
 	}
 	result.Answer = answer
 	if len(prefix) <= MaxBufferedAnswerBytes {
@@ -312,20 +315,8 @@
 	}
 	_, err := io.Copy(b.pipe, b.response.Body)
 	if err != nil {
-		b.pipe.CloseWithError(errors.Join(errTruncated, err))
+		b.pipe.CloseWithError(errors.Join(errTruncated, b.conn.socket.answerError(err)))
 		return false
 	}
 	return b.pipe.Close() == nil
 }
-
-// countingConn counts the bytes written, so that a request of which nothing was sent can be recognized.
-type countingConn struct {
-	net.Conn
-	written int
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.written += n
-	return n, err
-}
--- /dev/null
+++ b/internal/backend/limits.go
@@ -0,0 +1,65 @@
+package backend
+
+import (
+	"errors"
+	"net"
+)
+
+const (
+	// maxHeadBytes is the maximum size of the head of an answer, together with the interim answers before it.
+	maxHeadBytes = 32 << 10
+	// maxInterimAnswers is the maximum number of interim (1xx) answers before an answer.
+	maxInterimAnswers = 8
+	// unlimitedBytes turns the limit of a limitedConn off.
+	unlimitedBytes = -1
+)
+
+var (
+	errTooLong       = errors.New("backend server sent more than an answer may have")
+	errInvalidAnswer = errors.New("backend server sent bytes that are no answer to the request")
+)
+
+// IsInvalidAnswer reports whether an exchange ended because of the bytes that the server sent, and not because the
+// connection broke or the time was over.
+func IsInvalidAnswer(err error) bool { return errors.Is(err, errInvalidAnswer) }
+
+// limitedConn limits the bytes that are read, and counts those that were written, so that a request of which nothing was
+// sent can be recognized.
+type limitedConn struct {
+	net.Conn
+	written int
+	// readable is the number of bytes that may still be read, or unlimitedBytes.
+	readable int
+	// readFailed is true when a read has failed for a reason other than the limit.
+	readFailed bool
+}
+
+// Read fails when more bytes are wanted than may be read.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	if c.readable == 0 {
+		return 0, errTooLong
+	}
+	if c.readable > 0 {
+		p = p[:min(len(p), c.readable)]
+	}
+	n, err := c.Conn.Read(p)
+	if c.readable > 0 {
+		c.readable -= n
+	}
+	c.readFailed = c.readFailed || err != nil
+	return n, err
+}
+
+func (c *limitedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += n
+	return n, err
+}
+
+// answerError returns the error of an answer that could not be read. Without a failed read the bytes are the cause.
+func (c *limitedConn) answerError(err error) error {
+	if c.readFailed {
+		return err
+	}
+	return errors.Join(errInvalidAnswer, err)
+}
