Bound the answers to earlier requests that an exchange skips

What callers saw: a request waited until its deadline while the server sent the body of an answer to another request without an end; the instance read it all, up to four bodies of any length, and a safe request could not go to another server.

Cause: the number of skipped answers was bounded, the size of their bodies was not.

Evidence, before the change:

--- FAIL: TestEndlessBytesEndExchange/foreign_body fate maybe-run, answer <nil>, error read pipe: i/o timeout, context context deadline exceeded the server could send 8388671 bytes, at most 1048576 are accepted and the same for foreign_body,_no_length and foreign_chunks

Change: the bodies of skipped answers may have 1 MiB in one exchange, framing included, counted where the socket is read.

Result: the exchange ends at that size with the fate that the request may have run, and the connection is closed.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -220,6 +220,7 @@
 
 // readAnswer reads the head of the answer to the request and skips answers to earlier requests.
 func (c *connection) readAnswer(req *call.Request) (*http.Response, error) {
+	foreignBytesLeft := maxForeignBytes
 	for range maxForeignAnswers {
 		response, err := c.readHead(req.Method)
 		if err != nil {
@@ -231,7 +232,7 @@
 		case UnprovenAnswer:
 			return nil, errUnproven
 		case ForeignAnswer:
-			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			if foreignBytesLeft, err = c.skipBody(response, foreignBytesLeft); err != nil {
 				return nil, err
 			}
 		}
@@ -239,6 +240,14 @@
 	return nil, errUnproven
 }
 
+// skipBody reads the body of an answer to an earlier request. It returns how much of the limit in bytes is left.
+func (c *connection) skipBody(response *http.Response, limit int) (int, error) {
+	c.socket.readable = limit
+	defer func() { c.socket.readable = unlimitedBytes }()
+	_, err := io.Copy(io.Discard, response.Body)
+	return c.socket.readable, err
+}
+
 // readHead reads the head of the next answer and skips interim (1xx) answers.
 func (c *connection) readHead(method string) (*http.Response, error) {
 	c.socket.readable = maxHeadBytes
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -20,7 +20,7 @@
 	// acceptedHead is what a server may send before an exchange ends that has no answer yet.
 	acceptedHead = 128 << 10
 	// acceptedForeign is the same where the server sends answers to earlier requests.
-	acceptedForeign = 8 * acceptedHead
+	acceptedForeign = 1<<20 + 2*acceptedHead
 )
 
 // endlessServer serves connections in memory: the first gets a start and then a part repeated until it is closed, each
@@ -116,19 +116,22 @@
 		start, repeated string
 		accepted        int
 	}{
-		"status line":            {"HTTP/1.1 200 ", "a", acceptedHead},
-		"header line":            {okHead + "A: ", "a", acceptedHead},
-		"header lines":           {okHead, "A: b\r\n", acceptedHead},
-		"continued header line":  {okHead + "A: b\r\n", " c\r\n", acceptedHead},
-		"interim answers":        {"", interimHead + "\r\n", acceptedHead},
-		"head of interim answer": {interimHead, "A: b\r\n", acceptedHead},
-		"foreign answers":        {"", foreignHead + "Content-Length: 1\r\n\r\nx", acceptedForeign},
-		"foreign trailers":       {foreignHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", acceptedForeign},
-		"chunk size":             {chunkedHead, "0", acceptedHead},
-		"chunk extension":        {chunkedHead + "1;", "a", acceptedHead},
-		"chunk extensions":       {chunkedHead, "1;" + strings.Repeat("a", 1000) + "\r\nx\r\n", acceptedHead},
-		"trailers":               {chunkedHead + "0\r\n", "A: b\r\n", acceptedHead},
-		"trailer line":           {chunkedHead + "0\r\nA: ", "b", acceptedHead},
+		"status line":             {"HTTP/1.1 200 ", "a", acceptedHead},
+		"header line":             {okHead + "A: ", "a", acceptedHead},
+		"header lines":            {okHead, "A: b\r\n", acceptedHead},
+		"continued header line":   {okHead + "A: b\r\n", " c\r\n", acceptedHead},
+		"interim answers":         {"", interimHead + "\r\n", acceptedHead},
+		"head of interim answer":  {interimHead, "A: b\r\n", acceptedHead},
+		"foreign answers":         {"", foreignHead + "Content-Length: 1\r\n\r\nx", acceptedForeign},
+		"foreign body":            {foreignHead + "Content-Length: 999999999999\r\n\r\n", "x", acceptedForeign},
+		"foreign body, no length": {foreignHead + "\r\n", "x", acceptedForeign},
+		"foreign chunks":          {foreignHead + "Transfer-Encoding: chunked\r\n\r\n", "2\r\nxx\r\n", acceptedForeign},
+		"foreign trailers":        {foreignHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", acceptedForeign},
+		"chunk size":              {chunkedHead, "0", acceptedHead},
+		"chunk extension":         {chunkedHead + "1;", "a", acceptedHead},
+		"chunk extensions":        {chunkedHead, "1;" + strings.Repeat("a", 1000) + "\r\nx\r\n", acceptedHead},
+		"trailers":                {chunkedHead + "0\r\n", "A: b\r\n", acceptedHead},
+		"trailer line":            {chunkedHead + "0\r\nA: ", "b", acceptedHead},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &endlessServer{start: c.start, repeated: c.repeated}
@@ -153,11 +156,12 @@
 // Guards against an exchange that outlasts its deadline while a server sends bytes that are no answer one by one.
 func TestTrickleEndsAtDeadline(t *testing.T) {
 	for name, c := range map[string]struct{ start, repeated string }{
-		"header line": {okHead + "A: ", "a"},
-		"status line": {"", "a"},
-		"own body":    {okHead + "\r\n", "x"},
-		"own chunks":  {chunkedHead, "1\r\nx\r\n"},
-		"trailers":    {chunkedHead + "0\r\nA: ", "b"},
+		"header line":  {okHead + "A: ", "a"},
+		"status line":  {"", "a"},
+		"foreign body": {foreignHead + "\r\n", "x"},
+		"own body":     {okHead + "\r\n", "x"},
+		"own chunks":   {chunkedHead, "1\r\nx\r\n"},
+		"trailers":     {chunkedHead + "0\r\nA: ", "b"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &endlessServer{start: c.start, repeated: c.repeated, pause: 100 * time.Millisecond}
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -10,6 +10,9 @@
 	maxHeadBytes = 32 << 10
 	// maxInterimAnswers is the maximum number of interim (1xx) answers before an answer.
 	maxInterimAnswers = 8
+	// maxForeignBytes is the maximum size of the bodies of all answers to earlier requests that are skipped in one exchange,
+	// with their chunk framing.
+	maxForeignBytes = 1 << 20
 	// unlimitedBytes turns the limit of a limitedConn off.
 	unlimitedBytes = -1
 )
