Bound the answer to a health check of a backend server

What callers saw: a server whose health page never ends cost each instance 64 KB a check (230 KB where it came in small chunks), and its connection. The keeper of a shard counted such a server as answered, and one that sent other endless bytes as one that refused the connection, which is evidence of a crash: requests alongside were examined for the quarantine.

Cause: a check was read like the answer to a request, and whatever ended it, other than the time, counted as a refused connection.

Evidence, before the change:

--- FAIL: TestEndlessAnswerToProbe/header_line result {ConnectionRefused:true Answered:true ...}, want neither answered nor refused --- FAIL: TestEndlessAnswerToProbe/chunks result {ConnectionRefused:false Answered:true ...}, want neither answered nor refused the server could send 233462 bytes, at most 49152 are accepted --- FAIL: TestEndlessAnswerToHealthCheck the server could send 65586 bytes of a health answer

Change: the body of the answer to a check may have 16 KiB, framing included, counted where the socket is read. An invalid answer counts as no answer, like silence, for the keeper as for the gateway.

Result: both tests pass.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -205,6 +205,10 @@
 	result := Result{Fate: call.Answered, Elapsed: time.Since(start), ClosesConnection: response.Close}
 	c.codec.Decode(&result, response.StatusCode, response.Header)
 	c.keepAlive = keepAliveTimeout(response.Header)
+	if exchange.MaxBodyBytes > 0 {
+		c.socket.readable = exchange.MaxBodyBytes
+		defer func() { c.socket.readable = unlimitedBytes }()
+	}
 	return c.readBody(result, response)
 }
 
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -19,6 +19,8 @@
 	endlessCap = 8 << 20
 	// acceptedHead is what a server may send before an exchange ends that has no answer yet.
 	acceptedHead = 128 << 10
+	// acceptedProbe is what it may send as the answer to a probe.
+	acceptedProbe = 48 << 10
 	// acceptedForeign is the same where the server sends answers to earlier requests.
 	acceptedForeign = 1<<20 + 2*acceptedHead
 )
@@ -197,3 +199,28 @@
 		})
 	}
 }
+
+// Guards against a probe that reads much of an endless answer, and against one that reports a server that sends one as
+// answered, or as one that refused the connection, which counts as a crash.
+func TestEndlessAnswerToProbe(t *testing.T) {
+	for name, c := range map[string]struct{ start, repeated string }{
+		"header line":     {okHead + "A: ", "a"},
+		"interim answers": {"", interimHead + "\r\n"},
+		"body":            {okHead + "Content-Length: 999999999999\r\n\r\n", "x"},
+		"body, no length": {okHead + "\r\n", "x"},
+		"chunks":          {chunkedHead, "2\r\nxx\r\n"},
+		"no answer":       {"", "\x00"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &endlessServer{start: c.start, repeated: c.repeated}
+			withEndlessServer(t, s, func(t *testing.T, p *backend.Pool) {
+				if got := backend.Probe(t.Context(), p, "atlas", "/health"); got != (backend.ProbeResult{}) {
+					t.Errorf("result %+v, want neither answered nor refused", got)
+				}
+				if sent := <-s.ended; sent > acceptedProbe {
+					t.Errorf("the server could send %d bytes, at most %d are accepted", sent, acceptedProbe)
+				}
+			})
+		})
+	}
+}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -44,6 +44,8 @@
 	Request *call.Request
 	// Reply has a buffer for one result, so that a connection never blocks on it.
 	Reply chan Result
+	// MaxBodyBytes is the maximum size of the body of the answer, with its chunk framing; zero allows any size.
+	MaxBodyBytes int
 }
 
 // Result is the outcome of an exchange.
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"net"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
 )
 
 const (
@@ -13,18 +15,17 @@
 	// maxForeignBytes is the maximum size of the bodies of all answers to earlier requests that are skipped in one exchange,
 	// with their chunk framing.
 	maxForeignBytes = 1 << 20
+	// maxCheckBodyBytes is the maximum size of the body of the answer to a health check, with its chunk framing.
+	maxCheckBodyBytes = 16 << 10
 	// unlimitedBytes turns the limit of a limitedConn off.
 	unlimitedBytes = -1
 )
 
-var (
-	errTooLong       = errors.New("backend server sent more than an answer may have")
-	errInvalidAnswer = errors.New("backend server sent bytes that are no answer to the request")
-)
+var errTooLong = errors.New("answer is too long")
 
 // IsInvalidAnswer reports whether an exchange ended because of the bytes that the server sent, and not because the
 // connection broke or the time was over.
-func IsInvalidAnswer(err error) bool { return errors.Is(err, errInvalidAnswer) }
+func IsInvalidAnswer(err error) bool { return fault.Is(err, fault.BadBackend) }
 
 // limitedConn limits the bytes that are read, and counts those that were written, so that a request of which nothing was
 // sent can be recognized.
@@ -64,5 +65,5 @@
 	if c.readFailed {
 		return err
 	}
-	return errors.Join(errInvalidAnswer, err)
+	return fault.Wrap(err, fault.BadBackend, "correct the server", "bytes of the backend server are no answer to the request")
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -85,15 +85,23 @@
 
 // Do sends one request and waits for its result. If the mailbox is full, the request fails as not sent.
 func (p *Pool) Do(ctx context.Context, req *call.Request) Result {
-	reply := make(chan Result, 1)
-	if err := p.inbox.Offer(Exchange{Ctx: ctx, Request: req, Reply: reply}); err != nil {
+	return p.do(Exchange{Ctx: ctx, Request: req, Reply: make(chan Result, 1)})
+}
+
+// Check sends a health check as Do sends a request. The body of its answer must be short and is never streamed.
+func (p *Pool) Check(ctx context.Context, req *call.Request) Result {
+	return p.do(Exchange{Ctx: ctx, Request: req, Reply: make(chan Result, 1), MaxBodyBytes: maxCheckBodyBytes})
+}
+
+func (p *Pool) do(exchange Exchange) Result {
+	if err := p.inbox.Offer(exchange); err != nil {
 		return Result{Fate: call.NotSent, Err: err}
 	}
 	select {
-	case r := <-reply:
+	case r := <-exchange.Reply:
 		return r
 	case <-p.stopped:
-		return p.resultAfterEnd(reply)
+		return p.resultAfterEnd(exchange.Reply)
 	}
 }
 
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -15,7 +15,7 @@
 // ProbeResult is the result of one probe of a backend server.
 type ProbeResult struct {
 	// ConnectionRefused is true when the connection was refused or reset and there is no evidence that the server is
-	// still the same incarnation. A probe that timed out is neither refused nor answered.
+	// still the same incarnation. A probe that timed out or got an invalid answer is neither refused nor answered.
 	ConnectionRefused bool
 	Answered          bool
 	// State, Incarnation, Running and Slots are the values that the server reported.
@@ -32,36 +32,27 @@
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	req := &call.Request{ID: "probe", Service: service, Method: http.MethodGet, Path: path, Deadline: deadline}
-	first := roundTrip(ctx, pool, req)
+	first := pool.Check(ctx, req)
 	if first.Err == nil {
 		return answeredResult(first)
 	}
-	if first.ConnectionRefused || timedOut(ctx, first.Err) {
-		return ProbeResult{ConnectionRefused: !timedOut(ctx, first.Err)}
+	if first.ConnectionRefused || isUnanswered(ctx, first.Err) {
+		return ProbeResult{ConnectionRefused: !isUnanswered(ctx, first.Err)}
 	}
-	second := roundTrip(ctx, pool, req)
+	second := pool.Check(ctx, req)
 	if second.Err != nil {
-		return ProbeResult{ConnectionRefused: !timedOut(ctx, second.Err)}
+		return ProbeResult{ConnectionRefused: !isUnanswered(ctx, second.Err)}
 	}
 	result := answeredResult(second)
 	result.ConnectionRefused = result.Incarnation == "" && !errors.Is(first.Err, errClosedWhileIdle)
 	return result
 }
 
-// roundTrip makes one exchange and discards the body of the answer.
-func roundTrip(ctx context.Context, pool *Pool, req *call.Request) Result {
-	result := pool.Do(ctx, req)
-	if result.Answer != nil && result.Answer.Stream != nil {
-		_ = result.Answer.Stream.Close() // closing ends the exchange; an error has no consequence
-	}
-	return result
-}
-
 func answeredResult(r Result) ProbeResult {
 	return ProbeResult{Answered: true, State: r.State, Incarnation: r.Incarnation, Running: r.Running, Slots: r.Slots}
 }
 
-// timedOut reports whether an exchange ended by a timeout.
-func timedOut(ctx context.Context, err error) bool {
-	return ctx.Err() != nil || IsTimeout(err)
+// isUnanswered reports whether an exchange ended by a timeout or an invalid answer, on a connection that did not break.
+func isUnanswered(ctx context.Context, err error) bool {
+	return ctx.Err() != nil || IsTimeout(err) || IsInvalidAnswer(err)
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -11,7 +11,6 @@
 	"fuchsiahub.example/fuchsiahub/internal/decide/coldstart"
 	"fuchsiahub.example/fuchsiahub/internal/decide/outlier"
 	"fuchsiahub.example/fuchsiahub/internal/decide/placement"
-	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 )
 
@@ -236,12 +235,6 @@
 	request := &call.Request{Method: http.MethodGet, Service: s.entry.Address, Path: service.HealthPath}
 	go func() {
 		defer cancel()
-		r := pool.Do(ctx, request)
-		if r.Answer != nil && r.Answer.Stream != nil {
-			_ = r.Answer.Stream.Close() // the body of a health check is not needed
-			r = backend.Result{Fate: call.MaybeRun, Err: fault.New(fault.BadBackend, "shorten the health answer",
-				"health answer is too long")}
-		}
-		done(r)
+		done(pool.Check(ctx, request))
 	}()
 }
