Send a long answer without a length in chunks

What callers of the gateway saw: an answer of more than 64 KB that the server sent in chunks, or without a length, came without a length and ended with the connection. If the server broke off, the caller got a shorter answer that looked complete. A complete one ended only when the idle timeout closed the connection, 15 s later, although its head said that the connection closes after it.

Cause: net/http writes a response of unknown length without the chunked coding as one that ends with the connection, and the task of the connection did not know that. After an error it closed the connection like after a complete answer.

Evidence, before the change:

--- FAIL: TestLongChunkedAnswerEndsByItself 196608 of 196608 bytes, error <nil>, connection closes: true the answer ended after 15s --- FAIL: TestTruncatedLongAnswerDoesNotLookComplete/chunked 196570 bytes look complete, length -1, coding [] --- FAIL: TestTruncatedLongAnswerDoesNotLookComplete/between_chunks 196570 bytes look complete, length -1, coding []

Change: such an answer is sent in chunks, so that a missing last chunk shows the truncation and the connection stays usable. A caller of HTTP/1.0 gets it up to the end of the connection, which then closes at once, with a reset after an error.

Result: the tests pass.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -85,6 +85,8 @@
 	method string
 	// closing is true if the connection ends after the answer.
 	closing bool
+	// takesChunks is true if the caller understands the chunked coding, as all of HTTP/1.1 do.
+	takesChunks bool
 	// reply receives the answer.
 	reply chan reply
 }
@@ -192,7 +194,8 @@
 
 // startRequest starts the task of a request. Its answer is written after the answers to all earlier requests.
 func (c *caller) startRequest() {
-	q := pendingRequest{method: c.incoming.method, closing: c.incoming.closing, reply: make(chan reply, 1)}
+	q := pendingRequest{method: c.incoming.method, closing: c.incoming.closing, takesChunks: c.incoming.takesChunks,
+		reply: make(chan reply, 1)}
 	c.queue = append(c.queue, q)
 	f := c.requests.newForward(c.ctx, c.incoming)
 	go func() { q.reply <- f.run() }()
@@ -208,8 +211,11 @@
 // writeAnswer writes the answer to the first pending request.
 func (c *caller) writeAnswer(r reply) {
 	q := c.queue[0]
-	r.closing = r.closing || q.closing || isClosed(c.leaving)
-	err := c.writeReply(&r, q.method)
+	r.closing = r.closing || q.closing || isClosed(c.leaving) || r.endsWithConnection(&q)
+	err := c.writeReply(&r, &q)
+	if err != nil && r.endsWithConnection(&q) {
+		c.resetOnClose()
+	}
 	r.release()
 	c.queue = c.queue[1:]
 	c.idleSince = time.Now()
@@ -224,11 +230,11 @@
 	}
 }
 
-func (c *caller) writeReply(r *reply, method string) error {
+func (c *caller) writeReply(r *reply, q *pendingRequest) error {
 	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	return r.write(c.writer, method)
+	return r.write(c.writer, q)
 }
 
 // sendContinue sends 100 Continue to a caller that waits for it, as soon as no answer is pending.
@@ -255,6 +261,13 @@
 	_ = c.conn.Close() // an error of the close has no consequence
 }
 
+// resetOnClose makes closing the connection reset it, because an orderly end would make the answer look complete.
+func (c *caller) resetOnClose() {
+	if tcpConn, ok := c.conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcpConn.SetLinger(0) // fails only for a closed connection
+	}
+}
+
 func isClosed(c <-chan struct{}) bool {
 	select {
 	case <-c:
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -40,6 +40,8 @@
 	method        string
 	// closing is true if the connection ends after the answer, as the caller asked.
 	closing bool
+	// takesChunks is true if the caller understands the chunked coding.
+	takesChunks bool
 }
 
 // rejection is the error answer to a request that cannot be read. The rest of the connection is not read.
@@ -235,6 +237,6 @@
 	return &incomingRequest{
 		request: &call.Request{ID: info.ID, Method: request.Method, Path: path, Query: query, Header: header, Body: body},
 		host:    strings.ToLower(host), receivedAt: time.Now(), callerTimeout: info.Timeout, method: request.Method,
-		closing: request.Close,
+		closing: request.Close, takesChunks: request.ProtoAtLeast(1, 1),
 	}
 }
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -57,19 +57,26 @@
 	return reply{status: status, header: header, body: body}
 }
 
-// write writes the reply to a request with the given method. After an error the answer is incomplete, so the connection
-// must be closed.
-func (r *reply) write(w *bufio.Writer, method string) error {
+// endsWithConnection reports whether only the end of the connection shows the end of the body to a caller.
+func (r *reply) endsWithConnection(q *pendingRequest) bool {
+	return r.stream != nil && r.length < 0 && !q.takesChunks
+}
+
+// write writes the reply to a request. After an error the answer is incomplete, so the connection must be closed.
+func (r *reply) write(w *bufio.Writer, q *pendingRequest) error {
 	response := http.Response{
 		StatusCode: r.status, ProtoMajor: 1, ProtoMinor: 1, Header: r.header, Close: r.closing,
-		Request: &http.Request{Method: method}, ContentLength: int64(len(r.body)), Body: http.NoBody,
+		Request: &http.Request{Method: q.method}, ContentLength: int64(len(r.body)), Body: http.NoBody,
 	}
 	switch {
 	case r.stream != nil:
 		response.Body, response.ContentLength = r.stream, r.length
+		if r.length < 0 && q.takesChunks {
+			response.TransferEncoding = []string{"chunked"}
+		}
 	case len(r.body) > 0:
 		response.Body = io.NopCloser(bytes.NewReader(r.body))
-	case method == http.MethodHead && r.length > 0:
+	case q.method == http.MethodHead && r.length > 0:
 		response.ContentLength = r.length
 	}
 	if err := response.Write(w); err != nil {
--- /dev/null
+++ b/internal/gateway/stream_test.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
+	"fuchsiahub.example/fuchsiahub/internal/decide/dispatch"
+	"fuchsiahub.example/fuchsiahub/internal/fleet"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+// plainDialect is a dialect without header fields of its own.
+type plainDialect struct{ anyAnswer }
+
+func (plainDialect) RequestInfo(http.Header) RequestInfo { return RequestInfo{ID: "r1"} }
+
+func (plainDialect) SetRequestID(http.Header, string) {}
+
+// streamTimeout is the timeout of the route of a streamTest.
+const streamTimeout = 2 * time.Second
+
+// resettable notes that the connection will be reset when it is closed.
+type resettable struct {
+	net.Conn
+	reset bool
+}
+
+func (c *resettable) SetLinger(seconds int) error {
+	c.reset = seconds == 0
+	return nil
+}
+
+// streamTest is one caller connection and one backend server, both in memory, in virtual time.
+type streamTest struct {
+	t        *testing.T
+	caller   net.Conn
+	accepted *resettable
+	ended    chan struct{}
+	reader   *bufio.Reader
+	log      *bytes.Buffer
+	counters *counters
+	// told holds the messages to the director other than placements.
+	told chan any
+	// served receives a value when the server's connection has ended.
+	served chan struct{}
+}
+
+// withStream runs a test whose backend server answers each request with a script. The connection to the server ends with the
+// script.
+func withStream(t *testing.T, script func(c net.Conn), test func(s *streamTest)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &streamTest{t: t, log: &bytes.Buffer{}, counters: newCounters(metrics.NewRegistry()), told: make(chan any, 16),
+			served: make(chan struct{}, 16)}
+		ctx, cancel := context.WithCancel(t.Context())
+		dial := func(context.Context, string) (net.Conn, error) {
+			client, server := net.Pipe()
+			go func() {
+				defer func() { _ = server.Close() }()
+				for r := bufio.NewReader(server); ; {
+					request, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					script(server)
+					s.served <- struct{}{}
+				}
+			}()
+			return client, nil
+		}
+		factory, err := backend.NewPoolFactory(dial, plainDialect{}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		pool := factory.NewPool("10.0.0.1:80", backend.PoolSize{MaxConnections: 1})
+		poolEnded := make(chan struct{})
+		go func() { _ = pool.Run(ctx); close(poolEnded) }()
+		inbox := task.NewMailbox[any]("director", 16)
+		go s.direct(ctx, inbox, pool)
+
+		config := &fleet.Config{Routes: []fleet.Route{{Name: "lookup", Host: "a.example", Prefix: "/", Timeout: streamTimeout,
+			Shares: []fleet.ServiceShare{{Service: "atlas", Weight: 1}}, Attempts: 1}}}
+		snapshots := &SnapshotPublisher{}
+		snapshots.newest.Store(&Snapshot{Routes: dispatch.NewTable(config), View: &fleet.View{Config: config, ConfigAsOf: time.Now(),
+			Backends: map[string][]*fleet.Backend{"atlas": {{ID: "i-1"}}}}})
+		log := slog.New(slog.NewTextHandler(s.log, nil))
+		requests, err := newForwarder(snapshots, inbox, plainDialect{}, log, s.counters)
+		if err != nil {
+			t.Fatal(err)
+		}
+		callers, err := newCallerServer(requests, plainDialect{}, snapshots, make(chan struct{}), make(chan struct{}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var accepted net.Conn
+		s.caller, accepted = net.Pipe()
+		s.accepted = &resettable{Conn: accepted}
+		s.reader = bufio.NewReader(s.caller)
+		s.ended = make(chan struct{})
+		go func() { callers.serve(ctx, s.accepted); close(s.ended) }()
+		test(s)
+		_ = s.caller.Close()
+		<-s.ended
+		cancel()
+		<-poolEnded
+	})
+}
+
+// direct grants each placement and passes the other messages on to the test.
+func (s *streamTest) direct(ctx context.Context, inbox *task.Mailbox[any], pool *backend.Pool) {
+	for {
+		select {
+		case m := <-inbox.C():
+			if p, ok := m.(placeRequest); ok {
+				p.reply(&grant{entry: &fleet.Backend{ID: "i-1"}, pool: pool, grantedAt: time.Now()})
+				continue
+			}
+			s.told <- m
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// get sends a request and returns the answer, its body as far as it came and the error that ended the body.
+func (s *streamTest) get(version string) (*http.Response, string, error) {
+	s.t.Helper()
+	if _, err := fmt.Fprintf(s.caller, "GET /x HTTP/%s\r\nHost: a.example\r\nConnection: keep-alive\r\n\r\n", version); err != nil {
+		s.t.Fatal(err)
+	}
+	response, err := http.ReadResponse(s.reader, nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
+var longBody = strings.Repeat("0123456789abcdef", 3*backend.MaxBufferedAnswerBytes/16)
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+const chunkedAnswer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// Guards against a long answer without a length that the caller cannot tell from a truncated one, and whose end it learns
+// only when the idle timeout closes the connection.
+func TestLongChunkedAnswerEndsByItself(t *testing.T) {
+	withStream(t, func(c net.Conn) { _, _ = io.WriteString(c, chunkedAnswer+chunk(longBody)+"0\r\n\r\n") }, func(s *streamTest) {
+		for range 2 {
+			start := time.Now()
+			response, text, err := s.get("1.1")
+			if err != nil || text != longBody || response.Close {
+				t.Errorf("%d of %d bytes, error %v, connection closes: %v", len(text), len(longBody), err, response.Close)
+			}
+			if elapsed := time.Since(start); elapsed > 0 {
+				t.Errorf("the answer ended after %s", elapsed)
+			}
+			if response.Close {
+				return
+			}
+		}
+	})
+}
+
+// Guards against a truncated long answer that looks complete to the caller.
+func TestTruncatedLongAnswerDoesNotLookComplete(t *testing.T) {
+	for name, answer := range map[string]string{
+		"chunked":        chunkedAnswer + chunk(longBody) + "8\r\nhalf",
+		"between chunks": chunkedAnswer + chunk(longBody),
+		"with a length":  fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 2*len(longBody)) + longBody,
+	} {
+		t.Run(name, func(t *testing.T) {
+			withStream(t, func(c net.Conn) {
+				_, _ = io.WriteString(c, answer)
+				_ = c.Close()
+			}, func(s *streamTest) {
+				if response, text, err := s.get("1.1"); err == nil {
+					t.Errorf("%d bytes look complete, length %d, coding %v", len(text), response.ContentLength, response.TransferEncoding)
+				}
+			})
+		})
+	}
+}
+
+// Guards the same for a caller of HTTP/1.0, to whom only the end of the connection shows the end of a body without a length:
+// the connection has to end at once, and with a reset if the answer is truncated.
+func TestLongAnswerToOldCaller(t *testing.T) {
+	for name, end := range map[string]string{"complete": "0\r\n\r\n", "truncated": "8\r\nhalf"} {
+		t.Run(name, func(t *testing.T) {
+			withStream(t, func(c net.Conn) {
+				_, _ = io.WriteString(c, chunkedAnswer+chunk(longBody)+end)
+				_ = c.Close()
+			}, func(s *streamTest) {
+				start := time.Now()
+				response, _, _ := s.get("1.0")
+				if elapsed := time.Since(start); elapsed > 0 || !response.Close || len(response.TransferEncoding) > 0 {
+					t.Errorf("the answer ended after %s, coding %v", elapsed, response.TransferEncoding)
+				}
+				if <-s.ended; s.accepted.reset != (name == "truncated") {
+					t.Errorf("connection is reset: %v", s.accepted.reset)
+				}
+			})
+		})
+	}
+}
