Free the connection of an answer that its caller does not read

What callers of the native front end saw: a caller that stopped reading a long answer kept the connection to the backend server beyond the deadline of its request, for as long as its own connection was open. With as many such callers as there are connections to a server, no other request reached it from this instance.

Cause: the end of a request's context interrupts reads and writes of the socket. The task of the connection was blocked in the pipe to the caller instead.

Evidence, before the change:

--- FAIL: TestUnreadStreamFreesConnection the next caller got "/next", error <nil>; the first one had to end its answer

Change: the end of the context closes the pipe too, with the error of a truncated answer.

Result: the test passes, also with the race detector.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -177,6 +177,11 @@
 	// The caller may end its context as soon as it has a buffered answer; that must not close the connection. A streamed
 	// answer can be cancelled until its end.
 	cancelStopped := body.pipe == nil && stopCancel()
+	if body.pipe != nil { // a caller that does not read must not hold the connection after the context has ended
+		defer context.AfterFunc(exchange.Ctx, func() {
+			body.pipe.CloseWithError(errors.Join(errTruncated, context.Cause(exchange.Ctx)))
+		})()
+	}
 	exchange.Reply <- result
 	c.reusable = body.finish() && (cancelStopped || stopCancel())
 	if !c.reusable && exchange.Ctx.Err() != nil {
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -224,3 +225,24 @@
 		})
 	}
 }
+
+// Guards against a connection that is held by an answer that its caller does not read, after the request's context has ended.
+func TestUnreadStreamFreesConnection(t *testing.T) {
+	s := &endlessServer{start: okHead + "Content-Length: 999999999999\r\n\r\n", repeated: "x"}
+	withEndlessServer(t, s, func(t *testing.T, p *backend.Pool) {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		result := p.Do(ctx, getRequest("/first"))
+		if result.Answer == nil || result.Answer.Stream == nil {
+			t.Fatalf("result %+v", result)
+		}
+		ended := time.AfterFunc(time.Minute, func() { _ = result.Answer.Stream.Close() })
+		if next := p.Do(t.Context(), getRequest("/next")); body(next) != "/next" || !ended.Stop() {
+			t.Errorf("the next caller got %q, error %v; the first one had to end its answer", body(next), next.Err)
+		}
+		if _, err := result.Answer.Stream.Read(make([]byte, 1)); err == nil || err == io.EOF {
+			t.Errorf("reading the answer after its end: %v", err)
+		}
+		<-s.ended
+	})
+}
