End a streamed answer at the deadline of its request

What callers of the gateway saw: an answer of more than 64 KB went on after the deadline of its request, for as long as the server sent bytes, however slowly; while the server was silent it never ended. The server's slot and two connections were taken as long.

Cause: the task of a request ends with the head of the answer, and with it the timer of its deadline. The time for writing an answer ends only writes, and slow bytes wait in the write buffer.

Evidence, before the change (deadline 2 s, virtual time):

--- FAIL: TestStreamEndsAtDeadline/trickle_with_a_length the answer ended after 1m40.05s, the deadline is 2s --- FAIL: TestStreamEndsAtDeadline/trickle_of_chunks the answer ended after 17.1s, the deadline is 2s --- FAIL: TestStreamEndsAtDeadline/trickle_of_parts the answer ended after 10.2s, the deadline is 2s --- FAIL: TestStreamEndsAtDeadline/silence the answer ended after 2001h0m0s, the deadline is 2s

Change: the copy whose answer is streamed is cancelled when the deadline has passed, with the same slack as an answer whose head is awaited. The caller gets what came until then and a connection that breaks off.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -132,7 +133,7 @@
 	if earlyReply, ok := f.resolve(f.snapshots.Newest()); !ok {
 		return earlyReply
 	}
-	ctx, cancel := context.WithCancel(f.ctx)
+	ctx, cancel := context.WithCancelCause(f.ctx)
 	f.ctx = ctx
 	f.machine = f.bound.New(f.receivedAt, f)
 	f.fire("start")
@@ -141,15 +142,28 @@
 	for !f.machine.Final() {
 		f.waitForEvent(expiry)
 	}
-	f.reply.done = cancel
+	f.reply.done = func() { cancel(nil) }
 	if f.reply.stream == nil {
-		cancel()
+		cancel(nil)
+	} else {
+		f.endStreamAtDeadline(cancel)
 	}
 	f.abandonCopies()
 	f.logOutcome()
 	return f.reply
 }
 
+var errStreamLate = errors.New("answer of the backend server did not end in the time of the request")
+
+// endStreamAtDeadline cancels the copy whose answer is streamed when the deadline passes before the end of the answer.
+func (f *forward) endStreamAtDeadline(cancel context.CancelCauseFunc) {
+	late := time.AfterFunc(time.Until(f.deadline.Add(answerSlack)), func() { cancel(errStreamLate) })
+	f.reply.done = func() {
+		late.Stop()
+		cancel(nil)
+	}
+}
+
 // resolve finds the route of the request in the newest snapshot. It returns false and the reply when there is none.
 func (f *forward) resolve(snapshot *Snapshot) (reply, bool) {
 	if !snapshot.Ready() {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -216,3 +216,39 @@
 		})
 	}
 }
+
+// Guards against an answer that outlasts the deadline of its request: the server would hold the connection, and the caller
+// an answer that never ends.
+func TestStreamEndsAtDeadline(t *testing.T) {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 1<<30)
+	for name, c := range map[string]struct {
+		start, repeated string
+		pause           time.Duration
+	}{
+		"trickle with a length": {head + longBody, "x", 50 * time.Millisecond},
+		"trickle of chunks":     {chunkedAnswer + chunk(longBody), "1\r\nx\r\n", 50 * time.Millisecond},
+		"trickle of parts":      {chunkedAnswer + chunk(longBody), chunk(longBody[:4<<10]), 300 * time.Millisecond},
+		"silence":               {head + longBody, "x", time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withStream(t, func(server net.Conn) {
+				_, err := io.WriteString(server, c.start)
+				for sent := 0; err == nil && sent < 1<<20; sent += len(c.repeated) {
+					time.Sleep(c.pause)
+					_, err = io.WriteString(server, c.repeated)
+				}
+				_ = server.Close()
+			}, func(s *streamTest) {
+				start := time.Now()
+				_, text, err := s.get("1.1")
+				if err == nil || len(text) < backend.MaxBufferedAnswerBytes {
+					t.Errorf("%d bytes, error %v, want a truncated answer", len(text), err)
+				}
+				if elapsed := time.Since(start); elapsed != streamTimeout+answerSlack {
+					t.Errorf("the answer ended after %s, the deadline is %s", elapsed, streamTimeout)
+				}
+				<-s.served
+			})
+		})
+	}
+}
