Write a long answer for as long as its server sends it

What callers of the gateway saw: an answer of more than 64 KB whose server needed longer than 10 s was cut off after 10 s, although the deadline of the request was far and the caller read all that came.

Cause: the time for writing an answer began with the answer, whatever part of it the server took.

Evidence, before the change (deadline 60 s, the server sends for 30 s, virtual time):

--- FAIL: TestSlowStreamEndsCompletely 270336 of 442368 bytes, error unexpected EOF

Change: the time limits each write. A caller that does not read still ends the answer after 10 s, and the deadline of the request ends it in any case.

Result: the answer arrives completely.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -17,7 +17,8 @@
 	maxPipelined = 64
 	// defaultIdleTimeout is the idle timeout of a connection before a configuration is known.
 	defaultIdleTimeout = 15 * time.Second
-	// writeTimeout is the maximum time for writing one answer, in case the caller does not read.
+	// writeTimeout is the maximum time for one write, in case the caller does not read. It is not the time of a whole answer,
+	// because a long one takes as long as the backend server sends it.
 	writeTimeout = 10 * time.Second
 	// writeBuffer is the size of the write buffer, enough for a typical answer head; longer answers are written in parts.
 	writeBuffer = 2 << 10
@@ -96,7 +97,7 @@
 
 // serve is the body of the task of one caller connection.
 func (s *callerServer) serve(ctx context.Context, conn net.Conn) {
-	c := &caller{callerServer: s, conn: conn, writer: bufio.NewWriterSize(conn, writeBuffer), readEvents: make(chan any),
+	c := &caller{callerServer: s, conn: conn, writer: bufio.NewWriterSize(timedWriter{conn}, writeBuffer), readEvents: make(chan any),
 		idleSince: time.Now()}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	defer c.cancel()
@@ -212,7 +213,7 @@
 func (c *caller) writeAnswer(r reply) {
 	q := c.queue[0]
 	r.closing = r.closing || q.closing || isClosed(c.leaving) || r.endsWithConnection(&q)
-	err := c.writeReply(&r, &q)
+	err := r.write(c.writer, &q)
 	if err != nil && r.endsWithConnection(&q) {
 		c.resetOnClose()
 	}
@@ -230,11 +231,14 @@
 	}
 }
 
-func (c *caller) writeReply(r *reply, q *pendingRequest) error {
-	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+// timedWriter limits the duration of each write.
+type timedWriter struct{ conn net.Conn }
+
+func (w timedWriter) Write(p []byte) (int, error) {
+	if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
 	}
-	return r.write(c.writer, q)
+	return w.conn.Write(p)
 }
 
 // sendContinue sends 100 Continue to a caller that waits for it, as soon as no answer is pending.
