Take an invalid answer as a failure, not as a crash

What callers saw: a request whose answer is invalid (not in the protocol, too long, without proof that it belongs to the request) counted as one that may have crashed the server. When the server ended within the time in which a crash is confirmed (5 s in the gateway), for whatever reason, the request got a strike, and with a second one all equal requests were refused. In the gateway up to four more health checks looked for the crash; on the native path each resend waited for a dial.

Cause: all ends of a copy without an answer and without a timeout were taken as a broken connection. An invalid answer shows the opposite: the server sends, and the instance closes the connection.

Change: both request paths leave invalid answers out of the detection of crashes. The score of the server falls as after silence.

Result: the tests pass; a broken connection is examined as before.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -70,7 +70,7 @@
 
 // mayHaveCrashed reports whether a copy ended in a way that a crash of its server can cause.
 func mayHaveCrashed(ctx context.Context, r backend.Result) bool {
-	return r.Answer == nil && r.Fate == call.MaybeRun && ctx.Err() == nil && !backend.IsTimeout(r.Err)
+	return r.Answer == nil && r.Fate == call.MaybeRun && ctx.Err() == nil && !backend.IsTimeout(r.Err) && !backend.IsInvalidAnswer(r.Err)
 }
 
 // copyLost records a copy whose connection broke.
@@ -84,7 +84,7 @@
 	switch {
 	case r.ConnectionRefused:
 		c.shareStrikes(c.quarantine.ConnectionRefused(now, serverOf(entry)))
-	case r.Answer != nil:
+	case r.Answer != nil || backend.IsInvalidAnswer(r.Err):
 		c.quarantine.ConnectionAccepted(now, serverOf(entry))
 	}
 }
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -3,14 +3,20 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"fuchsiahub.example/fuchsiahub/internal/backend"
 	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/decide/outlier"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 )
 
@@ -71,3 +77,49 @@
 func (anyAnswer) CheckOwnership(*call.Request, int, http.Header) backend.Ownership {
 	return backend.OwnAnswer
 }
+
+// Guards against an invalid answer of a server that counts as a sign of a crash, although the connection did not break, and
+// against one that leaves the score of the server unchanged.
+func TestInvalidAnswerCountsAsFailureAndNotAsCrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		err     error
+		strikes int
+	}{
+		"invalid answer":    {fault.New(fault.BadBackend, "", "bytes of the server are no answer"), 0},
+		"broken connection": {io.ErrUnexpectedEOF, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			crashes, err := newCrashDetector(slog.New(slog.DiscardHandler))
+			if err != nil {
+				t.Fatal(err)
+			}
+			d := newDirector(fleet.Instance{}, &Settings{}, nil, crashes, slog.New(slog.DiscardHandler), newCounters(metrics.NewRegistry()))
+			now := time.Unix(1000, 0)
+			s := &server{entry: &fleet.Backend{ID: "i-1"}, score: outlier.NewScore(), checkInFlight: true, inFlight: 1}
+			d.releaseGrant(t.Context(), now, grantRelease{grant: &grant{server: s}, result: backend.Result{Fate: call.MaybeRun, Err: c.err}})
+			if v := s.score.Value(now); v > 0.6 || s.inFlight != 0 {
+				t.Errorf("score %.2f, %d copies in flight", v, s.inFlight)
+			}
+			d.crashes.serverChecked(now, s.entry, backend.Result{ConnectionRefused: true})
+			if n := len(d.crashes.toWrite.C()); n != c.strikes {
+				t.Errorf("%d strikes, want %d", n, c.strikes)
+			}
+		})
+	}
+}
+
+// Guards against checks that go on to look for a crash after an invalid answer, which shows that the server runs.
+func TestInvalidHealthAnswerShowsThatServerRuns(t *testing.T) {
+	crashes, err := newCrashDetector(slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := newDirector(fleet.Instance{}, &Settings{}, nil, crashes, slog.New(slog.DiscardHandler), newCounters(metrics.NewRegistry()))
+	now := time.Unix(1000, 0)
+	s := &server{entry: &fleet.Backend{ID: "i-1"}, crashChecksLeft: maxCrashChecks}
+	invalid := backend.Result{Fate: call.MaybeRun, Err: fault.New(fault.BadBackend, "", "bytes of the server are no answer")}
+	d.applyCheck(t.Context(), now, checkResult{server: s, result: invalid})
+	if !s.unresponsive || s.crashChecksLeft != 0 {
+		t.Errorf("unresponsive %v, %d checks left", s.unresponsive, s.crashChecksLeft)
+	}
+}
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -188,7 +188,7 @@
 func (d *director) checkForCrash(ctx context.Context, now time.Time, m checkResult) {
 	d.crashes.serverChecked(now, m.server.entry, m.result)
 	m.server.crashChecksLeft--
-	if m.result.ConnectionRefused || m.result.Answer != nil || backend.IsTimeout(m.result.Err) {
+	if m.result.ConnectionRefused || m.result.Answer != nil || backend.IsTimeout(m.result.Err) || backend.IsInvalidAnswer(m.result.Err) {
 		m.server.crashChecksLeft = 0
 	}
 	if m.server.crashChecksLeft > 0 {
--- a/internal/node/copy.go
+++ b/internal/node/copy.go
@@ -39,9 +39,10 @@
 	return result
 }
 
-// recordBrokenCopy records a copy whose connection broke while its caller was still waiting.
+// recordBrokenCopy records a copy whose connection broke while its caller was still waiting. The connection of an invalid
+// answer did not break, so it says nothing about a crash.
 func (e *exchange) recordBrokenCopy(c sentCopy, result backend.Result) {
-	if result.Fate == call.MaybeRun && e.ctx.Err() == nil {
+	if result.Fate == call.MaybeRun && e.ctx.Err() == nil && !backend.IsInvalidAnswer(result.Err) {
 		e.brokenCopies = append(e.brokenCopies, c)
 	}
 }
