Count and log answers of backend servers that do not end

What operators saw: an answer cut off after its head left no line and no counter. Its copy counted as a success of the server, so that a server which never ends its answers kept its score. An invalid answer to a health check left a line only when it changed the reachability of the server.

Cause: the task of a request ends with the head of a long answer. The task of the caller's connection knew only that writing the answer had failed.

Evidence: TestTruncatedLongAnswerDoesNotLookComplete and TestStreamEndsAtDeadline now look for the counter, the line and the failure of the server; before the change there was none of them.

Change: the stream reports once that it was cut off, with whether the server had to send more at that time. The director takes that as a failure. A caller that does not read, or leaves, does not make a server count as failing. The director counts and logs invalid answers to copies and health checks.

--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -11,6 +11,9 @@
 	registry metrics.Registry
 	// requests counts the requests that were read, the others their outcomes.
 	requests, answered, refused, failed, expired, abandoned metrics.Counter
+	// invalidAnswers counts the answers of backend servers to copies and health checks whose bytes were no answer, cutAnswers
+	// the long answers that broke off or did not end in the time of the request.
+	invalidAnswers, cutAnswers metrics.Counter
 	// resent counts copies after the first, hedged those that were sent while another was in flight, and resendRefused those
 	// that the resend budget did not allow.
 	resent, hedged, resendRefused metrics.Counter
@@ -33,20 +36,22 @@
 
 func newCounters(registry metrics.Registry) *counters {
 	return &counters{
-		registry:      registry,
-		requests:      metrics.GetOrRegisterCounter("gateway.requests", registry),
-		answered:      metrics.GetOrRegisterCounter("gateway.answered", registry),
-		refused:       metrics.GetOrRegisterCounter("gateway.refused", registry),
-		failed:        metrics.GetOrRegisterCounter("gateway.failed", registry),
-		expired:       metrics.GetOrRegisterCounter("gateway.expired", registry),
-		abandoned:     metrics.GetOrRegisterCounter("gateway.abandoned", registry),
-		resent:        metrics.GetOrRegisterCounter("gateway.resent", registry),
-		hedged:        metrics.GetOrRegisterCounter("gateway.hedged", registry),
-		resendRefused: metrics.GetOrRegisterCounter("gateway.resend_refused", registry),
-		checks:        metrics.GetOrRegisterCounter("gateway.checks", registry),
-		callers:       metrics.GetOrRegisterGauge("gateway.callers", registry),
-		placing:       metrics.GetOrRegisterGauge("gateway.placing", registry),
-		newsAge:       metrics.GetOrRegisterGauge("gateway.news_age_ms", registry),
+		registry:       registry,
+		requests:       metrics.GetOrRegisterCounter("gateway.requests", registry),
+		answered:       metrics.GetOrRegisterCounter("gateway.answered", registry),
+		refused:        metrics.GetOrRegisterCounter("gateway.refused", registry),
+		failed:         metrics.GetOrRegisterCounter("gateway.failed", registry),
+		expired:        metrics.GetOrRegisterCounter("gateway.expired", registry),
+		abandoned:      metrics.GetOrRegisterCounter("gateway.abandoned", registry),
+		invalidAnswers: metrics.GetOrRegisterCounter("gateway.invalid_answers", registry),
+		cutAnswers:     metrics.GetOrRegisterCounter("gateway.cut_answers", registry),
+		resent:         metrics.GetOrRegisterCounter("gateway.resent", registry),
+		hedged:         metrics.GetOrRegisterCounter("gateway.hedged", registry),
+		resendRefused:  metrics.GetOrRegisterCounter("gateway.resend_refused", registry),
+		checks:         metrics.GetOrRegisterCounter("gateway.checks", registry),
+		callers:        metrics.GetOrRegisterGauge("gateway.callers", registry),
+		placing:        metrics.GetOrRegisterGauge("gateway.placing", registry),
+		newsAge:        metrics.GetOrRegisterGauge("gateway.news_age_ms", registry),
 		time: metrics.GetOrRegisterHistogram("gateway.time_us", registry,
 			metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)),
 	}
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -50,6 +50,8 @@
 		// succeeded is true when the server gave an answer other than a server error (5xx).
 		succeeded bool
 	}
+	// streamFailure reports that a server broke off a long answer after its copy was released, or did not end it in time.
+	streamFailure struct{ server *server }
 	// overdueEvent reports a copy that has taken longer than expected and is still in flight.
 	overdueEvent struct{ grant *grant }
 	// checkResult is the result of a health check.
@@ -164,6 +166,8 @@
 		d.startPlacement(ctx, now, m)
 	case grantRelease:
 		d.releaseGrant(ctx, now, m)
+	case streamFailure:
+		m.server.score.Failure(now)
 	case overdueEvent:
 		m.grant.server.overdueAt = now
 	case checkResult:
@@ -235,6 +239,7 @@
 func (d *director) releaseGrant(ctx context.Context, now time.Time, m grantRelease) {
 	s := m.grant.server
 	s.inFlight--
+	d.noteInvalidAnswer(s, m.result)
 	if m.cancelled {
 		return
 	}
@@ -258,6 +263,14 @@
 	}
 }
 
+// noteInvalidAnswer counts and logs an answer whose bytes were no answer.
+func (d *director) noteInvalidAnswer(s *server, r backend.Result) {
+	if backend.IsInvalidAnswer(r.Err) {
+		d.counters.invalidAnswers.Inc(1)
+		d.log.Warn("answer of a backend server is invalid", "backend", s.entry.ID, "service", s.entry.Service, "error", r.Err)
+	}
+}
+
 // updateTypicalWork updates the typical service time of a route with the time of a copy on an unloaded server.
 // loadReported is true for a server that reports load. A server that does not may have been slow unnoticed, so for it the
 // typical time is a quantile that slow answers hardly move.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -116,6 +117,8 @@
 	placing    bool
 	mayHaveRun bool
 	answer     *backend.Result
+	// answeredBy is the grant of the copy with that answer.
+	answeredBy *grant
 	lastError  error
 	refusal    placeRefusal
 	reply      reply
@@ -147,6 +150,7 @@
 		cancel(nil)
 	} else {
 		f.endStreamAtDeadline(cancel)
+		f.reply.stream = &answerStream{ReadCloser: f.reply.stream, ctx: ctx, onCut: f.answerCut}
 	}
 	f.abandonCopies()
 	f.logOutcome()
@@ -164,6 +168,40 @@
 	}
 }
 
+// answerStream is a long answer on its way to the caller. It reports once when the answer is cut off by the server or by the
+// deadline.
+type answerStream struct {
+	io.ReadCloser
+	ctx context.Context
+	// onCut is told whether the server had to send more when the answer was cut off.
+	onCut    func(err error, serverFailed bool)
+	reported bool
+}
+
+func (s *answerStream) Read(p []byte) (int, error) {
+	awaited := s.ctx.Err() == nil
+	n, err := s.ReadCloser.Read(p)
+	if err == nil || err == io.EOF || s.reported {
+		return n, err
+	}
+	if cause := context.Cause(s.ctx); cause == nil || errors.Is(cause, errStreamLate) {
+		s.reported = true
+		s.onCut(err, awaited)
+	}
+	return n, err
+}
+
+// answerCut records a long answer that was cut off. It is called by the task of the caller's connection after the task of the
+// request has ended.
+func (f *forward) answerCut(err error, serverFailed bool) {
+	f.counters.cutAnswers.Inc(1)
+	f.log.Warn("long answer of a backend server was cut off", "request", f.request.ID, "backend", f.answeredBy.entry.ID,
+		"server_failed", serverFailed, "elapsed_ms", time.Since(f.receivedAt).Milliseconds(), "error", err)
+	if serverFailed {
+		_ = f.director.Offer(streamFailure{server: f.answeredBy.server}) // without it the next failure lowers the score
+	}
+}
+
 // resolve finds the route of the request in the newest snapshot. It returns false and the reply when there is none.
 func (f *forward) resolve(snapshot *Snapshot) (reply, bool) {
 	if !snapshot.Ready() {
@@ -252,12 +290,12 @@
 		if f.answer != nil {
 			discard(*f.answer)
 		}
-		f.answer = &m.result
+		f.answer, f.answeredBy = &m.result, m.grant
 	case "failed_answer":
 		if f.answer != nil {
 			discard(*f.answer)
 		}
-		f.answer = &m.result
+		f.answer, f.answeredBy = &m.result, m.grant
 	case "lost":
 		f.mayHaveRun = true
 		f.lastError = m.result.Err
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -173,6 +173,7 @@
 // applyCheck applies the result of a health check.
 func (d *director) applyCheck(ctx context.Context, now time.Time, m checkResult) {
 	wasUnresponsive := m.server.unresponsive
+	d.noteInvalidAnswer(m.server, m.result)
 	m.server.applyCheck(now, m.result)
 	if m.server.crashChecksLeft > 0 {
 		d.checkForCrash(ctx, now, m)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -198,6 +198,7 @@
 				if response, text, err := s.get("/x", "1.1"); err == nil {
 					t.Errorf("%d bytes look complete, length %d, coding %v", len(text), response.ContentLength, response.TransferEncoding)
 				}
+				s.checkCutAnswer(true)
 			})
 		})
 	}
@@ -256,11 +257,70 @@
 					t.Errorf("the answer ended after %s, the deadline is %s", elapsed, streamTimeout)
 				}
 				<-s.served
+				s.checkCutAnswer(true)
 			})
 		})
 	}
 }
 
+// checkCutAnswer checks that the end of a long answer is counted and logged once, and that the director learns of it if the
+// server was the cause.
+func (s *streamTest) checkCutAnswer(serverFailed bool) {
+	s.t.Helper()
+	_ = s.caller.Close()
+	<-s.ended
+	synctest.Wait()
+	lines := strings.Count(s.log.String(), "long answer of a backend server was cut off")
+	failures := 0
+	for len(s.told) > 0 {
+		if _, ok := (<-s.told).(streamFailure); ok {
+			failures++
+		}
+	}
+	if n := s.counters.cutAnswers.Count(); n != 1 || lines != 1 || (failures == 1) != serverFailed || failures > 1 {
+		s.t.Errorf("%d counted, %d lines, %d failures of the server; the server failed: %v", n, lines, failures, serverFailed)
+	}
+}
+
+// Guards against a caller that does not read and makes a sound server count as failing.
+func TestUnreadStreamIsNoFailureOfServer(t *testing.T) {
+	withStream(t, func(server net.Conn) { _, _ = io.WriteString(server, chunkedAnswer+chunk(longBody)+"0\r\n\r\n") },
+		func(s *streamTest) {
+			if _, err := io.WriteString(s.caller, "GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(streamTimeout + time.Second)
+			if _, err := io.Copy(io.Discard, s.caller); err != nil {
+				t.Error(err)
+			}
+			<-s.served
+			s.checkCutAnswer(false)
+		})
+}
+
+// Guards against a caller that leaves in the middle of a long answer and makes a sound server count as failing.
+func TestCallerLeavingStreamIsNoFailureOfServer(t *testing.T) {
+	withStream(t, func(server net.Conn) {
+		_, _ = io.WriteString(server, chunkedAnswer+chunk(longBody))
+		time.Sleep(time.Second)
+		_, _ = io.WriteString(server, chunk(longBody)+"0\r\n\r\n")
+	}, func(s *streamTest) {
+		if _, err := io.WriteString(s.caller, "GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(s.caller, make([]byte, len(longBody))); err != nil {
+			t.Fatal(err)
+		}
+		_ = s.caller.Close()
+		<-s.served
+		<-s.ended
+		synctest.Wait()
+		if n := s.counters.cutAnswers.Count(); n != 0 || strings.Contains(s.log.String(), "cut off") {
+			t.Errorf("%d answers counted as cut off", n)
+		}
+	})
+}
+
 // Guards against a long answer that is cut off although its deadline is far and the caller reads it.
 func TestSlowStreamEndsCompletely(t *testing.T) {
 	const parts = 30
