Cut the error text of an invalid answer

What operators saw: the line on a copy that failed held all of a malformed line that the server had sent, quoted: without a bound before the head had one, 120 KB with it, up to 200 times a second.

Cause: the errors of net/http quote the line.

Evidence, before the change:

--- FAIL: TestErrorOfInvalidAnswerIsShort error of 122993 bytes: ... malformed HTTP response "\x00\x00...

Change: the text is cut after 256 bytes.

Result: the test passes.

--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -246,3 +246,15 @@
 		<-s.ended
 	})
 }
+
+// Guards against log lines with all that a server sent: the errors of net/http quote a malformed line.
+func TestErrorOfInvalidAnswerIsShort(t *testing.T) {
+	s := &endlessServer{start: strings.Repeat("\x00", 30<<10) + "\r\n", repeated: "x"}
+	withEndlessServer(t, s, func(t *testing.T, p *backend.Pool) {
+		result := p.Do(t.Context(), getRequest("/first"))
+		if !backend.IsInvalidAnswer(result.Err) || len(result.Err.Error()) > 1<<10 {
+			t.Errorf("error of %d bytes: %.200s", len(result.Err.Error()), result.Err)
+		}
+		<-s.ended
+	})
+}
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"strings"
 
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 )
@@ -17,6 +18,8 @@
 	maxForeignBytes = 1 << 20
 	// maxCheckBodyBytes is the maximum size of the body of the answer to a health check, with its chunk framing.
 	maxCheckBodyBytes = 16 << 10
+	// maxErrorBytes is the maximum size of the text of an error that may quote what a server sent.
+	maxErrorBytes = 256
 	// unlimitedBytes turns the limit of a limitedConn off.
 	unlimitedBytes = -1
 )
@@ -65,5 +68,8 @@
 	if c.readFailed {
 		return err
 	}
+	if text := err.Error(); len(text) > maxErrorBytes {
+		err = errors.New(strings.ToValidUTF8(text[:maxErrorBytes], "") + "...")
+	}
 	return fault.Wrap(err, fault.BadBackend, "correct the server", "bytes of the backend server are no answer to the request")
 }
