Count and log answers that do not end on the native path

What operators saw: a server that sent bytes without an end, or a long answer that was cut off after its head, left no line on the server's name and no counter of its own; the request counted as one with an unknown outcome, or as answered.

Cause: as in the gateway, the task of a request ends with the head of a long answer, and the log of the front end names no server.

Evidence, before the change (the caller's side and the slot were right already):

--- FAIL: TestEndlessBytesAreInvalidAnswer 0 counted, 0 lines: --- FAIL: TestEndlessAnswerIsCutAtDeadline 0 counted, 0 lines:

Change: the copy reports an invalid answer and the stream that it was cut off, once each. A caller that leaves is not counted.

--- a/internal/metric/set.go
+++ b/internal/metric/set.go
@@ -55,6 +55,12 @@
 	s.set.counter("request.failed." + string(kind) + "." + s.name).Inc(1)
 }
 
+// InvalidAnswer counts an answer of a backend server whose bytes were no answer.
+func (s *Service) InvalidAnswer() { s.set.counter("request.invalid_answers." + s.name).Inc(1) }
+
+// CutAnswer counts a long answer that a backend server broke off or did not end in time.
+func (s *Service) CutAnswer() { s.set.counter("request.cut." + s.name).Inc(1) }
+
 // Resent adds to the number of resends.
 func (s *Service) Resent(n int64) { s.resent.Inc(n) }
 
--- a/internal/node/copy.go
+++ b/internal/node/copy.go
@@ -7,12 +7,14 @@
 	"fuchsiahub.example/fuchsiahub/internal/backend"
 	"fuchsiahub.example/fuchsiahub/internal/call"
 	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
+	"fuchsiahub.example/fuchsiahub/internal/metric"
 )
 
 // sentCopy is one copy of a request sent to one server.
 type sentCopy struct {
 	service    *Service
 	quarantine *Quarantine
+	metrics    *metric.Service
 	assignment acquireResult
 	server     quarantine.Server
 	// incarnation is the incarnation that the server reported before the copy was sent.
@@ -22,7 +24,8 @@
 func (e *exchange) newCopy(assignment acquireResult) sentCopy {
 	server := quarantine.Server{Service: e.req.Service, Name: assignment.grant.Server}
 	return sentCopy{
-		service: e.service, quarantine: e.quarantine, assignment: assignment, server: server, incarnation: e.quarantine.incarnation(server),
+		service: e.service, quarantine: e.quarantine, metrics: e.metrics, assignment: assignment, server: server,
+		incarnation: e.quarantine.incarnation(server),
 	}
 }
 
@@ -36,6 +39,10 @@
 	}
 	c.service.releaseGrant(c.assignment.grant, balanceResult(ctx, result))
 	c.quarantine.observeResult(c.server, result)
+	if backend.IsInvalidAnswer(result.Err) {
+		c.metrics.InvalidAnswer()
+		c.service.log.Warn("answer of a backend server is invalid", "request_id", req.ID, "service", req.Service, "server", c.server.Name, "error", result.Err)
+	}
 	return result
 }
 
--- a/internal/node/do.go
+++ b/internal/node/do.go
@@ -75,11 +75,14 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithDeadline(ctx, policy.Deadline)
-	e := &exchange{ctx: ctx, service: entry.Task, claims: s.claims, quarantine: s.quarantine, req: req, policy: policy}
+	e := &exchange{ctx: ctx, service: entry.Task, claims: s.claims, quarantine: s.quarantine, metrics: entry.Metrics, req: req, policy: policy}
 	answer, err := runToCompletion(s.requests, e)
 	entry.Metrics.Resent(int64(e.resends))
 	if answer != nil && answer.Stream != nil {
-		answer.Stream = &cancelOnClose{ReadCloser: answer.Stream, cancel: cancel}
+		answer.Stream = &requestStream{ReadCloser: answer.Stream, ctx: ctx, cancel: cancel, onCut: func(err error) {
+			entry.Metrics.CutAnswer()
+			entry.Task.log.Warn("long answer of a backend server was cut off", "request_id", req.ID, "service", req.Service, "error", err)
+		}}
 		return answer, err
 	}
 	cancel()
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -13,6 +13,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/decide/route"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/metric"
 )
 
 // exchange is the state of one request of a caller. It is the context of charts/request.toml and is owned by the
@@ -22,6 +23,7 @@
 	service    *Service
 	claims     *Claims
 	quarantine *Quarantine
+	metrics    *metric.Service
 	req        *call.Request
 	policy     route.Policy
 
