Log invalid answers to the probes of a keeper

A server that answers probes with bytes that are no answer counts as one that does not answer, and no line told the two apart. The probe reports it and the keeper writes a line with shard and server, at most one for each probe of the server. TestEndlessAnswerToProbe checks what the probe reports.

--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -215,8 +215,8 @@
 		t.Run(name, func(t *testing.T) {
 			s := &endlessServer{start: c.start, repeated: c.repeated}
 			withEndlessServer(t, s, func(t *testing.T, p *backend.Pool) {
-				if got := backend.Probe(t.Context(), p, "atlas", "/health"); got != (backend.ProbeResult{}) {
-					t.Errorf("result %+v, want neither answered nor refused", got)
+				if got := backend.Probe(t.Context(), p, "atlas", "/health"); got != (backend.ProbeResult{InvalidAnswer: true}) {
+					t.Errorf("result %+v, want invalid, neither answered nor refused", got)
 				}
 				if sent := <-s.ended; sent > acceptedProbe {
 					t.Errorf("the server could send %d bytes, at most %d are accepted", sent, acceptedProbe)
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -18,6 +18,8 @@
 	// still the same incarnation. A probe that timed out or got an invalid answer is neither refused nor answered.
 	ConnectionRefused bool
 	Answered          bool
+	// InvalidAnswer is true when the server sent bytes that are no answer.
+	InvalidAnswer bool
 	// State, Incarnation, Running and Slots are the values that the server reported.
 	State          string
 	Incarnation    string
@@ -37,11 +39,11 @@
 		return answeredResult(first)
 	}
 	if first.ConnectionRefused || isUnanswered(ctx, first.Err) {
-		return ProbeResult{ConnectionRefused: !isUnanswered(ctx, first.Err)}
+		return failedResult(ctx, first.Err)
 	}
 	second := pool.Check(ctx, req)
 	if second.Err != nil {
-		return ProbeResult{ConnectionRefused: !isUnanswered(ctx, second.Err)}
+		return failedResult(ctx, second.Err)
 	}
 	result := answeredResult(second)
 	result.ConnectionRefused = result.Incarnation == "" && !errors.Is(first.Err, errClosedWhileIdle)
@@ -52,6 +54,10 @@
 	return ProbeResult{Answered: true, State: r.State, Incarnation: r.Incarnation, Running: r.Running, Slots: r.Slots}
 }
 
+func failedResult(ctx context.Context, err error) ProbeResult {
+	return ProbeResult{ConnectionRefused: !isUnanswered(ctx, err), InvalidAnswer: IsInvalidAnswer(err)}
+}
+
 // isUnanswered reports whether an exchange ended by a timeout or an invalid answer, on a connection that did not break.
 func isUnanswered(ctx context.Context, err error) bool {
 	return ctx.Err() != nil || IsTimeout(err) || IsInvalidAnswer(err)
--- a/internal/node/keeperprobes.go
+++ b/internal/node/keeperprobes.go
@@ -28,7 +28,11 @@
 	for _, target := range k.prober.Due(now, targets) {
 		pool, path := k.probes[target].Pool, k.specs[target.Key].doc.Servers.ProbePath
 		k.start(ctx, backend.ProbeTimeout, func(ctx context.Context) any {
-			return probeUpdate{key: target.Key, result: probeOf(target.Server, backend.Probe(ctx, pool, target.Key.Service, path))}
+			result := backend.Probe(ctx, pool, target.Key.Service, path)
+			if result.InvalidAnswer {
+				k.Log.Warn("answer of a backend server to a probe is invalid", "shard", target.Key.String(), "server", target.Server)
+			}
+			return probeUpdate{key: target.Key, result: probeOf(target.Server, result)}
 		})
 	}
 }
