End the start of a watch whose refusal does not end

What operators saw: when the object API answered a watch with a failure and did not end its body, the task that follows the kind never watched or listed again: its documents stayed at the version of that moment until a restart.

Cause: the time of a call did not hold for the start of a watch once the head of an answer had come.

Evidence, before the change (virtual time):

--- FAIL: TestUnfinishedAnswersEndInTime/body_of_a_failure the start of the watch took 54m36.8s --- FAIL: TestUnfinishedAnswersEndInTime/silent_failure the start of the watch took 32768h0m0s

Change: the body of the failure has the time of a call.

--- a/internal/objecthttp/watch.go
+++ b/internal/objecthttp/watch.go
@@ -56,6 +56,7 @@
 	if response.StatusCode != http.StatusOK {
 		defer cancel()
 		defer discardBody(response)
+		defer time.AfterFunc(callTimeout, cancel).Stop()
 		return nil, call.statusError(response)
 	}
 	w := &watch{cancel: cancel, events: make(chan objectapi.Event, watchCapacity), ended: make(chan error, 1)}
