Bound the answers of the object API

What operators saw: an answer of the object API that did not end took 10 MB for its head and 64 MB for the body of a single object, whose value may have 1 MiB.

Change: a head may have 64 KiB with the interim answers before it, and the answer about one object 2 MiB, as much as a line of a watch. A list may have 64 MiB as before.

Result: the test passes.

--- a/internal/objecthttp/client.go
+++ b/internal/objecthttp/client.go
@@ -22,6 +22,8 @@
 	// maxIdleConnections bounds the connections that are kept open between calls.
 	maxIdleConnections    = 8
 	connectionIdleTimeout = 60 * time.Second
+	// maxHeadBytes bounds the head of an answer, together with the interim answers before it.
+	maxHeadBytes = 64 << 10
 )
 
 // Client implements objectapi.API over HTTP. It is safe for concurrent use.
@@ -43,6 +45,7 @@
 	return &Client{base: "http://" + address + PathPrefix, transport: &http.Transport{
 		DialContext: dial, ResponseHeaderTimeout: callTimeout, MaxConnsPerHost: maxConnections,
 		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: connectionIdleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
--- a/internal/objecthttp/endless_test.go
+++ b/internal/objecthttp/endless_test.go
@@ -70,6 +70,32 @@
 	return sent
 }
 
+// Guards against memory without a bound while the platform sends an answer without an end.
+func TestEndlessAnswersAreBounded(t *testing.T) {
+	for name, c := range map[string]struct {
+		part     endlessPart
+		accepted int
+	}{
+		"header line":     {endlessPart{start: "HTTP/1.1 200 OK\r\nA: ", repeated: "a"}, 256 << 10},
+		"interim answers": {endlessPart{repeated: "HTTP/1.1 103 Early Hints\r\n\r\n"}, 256 << 10},
+		"body":            {endlessPart{start: "HTTP/1.1 200 OK\r\n\r\n", repeated: " "}, 3 << 20},
+		"failure":         {endlessPart{start: "HTTP/1.1 500 Oops\r\n\r\n", repeated: " "}, 256 << 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withEndlessPlatform(t, c.part, func(t *testing.T, client *objecthttp.Client, ended <-chan int) {
+				_, err := client.Get(t.Context(), objectapi.Fleet, "a")
+				wantKind(t, err, fault.StoreUnavailable)
+				if sent := <-ended; sent > c.accepted {
+					t.Errorf("get: the platform could send %d bytes, at most %d are accepted", sent, c.accepted)
+				}
+				_, err = client.Create(t.Context(), objectapi.Fleet, "a", nil)
+				wantKind(t, err, fault.AmbiguousWrite)
+				<-ended
+			})
+		})
+	}
+}
+
 // Guards against a call or the start of a watch that never ends while the platform sends an answer byte by byte or stops in
 // the middle of one.
 func TestUnfinishedAnswersEndInTime(t *testing.T) {
--- a/internal/objecthttp/exchange.go
+++ b/internal/objecthttp/exchange.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	maxAnswerBytes  = 64 << 20
+	maxListBytes    = 64 << 20
+	maxObjectBytes  = maxLineBytes
 	maxProblemBytes = 16 << 10
 )
 
-var errAnswerTooLarge = errors.New("answer is larger than 64 MiB")
+var errAnswerTooLarge = errors.New("answer is too large")
 
 // do makes one call and decodes its answer into the target; with a nil target the body is ignored.
 func (c *Client) do(ctx context.Context, call apiCall, into any) error {
@@ -75,8 +76,12 @@
 	if into == nil {
 		return nil
 	}
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err == nil && len(text) > maxAnswerBytes {
+	limit := maxListBytes
+	if call.name != "" {
+		limit = maxObjectBytes
+	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
+	if err == nil && len(text) > limit {
 		err = errAnswerTooLarge
 	}
 	if err != nil {
