End a long answer when its caller leaves

What backend servers saw: after a caller had left in the middle of a long answer, the connection to the server stayed until the server sent enough for a write to the caller, or to the deadline of the request. The server worked on for nobody.

Cause: while the task of a caller's connection wrote an answer, it took up nothing that the reading goroutine reported, so the end of the connection showed only in a failed write.

Evidence, before the change (deadline 2 s, virtual time):

--- FAIL: TestCallerLeavingSilentStreamEndsIt the connection to the server ended after 2.02s 1 answers counted as cut off

Change: a long answer is written by a goroutine that has the writer for that time; the task goes on taking up requests and the end of the connection, which cancels the copy.

Result: the connection to the server ends with that of the caller. TestRequestsBehindStreamAreAnswered shows that requests which arrive meanwhile are answered in order; it passes before the change too. On the native path net/http cancels the context of a request whose caller leaves.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -213,7 +213,7 @@
 func (c *caller) writeAnswer(r reply) {
 	q := c.queue[0]
 	r.closing = r.closing || q.closing || isClosed(c.leaving) || r.endsWithConnection(&q)
-	err := r.write(c.writer, &q)
+	err := c.writeReply(&r, &q)
 	if err != nil && r.endsWithConnection(&q) {
 		c.resetOnClose()
 	}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -157,6 +157,21 @@
 	return response, string(text), err
 }
 
+// getWhile does the same for a caller of HTTP/1.1 that does something after it has read the head.
+func (s *streamTest) getWhile(path string, then func()) (*http.Response, string, error) {
+	s.t.Helper()
+	if _, err := fmt.Fprintf(s.caller, "GET %s HTTP/1.1\r\nHost: a.example\r\n\r\n", path); err != nil {
+		s.t.Fatal(err)
+	}
+	response, err := http.ReadResponse(s.reader, nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	then()
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
 var longBody = strings.Repeat("0123456789abcdef", 3*backend.MaxBufferedAnswerBytes/16)
 
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
@@ -341,3 +356,59 @@
 		<-s.served
 	})
 }
+
+// Guards against a backend server that works on for a caller that has left, while the rest of a long answer is awaited.
+func TestCallerLeavingSilentStreamEndsIt(t *testing.T) {
+	withStream(t, func(server net.Conn) {
+		_, _ = io.WriteString(server, chunkedAnswer+chunk(longBody))
+		start := time.Now()
+		_, _ = server.Read(make([]byte, 1)) // returns when the instance closes the connection
+		if elapsed := time.Since(start); elapsed > 0 {
+			t.Errorf("the connection to the server ended after %s", elapsed)
+		}
+	}, func(s *streamTest) {
+		if _, err := io.WriteString(s.caller, "GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _ = io.Copy(io.Discard, s.caller) }()
+		synctest.Wait()
+		_ = s.caller.Close()
+		<-s.served
+		<-s.ended
+		if n := s.counters.cutAnswers.Count(); n != 0 {
+			t.Errorf("%d answers counted as cut off", n)
+		}
+	})
+}
+
+// Guards against requests that are lost, or answered out of order, when they arrive while a long answer is written.
+func TestRequestsBehindStreamAreAnswered(t *testing.T) {
+	served := 0
+	withStream(t, func(server net.Conn) {
+		if served++; served > 1 {
+			_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext")
+			return
+		}
+		_, _ = io.WriteString(server, chunkedAnswer+chunk(longBody))
+		time.Sleep(time.Second)
+		_, _ = io.WriteString(server, "0\r\n\r\n")
+	}, func(s *streamTest) {
+		_, first, err := s.getWhile("/x", func() {
+			if _, err := io.WriteString(s.caller, strings.Repeat("GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n", 2)); err != nil {
+				t.Error(err)
+			}
+		})
+		if err != nil || first != longBody {
+			t.Errorf("%d bytes, error %v", len(first), err)
+		}
+		for range 2 {
+			response, err := http.ReadResponse(s.reader, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if text, err := io.ReadAll(response.Body); err != nil || string(text) != "next" {
+				t.Errorf("got %q, error %v", text, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/gateway/streaming.go
@@ -0,0 +1,28 @@
+package gateway
+
+// writeReply writes the reply to a request. While a long answer is written by another goroutine, which then owns the writer,
+// the task takes up what the caller sends, so that the end of the connection ends the answer.
+func (c *caller) writeReply(r *reply, q *pendingRequest) error {
+	if r.stream == nil {
+		return r.write(c.writer, q)
+	}
+	written := make(chan error, 1)
+	go func() { written <- r.write(c.writer, q) }()
+	for {
+		readEvents := c.readEvents
+		if len(c.queue) >= maxPipelined {
+			readEvents = nil
+		}
+		select {
+		case err := <-written:
+			return err
+		case m := <-readEvents:
+			if end, ok := m.(readEnd); ok {
+				c.cancel()
+				<-written // the cancelled copy ends the answer
+				return end.err
+			}
+			c.handle(m)
+		}
+	}
+}
