--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -31,7 +31,7 @@
 	pool      *task.Mailbox[any]
 	exchanges chan Exchange
 	machine   *chart.Machine[*connection]
-	socket    *countingConn
+	socket    *limitedConn
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	reusable  bool
@@ -102,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	c.socket = &countingConn{Conn: socket}
+	c.socket = &limitedConn{Conn: socket, readable: unlimitedBytes}
 	c.reader = bufio.NewReader(c.socket)
 	c.writer = bufio.NewWriter(c.socket)
 	return nil
@@ -177,6 +177,11 @@
 	// The caller may end its context as soon as it has a buffered answer; that must not close the connection. A streamed
 	// answer can be cancelled until its end.
 	cancelStopped := body.pipe == nil && stopCancel()
+	if body.pipe != nil { // a caller that does not read must not hold the connection after the context has ended
+		defer context.AfterFunc(exchange.Ctx, func() {
+			body.pipe.CloseWithError(errors.Join(errTruncated, context.Cause(exchange.Ctx)))
+		})()
+	}
 	exchange.Reply <- result
 	c.reusable = body.finish() && (cancelStopped || stopCancel())
 	if !c.reusable && exchange.Ctx.Err() != nil {
@@ -200,11 +205,15 @@
 	}
 	response, err := c.readAnswer(exchange.Request)
 	if err != nil {
-		return c.brokenResult(err), body{}
+		return c.brokenResult(c.socket.answerError(err)), body{}
 	}
 	result := Result{Fate: call.Answered, Elapsed: time.Since(start), ClosesConnection: response.Close}
 	c.codec.Decode(&result, response.StatusCode, response.Header)
 	c.keepAlive = keepAliveTimeout(response.Header)
+	if exchange.MaxBodyBytes > 0 {
+		c.socket.readable = exchange.MaxBodyBytes
+		defer func() { c.socket.readable = unlimitedBytes }()
+	}
 	return c.readBody(result, response)
 }
 
@@ -220,6 +229,7 @@
 
 // readAnswer reads the head of the answer to the request and skips answers to earlier requests.
 func (c *connection) readAnswer(req *call.Request) (*http.Response, error) {
+	foreignBytesLeft := maxForeignBytes
 	for range maxForeignAnswers {
 		response, err := c.readHead(req.Method)
 		if err != nil {
@@ -231,7 +241,7 @@
 		case UnprovenAnswer:
 			return nil, errUnproven
 		case ForeignAnswer:
-			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			if foreignBytesLeft, err = c.skipBody(response, foreignBytesLeft); err != nil {
 				return nil, err
 			}
 		}
@@ -239,14 +249,25 @@
 	return nil, errUnproven
 }
 
+// skipBody reads the body of an answer to an earlier request. It returns how much of the limit in bytes is left.
+func (c *connection) skipBody(response *http.Response, limit int) (int, error) {
+	c.socket.readable = limit
+	defer func() { c.socket.readable = unlimitedBytes }()
+	_, err := io.Copy(io.Discard, response.Body)
+	return c.socket.readable, err
+}
+
 // readHead reads the head of the next answer and skips interim (1xx) answers.
 func (c *connection) readHead(method string) (*http.Response, error) {
-	for {
+	c.socket.readable = maxHeadBytes
+	defer func() { c.socket.readable = unlimitedBytes }()
+	for range maxInterimAnswers + 1 {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
 	}
+	return nil, errTooLong
 }
 
 // keepAliveTimeout returns the idle timeout that a server announces in whole seconds; zero when it announces none.
@@ -276,7 +297,7 @@
 	answer := &call.Answer{Status: response.StatusCode, Header: decodeHeader(response.Header), Length: response.ContentLength}
 	prefix, err := io.ReadAll(io.LimitReader(response.Body, MaxBufferedAnswerBytes+1))
 	if err != nil {
-		return Result{Fate: call.MaybeRun, Err: errors.Join(errTruncated, err)}, body{}
+		return Result{Fate: call.MaybeRun, Err: errors.Join(errTruncated, c.socket.answerError(err))}, body{}
 	}
 	result.Answer = answer
 	if len(prefix) <= MaxBufferedAnswerBytes {
@@ -312,20 +333,8 @@
 	}
 	_, err := io.Copy(b.pipe, b.response.Body)
 	if err != nil {
-		b.pipe.CloseWithError(errors.Join(errTruncated, err))
+		b.pipe.CloseWithError(errors.Join(errTruncated, b.conn.socket.answerError(err)))
 		return false
 	}
 	return b.pipe.Close() == nil
 }
-
-// countingConn counts the bytes written, so that a request of which nothing was sent can be recognized.
-type countingConn struct {
-	net.Conn
-	written int
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.written += n
-	return n, err
-}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -18,7 +18,8 @@
 	maxPipelined = 64
 	// defaultIdleTimeout is the idle timeout of a connection before a configuration is known.
 	defaultIdleTimeout = 15 * time.Second
-	// writeTimeout is the maximum time for writing one answer, in case the caller does not read.
+	// writeTimeout is the maximum time for one write, in case the caller does not read. It is not the time of a whole answer,
+	// because a long one takes as long as the backend server sends it.
 	writeTimeout = 10 * time.Second
 	// writeBuffer is the size of the write buffer, enough for a typical answer head; longer answers are written in parts.
 	writeBuffer = 2 << 10
@@ -136,7 +137,7 @@
 }
 
 func (s *callerServer) newCaller(ctx context.Context, conn net.Conn) *caller {
-	c := &caller{callerServer: s, conn: conn, writer: bufio.NewWriterSize(conn, writeBuffer), readEvents: make(chan any, 1),
+	c := &caller{callerServer: s, conn: conn, writer: bufio.NewWriterSize(timedWriter{conn}, writeBuffer), readEvents: make(chan any, 1),
 		discarding: make(chan struct{}), idleSince: time.Now()}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.stopOrder, c.stopReading = context.WithCancel(c.ctx)
@@ -328,8 +329,10 @@
 func (c *caller) writeAnswer(r reply) {
 	q := c.queue[0]
 	r.closing = len(c.queue) == 1 && c.machine.In("closing")
-	r.unframed = q.http10
-	err := c.writeReply(&r, q.method)
+	err := c.writeReply(&r, &q)
+	if err != nil && r.endsWithConnection(&q) {
+		c.resetOnClose()
+	}
 	r.release()
 	c.queue = c.queue[1:]
 	c.idleSince = time.Now()
@@ -341,7 +344,7 @@
 	case err != nil:
 		c.unwritten = &q
 		c.endWith(endOfWrite(err), err, "disconnected")
-	case r.closing:
+	case len(c.queue) == 0 && c.machine.In("closing"):
 		c.endWith(cause, nil, "final_answer_written")
 	default:
 		c.endWith(cause, nil, "answer_written")
@@ -349,11 +352,14 @@
 	}
 }
 
-func (c *caller) writeReply(r *reply, method string) error {
-	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+// timedWriter limits the duration of each write.
+type timedWriter struct{ conn net.Conn }
+
+func (w timedWriter) Write(p []byte) (int, error) {
+	if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
 	}
-	return r.write(c.writer, method)
+	return w.conn.Write(p)
 }
 
 // sendContinue sends 100 Continue to a caller that waits for it, as soon as no answer is pending.
@@ -362,8 +368,6 @@
 		return
 	}
 	c.continuePending = false
-	// Without a new deadline, that of the last answer would fail this write and all later ones.
-	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // a broken connection is detected by the next read or write
 	if _, err := c.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err == nil {
 		_ = c.writer.Flush() // a broken connection is detected by the next read or write
 	}
@@ -390,6 +394,13 @@
 	_ = c.conn.Close() // an error of the close has no consequence
 }
 
+// resetOnClose makes closing the connection reset it, because an orderly end would make the answer look complete.
+func (c *caller) resetOnClose() {
+	if tcpConn, ok := c.conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcpConn.SetLinger(0) // fails only for a closed connection
+	}
+}
+
 func isClosed(c <-chan struct{}) bool {
 	select {
 	case <-c:
