Require the request's id of an answer on a reused connection

Callers saw: 503 with Retry-After, or a request that is not idempotent run at a second server, while the first server ran it. The server had written an earlier refusal once more on the kept connection, without the request id. Cause: Dialect.CheckOwnership took every answer without an id for the answer to the request in flight, a success with a signature included. It also read only the first of several id fields. The refusal of a health check, which never carries an id, could become the refusal of the next request on that connection in the same way. The first answer on a new connection needs no id, since nothing earlier can be repeated there. An answer with the id of another request is still skipped, so that a late one does not cost the own answer.

--- a/internal/backend/codec.go
+++ b/internal/backend/codec.go
@@ -19,8 +19,9 @@
 	// Decode stores the values that the server reports about itself and its answer in the result. It sets the fate
 	// DeclaredNotRun when the server declares that it did not run the request.
 	Decode(result *Result, status int, header http.Header)
-	// CheckOwnership decides whether an answer belongs to the request.
-	CheckOwnership(req *call.Request, status int, header http.Header) Ownership
+	// CheckOwnership decides whether an answer belongs to the request. If reused is true, the connection has carried other
+	// requests or answers before, and the server may have written an earlier answer once more.
+	CheckOwnership(req *call.Request, reused bool, status int, header http.Header) Ownership
 }
 
 // Ownership states whether an answer belongs to the request in flight.
@@ -58,7 +59,7 @@
 }
 
 // CheckOwnership accepts every answer, because these servers do not echo request ids.
-func (nativeCodec) CheckOwnership(*call.Request, int, http.Header) Ownership { return OwnAnswer }
+func (nativeCodec) CheckOwnership(*call.Request, bool, int, http.Header) Ownership { return OwnAnswer }
 
 // encode builds the HTTP request for the backend server.
 func encode(codec Codec, req *call.Request, now time.Time) *http.Request {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -35,6 +35,8 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	reusable  bool
+	// reused is true when the connection has carried a request or an answer before the one in progress.
+	reused bool
 	// keepAlive is the idle timeout that the server announced; zero when it announced none.
 	keepAlive time.Duration
 	// retirementOffered is true when the connection has been offered to the pool for retirement since its last exchange.
@@ -199,6 +201,7 @@
 		return c.brokenResult(err), body{}
 	}
 	response, err := c.readAnswer(exchange.Request)
+	c.reused = true
 	if err != nil {
 		return c.brokenResult(err), body{}
 	}
@@ -225,12 +228,13 @@
 		if err != nil {
 			return nil, err
 		}
-		switch c.codec.CheckOwnership(req, response.StatusCode, response.Header) {
+		switch c.codec.CheckOwnership(req, c.reused, response.StatusCode, response.Header) {
 		case OwnAnswer:
 			return response, nil
 		case UnprovenAnswer:
 			return nil, errUnproven
 		case ForeignAnswer:
+			c.reused = true
 			if _, err := io.Copy(io.Discard, response.Body); err != nil {
 				return nil, err
 			}
