Close a connection after a refusal that does not name its request

Callers saw: a once-only request refused as not run, its claim released, and the request run again after they repeated it, because the backend server had written an earlier refusal once more on the kept connection while it ran the request. The servers of the product's own mode do not echo request ids, so the repeated refusal passed for the refusal of the next request. Cause: a connection that had carried a refusal without an id was used again. On the platform, whose servers echo the id, only a refusal without an id on a new connection is affected. Price: a server of the own mode gets a new connection after each request that it declines.

--- a/internal/backend/codec.go
+++ b/internal/backend/codec.go
@@ -31,6 +31,8 @@
 const (
 	// OwnAnswer is the answer to the request.
 	OwnAnswer Ownership = iota
+	// UnidentifiedAnswer counts as the answer to the request, although it does not name the request.
+	UnidentifiedAnswer
 	// ForeignAnswer is a complete answer to an earlier request; the answer to this request may follow.
 	ForeignAnswer
 	// UnprovenAnswer is an answer without evidence that it belongs to the request.
@@ -59,7 +61,9 @@
 }
 
 // CheckOwnership accepts every answer, because these servers do not echo request ids.
-func (nativeCodec) CheckOwnership(*call.Request, bool, int, http.Header) Ownership { return OwnAnswer }
+func (nativeCodec) CheckOwnership(*call.Request, bool, int, http.Header) Ownership {
+	return UnidentifiedAnswer
+}
 
 // encode builds the HTTP request for the backend server.
 func encode(codec Codec, req *call.Request, now time.Time) *http.Request {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -200,7 +200,7 @@
 	if err := c.write(exchange.Request, start); err != nil {
 		return c.brokenResult(err), body{}
 	}
-	response, err := c.readAnswer(exchange.Request)
+	response, ownership, err := c.readAnswer(exchange.Request)
 	c.reused = true
 	if err != nil {
 		return c.brokenResult(err), body{}
@@ -208,7 +208,10 @@
 	result := Result{Fate: call.Answered, Elapsed: time.Since(start), ClosesConnection: response.Close}
 	c.codec.Decode(&result, response.StatusCode, response.Header)
 	c.keepAlive = keepAliveTimeout(response.Header)
-	return c.readBody(result, response)
+	result, rest := c.readBody(result, response)
+	// A server may write a refusal once more. Without an id it would pass for the refusal of the next request.
+	rest.isLast = result.Fate == call.DeclaredNotRun && ownership == UnidentifiedAnswer
+	return result, rest
 }
 
 func (c *connection) write(req *call.Request, now time.Time) error {
@@ -222,25 +225,25 @@
 const maxForeignAnswers = 4
 
 // readAnswer reads the head of the answer to the request and skips answers to earlier requests.
-func (c *connection) readAnswer(req *call.Request) (*http.Response, error) {
+func (c *connection) readAnswer(req *call.Request) (*http.Response, Ownership, error) {
 	for range maxForeignAnswers {
 		response, err := c.readHead(req.Method)
 		if err != nil {
-			return nil, err
+			return nil, UnprovenAnswer, err
 		}
-		switch c.codec.CheckOwnership(req, c.reused, response.StatusCode, response.Header) {
-		case OwnAnswer:
-			return response, nil
+		switch ownership := c.codec.CheckOwnership(req, c.reused, response.StatusCode, response.Header); ownership {
+		case OwnAnswer, UnidentifiedAnswer:
+			return response, ownership, nil
 		case UnprovenAnswer:
-			return nil, errUnproven
+			return nil, ownership, errUnproven
 		case ForeignAnswer:
 			c.reused = true
 			if _, err := io.Copy(io.Discard, response.Body); err != nil {
-				return nil, err
+				return nil, ownership, err
 			}
 		}
 	}
-	return nil, errUnproven
+	return nil, UnprovenAnswer, errUnproven
 }
 
 // readHead reads the head of the next answer and skips interim (1xx) answers.
@@ -299,6 +302,8 @@
 	buffered bool
 	prefix   []byte
 	pipe     *io.PipeWriter
+	// isLast is true when the connection carries no exchange after this one.
+	isLast bool
 }
 
 // finish streams the rest of the body and reports whether the connection may carry another exchange.
@@ -307,7 +312,7 @@
 		return false
 	}
 	delivered := b.buffered || b.stream()
-	return delivered && !b.response.Close && b.conn.reader.Buffered() == 0
+	return delivered && !b.isLast && !b.response.Close && b.conn.reader.Buffered() == 0
 }
 
 func (b body) stream() bool {
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -325,3 +325,30 @@
 		t.Fatalf("header %v", got)
 	}
 }
+
+// Guards against a repeated refusal that says "not run" of the next request on the same connection, which the server runs.
+func TestRepeatedRefusalIsNotTheAnswerToTheNextRequest(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nBackend-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
+	ran := make(chan string, 2)
+	address := scriptedServer(t, func(number int, c net.Conn, r *bufio.Reader) {
+		for path, more := readRequest(r); more; path, more = readRequest(r) {
+			if path == "/first" {
+				write(c, refusal)
+				continue
+			}
+			ran <- path
+			if number == 1 {
+				write(c, refusal)
+			}
+			write(c, okAnswer(path))
+		}
+	})
+	p := startPool(t, address, backend.PoolSize{MaxConnections: 1})
+	if first := p.Do(t.Context(), getRequest("/first")); first.Fate != call.DeclaredNotRun {
+		t.Fatalf("first: %+v", first)
+	}
+	second := p.Do(t.Context(), getRequest("/second"))
+	if second.Fate != call.Answered || body(second) != "/second" || len(ran) != 1 {
+		t.Errorf("second: fate %v, body %q; the server ran %d requests", second.Fate, body(second), len(ran))
+	}
+}
--- a/internal/node/claims_test.go
+++ b/internal/node/claims_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"log/slog"
 	"net/http"
 	"testing"
@@ -180,3 +181,40 @@
 		i.shutDown()
 	})
 }
+
+// Guards against a claim that is released, so that its request runs again, because the backend server repeated an earlier
+// refusal while it ran the request.
+func TestRepeatedRefusalReleasesNoClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		runs := map[string]int{}
+		_, i := startSingle(t, new(int), func(c *cluster) {
+			c.servers.repeatRefusals = true
+			c.servers.serve = func(_ string, r *http.Request, _ string) serverResponse {
+				key := r.Header.Get("Idempotency-Key")
+				if key == "declined" {
+					return serverResponse{status: 503, notRun: true}
+				}
+				runs[key]++
+				return serverResponse{status: 200, body: key}
+			}
+		})
+		for n := range 20 {
+			_, _ = i.server.Do(t.Context(), onceRequest("declined", fmt.Sprint("d", n), time.Second)) // the refusal is repeated later
+			key := fmt.Sprint("key-", n)
+			for try := range 3 {
+				_, err := i.server.Do(t.Context(), onceRequest(key, fmt.Sprint(key, "#", try), time.Second))
+				if err == nil {
+					break
+				}
+				if e := fault.As(err); e.NotRun && runs[key] > 0 {
+					t.Errorf("%s, attempt %d: refused as not run after %d runs", key, try, runs[key])
+				}
+				time.Sleep(time.Second)
+			}
+			if runs[key] != 1 {
+				t.Errorf("%s ran %d times", key, runs[key])
+			}
+		}
+		i.shutDown()
+	})
+}
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -265,6 +265,8 @@
 	down         map[string]bool
 	sockets      map[string][]net.Conn
 	serve        func(server string, r *http.Request, body string) serverResponse
+	// repeatRefusals makes the servers write each refusal once more when the next request arrives on its connection.
+	repeatRefusals bool
 }
 
 // serverResponse is how a request ends at a backend server.
@@ -315,6 +317,7 @@
 func (f *fakeServers) serveConn(address string, socket net.Conn) {
 	defer func() { _ = socket.Close() }()
 	reader := bufio.NewReader(socket)
+	var refusal *serverResponse
 	for {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -325,6 +328,13 @@
 			return
 		}
 		response := f.serve(address, r, string(body))
+		if refusal != nil && !f.answer(address, socket, *refusal) {
+			return
+		}
+		refusal = nil
+		if f.repeatRefusals && response.notRun {
+			refusal = &response
+		}
 		if response.crashFor > 0 {
 			f.crash(address, response.crashFor)
 		}
