Send a refused request again on another connection only

Callers would see: "not run" for a request that a server runs, when a request with the same id is sent to the server once more on the connection on which it refused the first, and the server repeats that refusal. The id can't tell the copies apart. One attempt of a caller never reaches a server twice (isEligible skips the servers that were tried), so this needs a caller that uses an id again. Evidence, before the fix: TestRefusedRequestGetsAnotherConnection: copy 2: fate declared-not-run, error <nil> Change: a connection keeps hashes of the ids that were refused on it. It hands an exchange with such an id back to its pool and closes, so that another connection takes it.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -37,6 +37,8 @@
 	reusable  bool
 	// reused is true when the connection has carried a request or an answer before the one in progress.
 	reused bool
+	// refused holds the requests that the server refused on this connection.
+	refused refusedIDs
 	// keepAlive is the idle timeout that the server announced; zero when it announced none.
 	keepAlive time.Duration
 	// retirementOffered is true when the connection has been offered to the pool for retirement since its last exchange.
@@ -173,6 +175,11 @@
 		exchange.Reply <- Result{Fate: call.NotSent, Err: errClosedWhileIdle}
 		return
 	}
+	if c.refused.contains(exchange.Request.ID) {
+		c.fire("broken") // that refusal, written once more, would pass for the answer
+		c.notifyPool(exchange)
+		return
+	}
 	c.socket.written = 0
 	stopCancel := context.AfterFunc(exchange.Ctx, func() { _ = c.socket.SetDeadline(time.Unix(1, 0)) })
 	result, body := c.roundTrip(exchange)
@@ -209,8 +216,7 @@
 	c.codec.Decode(&result, response.StatusCode, response.Header)
 	c.keepAlive = keepAliveTimeout(response.Header)
 	result, rest := c.readBody(result, response)
-	// A server may write a refusal once more. Without an id it would pass for the refusal of the next request.
-	rest.isLast = result.Fate == call.DeclaredNotRun && ownership == UnidentifiedAnswer
+	rest.isLast = result.Fate == call.DeclaredNotRun && !c.recordRefusal(exchange.Request, ownership)
 	return result, rest
 }
 
