Log and count the foreign answers of backend servers

Operators saw: nothing when a backend server sent an answer that belongs to another request. A skipped one left no trace; one that ended the connection looked like any lost answer, and one that came while the connection was idle like a closed connection. Change: a result carries the number of foreign answers that its exchange met: those of another request, those that nothing shows to belong to the request, and bytes behind the complete answer or before the request. The gateway logs them with the ids of the server and the request ("backend server sent foreign answers") and counts them (gateway.foreign_answers), for copies that it no longer waits for and for health checks too.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -39,6 +39,8 @@
 	reused bool
 	// refused holds the requests that the server refused on this connection.
 	refused refusedIDs
+	// foreignAnswers counts the foreign answers that the exchange in progress met.
+	foreignAnswers int
 	// keepAlive is the idle timeout that the server announced; zero when it announced none.
 	keepAlive time.Duration
 	// retirementOffered is true when the connection has been offered to the pool for retirement since its last exchange.
@@ -170,9 +172,10 @@
 func (c *connection) runExchange(exchange Exchange) {
 	c.fire("exchange")
 	c.retirementOffered = false
-	if isStale(c.socket.Conn) || c.reader.Buffered() > 0 {
+	c.foreignAnswers = 0
+	if err := c.checkIdle(); err != nil {
 		c.fire("broken")
-		exchange.Reply <- Result{Fate: call.NotSent, Err: errClosedWhileIdle}
+		exchange.Reply <- Result{Fate: call.NotSent, Err: err, ForeignAnswers: c.foreignAnswers}
 		return
 	}
 	if c.refused.contains(exchange.Request.ID) {
@@ -186,6 +189,10 @@
 	// The caller may end its context as soon as it has a buffered answer; that must not close the connection. A streamed
 	// answer can be cancelled until its end.
 	cancelStopped := body.pipe == nil && stopCancel()
+	if body.buffered && c.reader.Buffered() > 0 {
+		c.foreignAnswers++ // surplus bytes behind the complete answer
+	}
+	result.ForeignAnswers = c.foreignAnswers
 	exchange.Reply <- result
 	c.reusable = body.finish() && (cancelStopped || stopCancel())
 	if !c.reusable && exchange.Ctx.Err() != nil {
@@ -195,10 +202,21 @@
 	c.fire("finished")
 }
 
+// checkIdle returns an error if the idle connection must not be used, and counts an unsolicited answer.
+func (c *connection) checkIdle() error {
+	err := checkIdle(c.socket.Conn)
+	if c.reader.Buffered() > 0 {
+		err = errUnsolicited
+	}
+	if err == errUnsolicited {
+		c.foreignAnswers++
+	}
+	return err
+}
+
 var (
-	errClosedWhileIdle = errors.New("backend server closed the connection while it was idle")
-	errTruncated       = errors.New("answer of the backend server is truncated")
-	errUnproven        = errors.New("answer of the backend server does not show that it belongs to the request")
+	errTruncated = errors.New("answer of the backend server is truncated")
+	errUnproven  = errors.New("answer of the backend server does not show that it belongs to the request")
 )
 
 // roundTrip writes the request and reads the answer. The body holds the part that is streamed after the reply.
@@ -241,8 +259,10 @@
 		case OwnAnswer, UnidentifiedAnswer:
 			return response, ownership, nil
 		case UnprovenAnswer:
+			c.foreignAnswers++
 			return nil, ownership, errUnproven
 		case ForeignAnswer:
+			c.foreignAnswers++
 			c.reused = true
 			if _, err := io.Copy(io.Discard, response.Body); err != nil {
 				return nil, ownership, err
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -117,7 +117,13 @@
 			}
 			close(answered)
 			<-unsolicitedSent
-			second := doUntilSent(t, p, getRequest("/second"))
+			second := p.Do(t.Context(), getRequest("/second"))
+			if reported := first.ForeignAnswers + second.ForeignAnswers; reported != 1 {
+				t.Errorf("%d foreign answers are reported, want 1", reported)
+			}
+			if second.Fate == call.NotSent {
+				second = doUntilSent(t, p, getRequest("/second"))
+			}
 			if second.Fate != call.Answered || string(second.Answer.Body) != "/second" {
 				t.Fatalf("second caller got %q, fate %v, error %v", body(second), second.Fate, second.Err)
 			}
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
@@ -44,7 +43,7 @@
 		return ProbeResult{ConnectionRefused: !timedOut(ctx, second.Err)}
 	}
 	result := answeredResult(second)
-	result.ConnectionRefused = result.Incarnation == "" && !errors.Is(first.Err, errClosedWhileIdle)
+	result.ConnectionRefused = result.Incarnation == "" && !endedWhileIdle(first.Err)
 	return result
 }
 
--- a/internal/backend/stale.go
+++ b/internal/backend/stale.go
@@ -1,27 +1,46 @@
 package backend
 
 import (
+	"errors"
 	"net"
 	"syscall"
 )
 
-// isStale reports whether an idle connection has been closed by the server or holds unsolicited bytes. It does not
+var (
+	errClosedWhileIdle = errors.New("backend server closed the connection while it was idle")
+	errUnsolicited     = errors.New("backend server sent an answer while the connection was idle")
+)
+
+// endedWhileIdle reports whether an exchange was not sent because of what the server did on the idle connection.
+func endedWhileIdle(err error) bool {
+	return errors.Is(err, errClosedWhileIdle) || errors.Is(err, errUnsolicited)
+}
+
+// checkIdle returns an error if an idle connection has been closed by the server or holds unsolicited bytes. It does not
 // block. Connections without a file descriptor, as in tests, count as usable.
-func isStale(socket net.Conn) bool {
+func checkIdle(socket net.Conn) error {
 	withDescriptor, ok := socket.(syscall.Conn)
 	if !ok {
-		return false
+		return nil
 	}
 	raw, err := withDescriptor.SyscallConn()
 	if err != nil {
-		return true
+		return errClosedWhileIdle
 	}
-	var unusable bool
+	var found error
 	err = raw.Read(func(descriptor uintptr) bool {
 		var peeked [1]byte
 		n, _, err := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		unusable = n > 0 || err != syscall.EAGAIN
+		switch {
+		case n > 0:
+			found = errUnsolicited
+		case err != syscall.EAGAIN:
+			found = errClosedWhileIdle
+		}
 		return true
 	})
-	return err != nil || unusable
+	if err != nil {
+		return errClosedWhileIdle
+	}
+	return found
 }
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -14,6 +14,8 @@
 	// resent counts copies after the first, hedged those that were sent while another was in flight, and resendRefused those
 	// that the resend budget did not allow.
 	resent, hedged, resendRefused metrics.Counter
+	// foreignAnswers counts answers of backend servers that belong to another request, to none, or to an unknown one.
+	foreignAnswers metrics.Counter
 	// checks counts health checks of backend servers.
 	checks metrics.Counter
 	// callers is the number of open caller connections, placing the number of placements that wait for load reports.
@@ -33,20 +35,21 @@
 
 func newCounters(registry metrics.Registry) *counters {
 	return &counters{
-		registry:      registry,
-		requests:      metrics.GetOrRegisterCounter("gateway.requests", registry),
-		answered:      metrics.GetOrRegisterCounter("gateway.answered", registry),
-		refused:       metrics.GetOrRegisterCounter("gateway.refused", registry),
-		failed:        metrics.GetOrRegisterCounter("gateway.failed", registry),
-		expired:       metrics.GetOrRegisterCounter("gateway.expired", registry),
-		abandoned:     metrics.GetOrRegisterCounter("gateway.abandoned", registry),
-		resent:        metrics.GetOrRegisterCounter("gateway.resent", registry),
-		hedged:        metrics.GetOrRegisterCounter("gateway.hedged", registry),
-		resendRefused: metrics.GetOrRegisterCounter("gateway.resend_refused", registry),
-		checks:        metrics.GetOrRegisterCounter("gateway.checks", registry),
-		callers:       metrics.GetOrRegisterGauge("gateway.callers", registry),
-		placing:       metrics.GetOrRegisterGauge("gateway.placing", registry),
-		newsAge:       metrics.GetOrRegisterGauge("gateway.news_age_ms", registry),
+		registry:       registry,
+		requests:       metrics.GetOrRegisterCounter("gateway.requests", registry),
+		answered:       metrics.GetOrRegisterCounter("gateway.answered", registry),
+		refused:        metrics.GetOrRegisterCounter("gateway.refused", registry),
+		failed:         metrics.GetOrRegisterCounter("gateway.failed", registry),
+		expired:        metrics.GetOrRegisterCounter("gateway.expired", registry),
+		abandoned:      metrics.GetOrRegisterCounter("gateway.abandoned", registry),
+		resent:         metrics.GetOrRegisterCounter("gateway.resent", registry),
+		hedged:         metrics.GetOrRegisterCounter("gateway.hedged", registry),
+		resendRefused:  metrics.GetOrRegisterCounter("gateway.resend_refused", registry),
+		foreignAnswers: metrics.GetOrRegisterCounter("gateway.foreign_answers", registry),
+		checks:         metrics.GetOrRegisterCounter("gateway.checks", registry),
+		callers:        metrics.GetOrRegisterGauge("gateway.callers", registry),
+		placing:        metrics.GetOrRegisterGauge("gateway.placing", registry),
+		newsAge:        metrics.GetOrRegisterGauge("gateway.news_age_ms", registry),
 		time: metrics.GetOrRegisterHistogram("gateway.time_us", registry,
 			metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)),
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -232,6 +232,7 @@
 // handleCopyResult returns the grant of the copy, records its result and fires the event for it.
 func (f *forward) handleCopyResult(m copyResult) {
 	event := f.resultEvent(m.result)
+	reportForeignAnswers(f.log, f.counters, m.grant.entry.ID, f.request.ID, m.result)
 	f.notifyDirector(grantRelease{grant: m.grant, result: m.result, succeeded: event == "answered"})
 	switch event {
 	case "answered":
@@ -356,7 +357,7 @@
 	if copies == 0 && !placing {
 		return
 	}
-	events, director := f.events, f.director
+	events, director, log, counters, id := f.events, f.director, f.log, f.counters, f.request.ID
 	go func() {
 		for copies > 0 || placing {
 			switch m := (<-events).(type) {
@@ -367,6 +368,7 @@
 				placing = false
 			case copyResult:
 				copies--
+				reportForeignAnswers(log, counters, m.grant.entry.ID, id, m.result)
 				discard(m.result)
 				_ = director.Send(context.Background(), grantRelease{grant: m.grant, result: m.result, cancelled: true}) // same
 			}
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -172,6 +172,7 @@
 
 // applyCheck applies the result of a health check.
 func (d *director) applyCheck(ctx context.Context, now time.Time, m checkResult) {
+	reportForeignAnswers(d.log, d.counters, m.server.entry.ID, "", m.result)
 	wasUnresponsive := m.server.unresponsive
 	m.server.applyCheck(now, m.result)
 	if m.server.crashChecksLeft > 0 {
