Free the connection after a refusal with a long body

Callers saw: nothing at first; each such refusal took one of the few connections to the server for good, until requests waited for a connection that never came. The pool did not stop either when its server was removed. Cause: an answer above 64 KiB is streamed through a pipe, but nobody reads or closes the answer of a request that was declared not run, neither the gateway nor the task of a request of the own mode. The connection waited for a reader. Evidence, before the fix: TestLongRefusalFreesConnection hangs (panic: test timed out after 10s). Change: the body of a long refusal is not streamed; the connection is closed. Result: the test passes, backend and gateway also with -race, node and platform without.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -316,6 +316,9 @@
 		answer.Body = prefix
 		return result, body{conn: c, response: response, buffered: true}
 	}
+	if result.Fate == call.DeclaredNotRun {
+		return result, body{} // nobody reads the body of a refusal
+	}
 	reader, writer := io.Pipe()
 	answer.Stream = reader
 	return result, body{conn: c, response: response, prefix: prefix, pipe: writer}
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -358,3 +358,24 @@
 		t.Errorf("second: fate %v, body %q; the server ran %d requests", second.Fate, body(second), len(ran))
 	}
 }
+
+// Guards against a connection that stays busy, or a pool that never stops, after a refusal whose long body nobody reads.
+func TestLongRefusalFreesConnection(t *testing.T) {
+	address := scriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for path, more := readRequest(r); more; path, more = readRequest(r) {
+			if path == "/refused" {
+				text := strings.Repeat("x", 4*backend.MaxBufferedAnswerBytes)
+				write(c, fmt.Sprintf("HTTP/1.1 503 X\r\nBackend-Not-Run: true\r\nContent-Length: %d\r\n\r\n%s", len(text), text))
+				continue
+			}
+			write(c, okAnswer(path))
+		}
+	})
+	p := startPool(t, address, backend.PoolSize{MaxConnections: 1})
+	if refused := p.Do(t.Context(), getRequest("/refused")); refused.Fate != call.DeclaredNotRun {
+		t.Fatalf("refused: fate %v, error %v", refused.Fate, refused.Err)
+	}
+	if next := p.Do(t.Context(), getRequest("/next")); body(next) != "/next" {
+		t.Fatalf("next caller got %q, fate %v", body(next), next.Fate)
+	}
+}
