--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -172,6 +172,7 @@
 
 // applyCheck applies the result of a health check.
 func (d *director) applyCheck(ctx context.Context, now time.Time, m checkResult) {
+	reportForeignAnswers(d.log, d.counters, m.server.entry.ID, "", m.result)
 	wasUnresponsive := m.server.unresponsive
 	d.noteInvalidAnswer(m.server, m.result)
 	m.server.applyCheck(now, m.result)
