Pass on no undeclared refusal of a request that may have run

Callers saw: 503, 429 or 408 of a backend server that did not declare that it had not run the request. To callers of the platform these statuses promise that the request has not run, so a request that is not idempotent could run twice. Cause: every answer without X-Fuchsiahub-Not-Executed was passed on with its status. Evidence, before the fix: TestUndeclaredRefusalIsNoPromise: caller got 408, 429 and 503 for a request that ran. Change: for a route that is not idempotent such an answer counts as lost: 502, outcome unknown, and no other server gets the request. Idempotent routes are as before. Result: the test passes, with the other tests of refusals also with -race.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -74,6 +74,9 @@
 	ServerID string
 	// ClosesConnection is true when the server closes the connection after the answer.
 	ClosesConnection bool
+	// UndeclaredRefusal is true when callers take the status for a promise that the request did not run, and the server does
+	// not declare it.
+	UndeclaredRefusal bool
 	// ForeignAnswers counts the answers on the connection that belong to another request, to none, or to an unknown one.
 	ForeignAnswers int
 	// Elapsed is the time from the first byte of the request to the head of the answer.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -286,6 +286,10 @@
 	event := f.resultEvent(m.result)
 	reportForeignAnswers(f.log, f.counters, m.grant.entry.ID, f.request.ID, m.result)
 	f.notifyDirector(grantRelease{grant: m.grant, result: m.result, succeeded: event == "answered"})
+	if event == "lost" && m.result.UndeclaredRefusal {
+		discard(m.result)
+		m.result.Err = errUndeclaredRefusal
+	}
 	switch event {
 	case "answered":
 		if f.answer != nil {
@@ -312,12 +316,14 @@
 	f.fire(event)
 }
 
+var errUndeclaredRefusal = errors.New("backend server refused the request without declaring that it did not run it")
+
 // resultEvent returns the chart event for the result of a copy.
 func (f *forward) resultEvent(r backend.Result) string {
 	switch {
 	case r.Fate.SurelyNotRun():
 		return "not_run"
-	case r.Answer == nil:
+	case r.Answer == nil || r.UndeclaredRefusal && !f.route.Idempotent:
 		return "lost"
 	case r.Answer.Status >= http.StatusInternalServerError:
 		return "failed_answer"
