--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -191,6 +191,33 @@
 	}
 }
 
+// Guards against a drain that loses the first byte of a request, which the server read before it had finished the answer to
+// the request before.
+func TestDrainAnswersRequestBegunBeforeLastAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		d := newDrainTest(t)
+		d.servers.callers.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-release
+			w.WriteHeader(http.StatusAccepted)
+		})
+		conn, reader := d.connect(t)
+		sendText(t, conn, drainPost)
+		sendText(t, conn, drainPost[:1])
+		close(release)
+		expectAccepted(t, reader)
+		drained := make(chan error, 1)
+		go func() { drained <- d.servers.drain(context.Background()) }()
+		time.Sleep(time.Second)
+		sendText(t, conn, drainPost[1:])
+		expectAccepted(t, reader)
+		if err := <-drained; err != nil {
+			t.Errorf("drain: %v", err)
+		}
+	})
+}
+
 // Guards against a drain that waits for connections without a request.
 func TestDrainClosesIdleConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
