Answer a request whose first bytes arrive before the idle timeout

Callers of the daemon lost a request of which one to three bytes had arrived when the idle timeout of 75 s passed.

Cause: net/http's server waits for four bytes under the idle timeout. Change: when that wait ends and a request has begun on a kept connection, the header timeout starts, once.

Before: "connection was closed within a request", "connection ended without an answer: unexpected EOF" (TestRequestBegunBeforeIdleTimeoutIsAnswered). It passes now; TestSlowHeadEndsConnection bounds a slow head as before.

--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -75,6 +75,8 @@
 	forgetStop  func() bool
 	// idle is true while the server waits for a request or reads its head, begun when the first byte has arrived.
 	idle, begun atomic.Bool
+	// kept is true when a request has been answered.
+	kept atomic.Bool
 	// early is true when the first byte of the next request arrived before the answer to the last one was finished.
 	early atomic.Bool
 	// deadlines counts the deadlines that the server has set since the connection became idle.
@@ -96,6 +98,7 @@
 	case http.StateIdle:
 		c.begun.Store(c.early.Swap(false))
 		c.deadlines.Store(0)
+		c.kept.Store(true)
 		c.idle.Store(true)
 	case http.StateActive:
 		c.idle.Store(false)
@@ -127,6 +130,11 @@
 
 // nextDeadline returns the deadline of another read after one has failed. It returns false if the read has to fail.
 func (c *callerConn) nextDeadline() (time.Time, bool) {
+	if c.endsWait() {
+		headerEnd := time.Now().Add(headerTimeout)
+		c.deadline.Store(&headerEnd)
+		return headerEnd, true
+	}
 	if c.stopping.Load() && c.hasRequest() { // the order to stop may have come after the first byte
 		if deadline := c.deadline.Load(); deadline == nil {
 			return time.Time{}, true
@@ -138,6 +146,12 @@
 	return time.Now().Add(lookTime), known && unread
 }
 
+// endsWait reports whether a request had begun when the wait for it ended, and counts that as the second deadline. The server
+// waits for four bytes under the idle timeout.
+func (c *callerConn) endsWait() bool {
+	return c.kept.Load() && c.idle.Load() && c.begun.Load() && c.deadlines.CompareAndSwap(1, 2)
+}
+
 func (c *callerConn) hasRequest() bool { return c.begun.Load() || !c.idle.Load() }
 
 // SetReadDeadline implements net.Conn. The server sets one deadline for the first byte of a request and a second one when a
--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -218,6 +218,37 @@
 	})
 }
 
+// Guards against an idle timeout that closes a connection on which a request has begun: the server waits for four bytes.
+func TestRequestBegunBeforeIdleTimeoutIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrainTest(t)
+		conn, reader := d.connect(t)
+		sendText(t, conn, drainPost)
+		expectAccepted(t, reader)
+		time.Sleep(idleTimeout - time.Second)
+		sendText(t, conn, drainPost[:1])
+		time.Sleep(2 * time.Second)
+		sendText(t, conn, drainPost[1:])
+		expectAccepted(t, reader)
+	})
+}
+
+// Guards against a caller that keeps a connection open by sending a head slowly.
+func TestSlowHeadEndsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrainTest(t)
+		conn, reader := d.connect(t)
+		start := time.Now()
+		sendText(t, conn, drainPost[:20])
+		if _, err := io.Copy(io.Discard, reader); err != nil { // the server may send an error answer
+			t.Errorf("connection did not end: %v", err)
+		}
+		if elapsed := time.Since(start); elapsed > headerTimeout+time.Second {
+			t.Errorf("connection ended after %v", elapsed)
+		}
+	})
+}
+
 // Guards against a drain that waits for connections without a request.
 func TestDrainClosesIdleConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
