--- /dev/null
+++ b/internal/backend/limits.go
@@ -0,0 +1,75 @@
+package backend
+
+import (
+	"errors"
+	"net"
+	"strings"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+)
+
+const (
+	// maxHeadBytes is the maximum size of the head of an answer, together with the interim answers before it.
+	maxHeadBytes = 32 << 10
+	// maxInterimAnswers is the maximum number of interim (1xx) answers before an answer.
+	maxInterimAnswers = 8
+	// maxForeignBytes is the maximum size of the bodies of all answers to earlier requests that are skipped in one exchange,
+	// with their chunk framing.
+	maxForeignBytes = 1 << 20
+	// maxCheckBodyBytes is the maximum size of the body of the answer to a health check, with its chunk framing.
+	maxCheckBodyBytes = 16 << 10
+	// maxErrorBytes is the maximum size of the text of an error that may quote what a server sent.
+	maxErrorBytes = 256
+	// unlimitedBytes turns the limit of a limitedConn off.
+	unlimitedBytes = -1
+)
+
+var errTooLong = errors.New("answer is too long")
+
+// IsInvalidAnswer reports whether an exchange ended because of the bytes that the server sent, and not because the
+// connection broke or the time was over.
+func IsInvalidAnswer(err error) bool { return fault.Is(err, fault.BadBackend) }
+
+// limitedConn limits the bytes that are read, and counts those that were written, so that a request of which nothing was
+// sent can be recognized.
+type limitedConn struct {
+	net.Conn
+	written int
+	// readable is the number of bytes that may still be read, or unlimitedBytes.
+	readable int
+	// readFailed is true when a read has failed for a reason other than the limit.
+	readFailed bool
+}
+
+// Read fails when more bytes are wanted than may be read.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	if c.readable == 0 {
+		return 0, errTooLong
+	}
+	if c.readable > 0 {
+		p = p[:min(len(p), c.readable)]
+	}
+	n, err := c.Conn.Read(p)
+	if c.readable > 0 {
+		c.readable -= n
+	}
+	c.readFailed = c.readFailed || err != nil
+	return n, err
+}
+
+func (c *limitedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += n
+	return n, err
+}
+
+// answerError returns the error of an answer that could not be read. Without a failed read the bytes are the cause.
+func (c *limitedConn) answerError(err error) error {
+	if c.readFailed {
+		return err
+	}
+	if text := err.Error(); len(text) > maxErrorBytes {
+		err = errors.New(strings.ToValidUTF8(text[:maxErrorBytes], "") + "...")
+	}
+	return fault.Wrap(err, fault.BadBackend, "correct the server", "bytes of the backend server are no answer to the request")
+}
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -54,7 +54,10 @@
 // endOfWrite returns the cause for an error of writing an answer.
 func endOfWrite(err error) ending {
 	var stream streamError
+	var callerEnd callerEndError
 	switch {
+	case errors.As(err, &callerEnd):
+		return endOfRead(callerEnd.error)
 	case errors.As(err, &stream):
 		return endStream
 	case isUnreachable(err):
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -173,6 +173,7 @@
 // applyCheck applies the result of a health check.
 func (d *director) applyCheck(ctx context.Context, now time.Time, m checkResult) {
 	wasUnresponsive := m.server.unresponsive
+	d.noteInvalidAnswer(m.server, m.result)
 	m.server.applyCheck(now, m.result)
 	if m.server.crashChecksLeft > 0 {
 		d.checkForCrash(ctx, now, m)
@@ -188,7 +189,7 @@
 func (d *director) checkForCrash(ctx context.Context, now time.Time, m checkResult) {
 	d.crashes.serverChecked(now, m.server.entry, m.result)
 	m.server.crashChecksLeft--
-	if m.result.ConnectionRefused || m.result.Answer != nil || backend.IsTimeout(m.result.Err) {
+	if m.result.ConnectionRefused || m.result.Answer != nil || backend.IsTimeout(m.result.Err) || backend.IsInvalidAnswer(m.result.Err) {
 		m.server.crashChecksLeft = 0
 	}
 	if m.server.crashChecksLeft > 0 {
