Mark the last answer of a leaving instance also when it is ready at once

Callers of a leaving instance got an answer without Connection: close, and their connection ended behind it, if the answer was ready before the reading goroutine had reported that it had stopped.

It takes a look at the socket; a request that has begun was reported before, and then the answer does not wait. TestPlannedStopAnswersPipelinedRequests no longer gives the reader time, and passes 20 times in a row.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -212,7 +212,7 @@
 		readEvents = nil
 	}
 	var firstReply chan reply
-	if len(c.queue) > 0 {
+	if len(c.queue) > 0 && !c.awaitsStop() {
 		firstReply = c.queue[0].reply
 	}
 	due, limited := c.deadline()
@@ -236,6 +236,12 @@
 	}
 }
 
+// awaitsStop reports whether the reading goroutine is about to report that it has stopped or that a request has begun, which
+// takes no more than a look at the socket. It decides whether the answer to the only pending request is the last one.
+func (c *caller) awaitsStop() bool {
+	return len(c.queue) == 1 && c.machine.In("stopping") && c.begunAt.IsZero()
+}
+
 // leaveOrder returns the channel that is closed when the connection should end: at once when it is idle, and with the
 // answers to its pending requests otherwise. It is nil when the connection is ending already.
 func (c *caller) leaveOrder() <-chan struct{} {
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -272,7 +272,6 @@
 		conn.send(testPost)
 		conn.send(testPost)
 		close(test.leaving)
-		time.Sleep(time.Second) // the reading goroutine stops
 		test.refuse()
 		if conn.expectRefusal("first request").Close {
 			t.Error("an answer closes the connection before the answer to a later request")
