--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -35,6 +35,12 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	reusable  bool
+	// reused is true when the connection has carried a request or an answer before the one in progress.
+	reused bool
+	// refused holds the requests that the server refused on this connection.
+	refused refusedIDs
+	// foreignAnswers counts the foreign answers that the exchange in progress met.
+	foreignAnswers int
 	// keepAlive is the idle timeout that the server announced; zero when it announced none.
 	keepAlive time.Duration
 	// retirementOffered is true when the connection has been offered to the pool for retirement since its last exchange.
@@ -166,9 +172,15 @@
 func (c *connection) runExchange(exchange Exchange) {
 	c.fire("exchange")
 	c.retirementOffered = false
-	if isStale(c.socket.Conn) || c.reader.Buffered() > 0 {
+	c.foreignAnswers = 0
+	if err := c.checkIdle(); err != nil {
 		c.fire("broken")
-		exchange.Reply <- Result{Fate: call.NotSent, Err: errClosedWhileIdle}
+		exchange.Reply <- Result{Fate: call.NotSent, Err: err, ForeignAnswers: c.foreignAnswers}
+		return
+	}
+	if c.refused.contains(exchange.Request.ID) {
+		c.fire("broken") // that refusal, written once more, would pass for the answer
+		c.notifyPool(exchange)
 		return
 	}
 	c.socket.written = 0
@@ -182,6 +194,10 @@
 			body.pipe.CloseWithError(errors.Join(errTruncated, context.Cause(exchange.Ctx)))
 		})()
 	}
+	if body.buffered && c.reader.Buffered() > 0 {
+		c.foreignAnswers++ // surplus bytes behind the complete answer
+	}
+	result.ForeignAnswers = c.foreignAnswers
 	exchange.Reply <- result
 	c.reusable = body.finish() && (cancelStopped || stopCancel())
 	if !c.reusable && exchange.Ctx.Err() != nil {
@@ -191,10 +207,21 @@
 	c.fire("finished")
 }
 
+// checkIdle returns an error if the idle connection must not be used, and counts an unsolicited answer.
+func (c *connection) checkIdle() error {
+	err := checkIdle(c.socket.Conn)
+	if c.reader.Buffered() > 0 {
+		err = errUnsolicited
+	}
+	if err == errUnsolicited {
+		c.foreignAnswers++
+	}
+	return err
+}
+
 var (
-	errClosedWhileIdle = errors.New("backend server closed the connection while it was idle")
-	errTruncated       = errors.New("answer of the backend server is truncated")
-	errUnproven        = errors.New("answer of the backend server does not show that it belongs to the request")
+	errTruncated = errors.New("answer of the backend server is truncated")
+	errUnproven  = errors.New("answer of the backend server does not show that it belongs to the request")
 )
 
 // roundTrip writes the request and reads the answer. The body holds the part that is streamed after the reply.
@@ -203,7 +230,8 @@
 	if err := c.write(exchange.Request, start); err != nil {
 		return c.brokenResult(err), body{}
 	}
-	response, err := c.readAnswer(exchange.Request)
+	response, ownership, err := c.readAnswer(exchange.Request)
+	c.reused = true
 	if err != nil {
 		return c.brokenResult(c.socket.answerError(err)), body{}
 	}
@@ -214,7 +242,9 @@
 		c.socket.readable = exchange.MaxBodyBytes
 		defer func() { c.socket.readable = unlimitedBytes }()
 	}
-	return c.readBody(result, response)
+	result, rest := c.readBody(result, response)
+	rest.isLast = result.Fate == call.DeclaredNotRun && !c.recordRefusal(exchange.Request, ownership)
+	return result, rest
 }
 
 func (c *connection) write(req *call.Request, now time.Time) error {
@@ -228,25 +258,28 @@
 const maxForeignAnswers = 4
 
 // readAnswer reads the head of the answer to the request and skips answers to earlier requests.
-func (c *connection) readAnswer(req *call.Request) (*http.Response, error) {
+func (c *connection) readAnswer(req *call.Request) (*http.Response, Ownership, error) {
 	foreignBytesLeft := maxForeignBytes
 	for range maxForeignAnswers {
 		response, err := c.readHead(req.Method)
 		if err != nil {
-			return nil, err
+			return nil, UnprovenAnswer, err
 		}
-		switch c.codec.CheckOwnership(req, response.StatusCode, response.Header) {
-		case OwnAnswer:
-			return response, nil
+		switch ownership := c.codec.CheckOwnership(req, c.reused, response.StatusCode, response.Header); ownership {
+		case OwnAnswer, UnidentifiedAnswer:
+			return response, ownership, nil
 		case UnprovenAnswer:
-			return nil, errUnproven
+			c.foreignAnswers++
+			return nil, ownership, errUnproven
 		case ForeignAnswer:
+			c.foreignAnswers++
+			c.reused = true
 			if foreignBytesLeft, err = c.skipBody(response, foreignBytesLeft); err != nil {
-				return nil, err
+				return nil, ownership, err
 			}
 		}
 	}
-	return nil, errUnproven
+	return nil, UnprovenAnswer, errUnproven
 }
 
 // skipBody reads the body of an answer to an earlier request. It returns how much of the limit in bytes is left.
@@ -304,6 +337,9 @@
 		answer.Body = prefix
 		return result, body{conn: c, response: response, buffered: true}
 	}
+	if result.Fate == call.DeclaredNotRun {
+		return result, body{} // nobody reads the body of a refusal
+	}
 	reader, writer := io.Pipe()
 	answer.Stream = reader
 	return result, body{conn: c, response: response, prefix: prefix, pipe: writer}
@@ -316,6 +352,8 @@
 	buffered bool
 	prefix   []byte
 	pipe     *io.PipeWriter
+	// isLast is true when the connection carries no exchange after this one.
+	isLast bool
 }
 
 // finish streams the rest of the body and reports whether the connection may carry another exchange.
@@ -324,7 +362,7 @@
 		return false
 	}
 	delivered := b.buffered || b.stream()
-	return delivered && !b.response.Close && b.conn.reader.Buffered() == 0
+	return delivered && !b.isLast && !b.response.Close && b.conn.reader.Buffered() == 0
 }
 
 func (b body) stream() bool {
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -80,7 +80,7 @@
 
 func (foreignCodec) Decode(*backend.Result, int, http.Header) {}
 
-func (foreignCodec) CheckOwnership(_ *call.Request, _ int, h http.Header) backend.Ownership {
+func (foreignCodec) CheckOwnership(_ *call.Request, _ bool, _ int, h http.Header) backend.Ownership {
 	if h.Get("Foreign") != "" {
 		return backend.ForeignAnswer
 	}
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -17,6 +17,8 @@
 	// resent counts copies after the first, hedged those that were sent while another was in flight, and resendRefused those
 	// that the resend budget did not allow.
 	resent, hedged, resendRefused metrics.Counter
+	// foreignAnswers counts answers of backend servers that belong to another request, to none, or to an unknown one.
+	foreignAnswers metrics.Counter
 	// checks counts health checks of backend servers.
 	checks metrics.Counter
 	// callers is the number of open caller connections, placing the number of placements that wait for load reports.
@@ -46,6 +48,7 @@
 		expired:        metrics.GetOrRegisterCounter("gateway.expired", registry),
 		abandoned:      metrics.GetOrRegisterCounter("gateway.abandoned", registry),
 		invalidAnswers: metrics.GetOrRegisterCounter("gateway.invalid_answers", registry),
+		foreignAnswers: metrics.GetOrRegisterCounter("gateway.foreign_answers", registry),
 		cutAnswers:     metrics.GetOrRegisterCounter("gateway.cut_answers", registry),
 		resent:         metrics.GetOrRegisterCounter("gateway.resent", registry),
 		hedged:         metrics.GetOrRegisterCounter("gateway.hedged", registry),
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -74,7 +74,7 @@
 
 func (anyAnswer) Decode(*backend.Result, int, http.Header) {}
 
-func (anyAnswer) CheckOwnership(*call.Request, int, http.Header) backend.Ownership {
+func (anyAnswer) CheckOwnership(*call.Request, bool, int, http.Header) backend.Ownership {
 	return backend.OwnAnswer
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -284,7 +284,12 @@
 // handleCopyResult returns the grant of the copy, records its result and fires the event for it.
 func (f *forward) handleCopyResult(m copyResult) {
 	event := f.resultEvent(m.result)
+	reportForeignAnswers(f.log, f.counters, m.grant.entry.ID, f.request.ID, m.result)
 	f.notifyDirector(grantRelease{grant: m.grant, result: m.result, succeeded: event == "answered"})
+	if event == "lost" && m.result.UndeclaredRefusal {
+		discard(m.result)
+		m.result.Err = errUndeclaredRefusal
+	}
 	switch event {
 	case "answered":
 		if f.answer != nil {
@@ -311,12 +316,14 @@
 	f.fire(event)
 }
 
+var errUndeclaredRefusal = errors.New("backend server refused the request without declaring that it did not run it")
+
 // resultEvent returns the chart event for the result of a copy.
 func (f *forward) resultEvent(r backend.Result) string {
 	switch {
 	case r.Fate.SurelyNotRun():
 		return "not_run"
-	case r.Answer == nil:
+	case r.Answer == nil || r.UndeclaredRefusal && !f.route.Idempotent:
 		return "lost"
 	case r.Answer.Status >= http.StatusInternalServerError:
 		return "failed_answer"
@@ -408,7 +415,7 @@
 	if copies == 0 && !placing {
 		return
 	}
-	events, director := f.events, f.director
+	events, director, log, counters, id := f.events, f.director, f.log, f.counters, f.request.ID
 	go func() {
 		for copies > 0 || placing {
 			switch m := (<-events).(type) {
@@ -419,6 +426,7 @@
 				placing = false
 			case copyResult:
 				copies--
+				reportForeignAnswers(log, counters, m.grant.entry.ID, id, m.result)
 				discard(m.result)
 				_ = director.Send(context.Background(), grantRelease{grant: m.grant, result: m.result, cancelled: true}) // same
 			}
