Log and count objects without a readable name or revision

An object of the store that cannot be used is named in one log line. An object whose revision could not be read got none, because its revision, zero, was equal to that of an object that was never logged, and an object without a readable name became a member of the list that is kept for peers. No counter showed that such objects exist.

Objects without a name are now dropped before they reach the list. Each revision of an invalid object is logged once, with kind, name and revision, and counted in gateway.invalid_objects. The note of what was logged goes with the object.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -11,6 +11,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/decide/dispatch"
 	"fuchsiahub.example/fuchsiahub/internal/decide/news"
 	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 	"fuchsiahub.example/fuchsiahub/internal/suspension"
@@ -42,6 +43,8 @@
 	onStrike func(quarantine.Strike)
 	// onDataAge is called regularly with the age of the entries of backend servers.
 	onDataAge func(time.Duration)
+	// onInvalid is called for each revision of an object that is not valid.
+	onInvalid func()
 	// onUnregistered is called when the entry of this instance is missing from the store or differs.
 	onUnregistered func()
 
@@ -68,8 +71,14 @@
 	countedSuspension time.Duration
 	// unansweredKinds holds the kinds whose feeds got no answer to their last call.
 	unansweredKinds map[objectapi.Kind]bool
-	// invalidRevisions holds the revision of the last invalid object, by kind and name, so that each is logged once.
-	invalidRevisions map[string]uint64
+	// invalidRevisions holds the highest revision of an invalid object, by kind and name, so that each is logged once.
+	invalidRevisions map[objectKey]uint64
+}
+
+// objectKey identifies an object of the store.
+type objectKey struct {
+	kind objectapi.Kind
+	name string
 }
 
 func newBoard(schema Schema, snapshots *SnapshotPublisher, log *slog.Logger) *board {
@@ -79,8 +88,9 @@
 		strikes: map[string]time.Time{},
 		cache:   objectCache{}, readBy: map[objectapi.Kind]string{}, asOf: map[objectapi.Kind]time.Time{},
 		lapsed:          map[string]time.Time{},
-		unansweredKinds: map[objectapi.Kind]bool{}, invalidRevisions: map[string]uint64{},
+		unansweredKinds: map[objectapi.Kind]bool{}, invalidRevisions: map[objectKey]uint64{},
 		totalSuspension: suspension.Total, countedSuspension: suspension.Total(),
+		onInvalid: func() {},
 	}
 }
 
@@ -194,6 +204,7 @@
 
 // applyUpdate applies an update of one kind unless a newer state is known.
 func (b *board) applyUpdate(now time.Time, u kindUpdate) {
+	b.dropUnnamed(&u)
 	cached := b.cache.ofKind(u.kind)
 	changes, ok := cached.apply(&u)
 	if !ok {
@@ -217,6 +228,19 @@
 	b.publish(len(changes) > 0)
 }
 
+// errUnnamed is the error for an object whose name cannot be read.
+var errUnnamed = fault.New(fault.Invalid, "find the writer of the object and correct it", "object has no readable name")
+
+// dropUnnamed removes the objects whose name cannot be read from an update.
+func (b *board) dropUnnamed(u *kindUpdate) {
+	u.events = slices.DeleteFunc(u.events, func(e objectapi.Event) bool {
+		if e.Object.Name == "" {
+			b.reportInvalid(objectapi.Object{Kind: u.kind, Version: e.Object.Version}, errUnnamed)
+		}
+		return e.Object.Name == ""
+	})
+}
+
 // outageThreshold is the age of the last update above which the store counts as having been unavailable.
 const outageThreshold = 2500 * time.Millisecond
 
@@ -258,7 +282,7 @@
 func (b *board) applyStrike(o objectapi.Object) {
 	s, err := b.schema.Strike(o)
 	if err != nil {
-		b.logInvalid(o, err)
+		b.reportInvalid(o, err)
 		return
 	}
 	b.strikes[o.Name] = s.Crash.At
@@ -271,7 +295,7 @@
 func (b *board) applyInstance(o objectapi.Object) {
 	instance, err := b.schema.Instance(o)
 	if err != nil {
-		b.logInvalid(o, err)
+		b.reportInvalid(o, err)
 		return
 	}
 	b.instances[o.Name] = instance
@@ -284,7 +308,7 @@
 	}
 	config, err := b.schema.Config(o)
 	if err != nil {
-		b.logInvalid(o, err)
+		b.reportInvalid(o, err)
 		return
 	}
 	if b.config != nil && config.Version <= b.config.Version {
@@ -299,7 +323,7 @@
 func (b *board) applyBackend(o objectapi.Object) {
 	entry, err := b.schema.Backend(o)
 	if err != nil {
-		b.logInvalid(o, err)
+		b.reportInvalid(o, err)
 		delete(b.backends, o.Name)
 		return
 	}
@@ -319,6 +343,7 @@
 
 // removeObject applies the deletion of an object.
 func (b *board) removeObject(now time.Time, kind objectapi.Kind, name string) {
+	delete(b.invalidRevisions, objectKey{kind: kind, name: name})
 	switch kind {
 	case objectapi.Backends:
 		b.removeBackend(now, name)
@@ -361,13 +386,15 @@
 	}
 }
 
-// logInvalid logs an invalid object, once for each revision.
-func (b *board) logInvalid(o objectapi.Object, err error) {
-	key := string(o.Kind) + "/" + o.Name
-	if b.invalidRevisions[key] != o.Version {
-		b.invalidRevisions[key] = o.Version
-		b.log.Warn("object is not valid and has no effect", "object", key, "error", err)
+// reportInvalid logs and counts an invalid object, once for each revision.
+func (b *board) reportInvalid(o objectapi.Object, err error) {
+	key := objectKey{kind: o.Kind, name: o.Name}
+	if revision, known := b.invalidRevisions[key]; known && o.Version <= revision {
+		return
 	}
+	b.invalidRevisions[key] = o.Version
+	b.onInvalid()
+	b.log.Warn("object is not valid and has no effect", "object", string(o.Kind)+"/"+o.Name, "revision", o.Version, "error", err)
 }
 
 // publish publishes a new snapshot. When only the age of the data has changed, subscribers are not called.
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -16,6 +16,8 @@
 	resent, hedged, resendRefused metrics.Counter
 	// checks counts health checks of backend servers.
 	checks metrics.Counter
+	// invalidObjects counts revisions of objects of the store that are not valid.
+	invalidObjects metrics.Counter
 	// callers is the number of open caller connections, placing the number of placements that wait for load reports.
 	callers, placing metrics.Gauge
 	// newsAge is the age of the known entries of backend servers, in milliseconds.
@@ -33,20 +35,21 @@
 
 func newCounters(registry metrics.Registry) *counters {
 	return &counters{
-		registry:      registry,
-		requests:      metrics.GetOrRegisterCounter("gateway.requests", registry),
-		answered:      metrics.GetOrRegisterCounter("gateway.answered", registry),
-		refused:       metrics.GetOrRegisterCounter("gateway.refused", registry),
-		failed:        metrics.GetOrRegisterCounter("gateway.failed", registry),
-		expired:       metrics.GetOrRegisterCounter("gateway.expired", registry),
-		abandoned:     metrics.GetOrRegisterCounter("gateway.abandoned", registry),
-		resent:        metrics.GetOrRegisterCounter("gateway.resent", registry),
-		hedged:        metrics.GetOrRegisterCounter("gateway.hedged", registry),
-		resendRefused: metrics.GetOrRegisterCounter("gateway.resend_refused", registry),
-		checks:        metrics.GetOrRegisterCounter("gateway.checks", registry),
-		callers:       metrics.GetOrRegisterGauge("gateway.callers", registry),
-		placing:       metrics.GetOrRegisterGauge("gateway.placing", registry),
-		newsAge:       metrics.GetOrRegisterGauge("gateway.news_age_ms", registry),
+		registry:       registry,
+		requests:       metrics.GetOrRegisterCounter("gateway.requests", registry),
+		answered:       metrics.GetOrRegisterCounter("gateway.answered", registry),
+		refused:        metrics.GetOrRegisterCounter("gateway.refused", registry),
+		failed:         metrics.GetOrRegisterCounter("gateway.failed", registry),
+		expired:        metrics.GetOrRegisterCounter("gateway.expired", registry),
+		abandoned:      metrics.GetOrRegisterCounter("gateway.abandoned", registry),
+		resent:         metrics.GetOrRegisterCounter("gateway.resent", registry),
+		hedged:         metrics.GetOrRegisterCounter("gateway.hedged", registry),
+		resendRefused:  metrics.GetOrRegisterCounter("gateway.resend_refused", registry),
+		checks:         metrics.GetOrRegisterCounter("gateway.checks", registry),
+		invalidObjects: metrics.GetOrRegisterCounter("gateway.invalid_objects", registry),
+		callers:        metrics.GetOrRegisterGauge("gateway.callers", registry),
+		placing:        metrics.GetOrRegisterGauge("gateway.placing", registry),
+		newsAge:        metrics.GetOrRegisterGauge("gateway.news_age_ms", registry),
 		time: metrics.GetOrRegisterHistogram("gateway.time_us", registry,
 			metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)),
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,6 +116,7 @@
 	}
 	g.board.onUnregistered = g.requestRegistration
 	g.board.onDataAge = func(age time.Duration) { g.counters.newsAge.Update(age.Milliseconds()) }
+	g.board.onInvalid = func() { g.counters.invalidObjects.Inc(1) }
 	g.director = newDirector(g.self, &g.settings, poolFactory, crashes, g.log, g.counters)
 	requests, err := newForwarder(g.snapshots, g.director.inbox, g.dialect, g.log, g.counters)
 	if err != nil {
