List again when an answer of the store cannot be read

An answer that could not be read as a whole counted as an outage: the log said that the store does not answer, and the feed asked for the same changes again, got the same answer and never went on.

Such an answer is now an error of its own kind, as in the client of the object API. The feed writes "answer of the store cannot be read" once, keeps the known objects in force and continues with a list, after a backoff that only changes that can be read end.

Before the change:

--- FAIL: TestFeedGetsPastUnreadableChanges 1 backend servers are known, want 2 level=WARN msg="store does not answer" error=garbled revision=3

After it, the tests pass; the feed makes no more calls than its backoff allows.

--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -62,7 +62,8 @@
 	revision atomic.Uint64
 	events   chan []objectapi.Event // of one element: the changes so far
 	// failures configures how the calls for a kind fail: "silent" with a timeout, "refuses" at once, "forgot" because the
-	// store no longer holds the changes. With "" they are answered.
+	// store no longer holds the changes, "garbled" because the changes cannot be read, "all garbled" also the list. With ""
+	// they are answered.
 	failures atomic.Pointer[map[objectapi.Kind]string]
 	calls    atomic.Int64
 }
@@ -107,12 +108,15 @@
 		return fault.New(fault.StoreUnavailable, "", "refused")
 	case "forgot":
 		return fault.New(fault.TooOld, "", "forgotten")
+	case "garbled", "all garbled":
+		return fault.New(fault.Invalid, "", "garbled")
 	}
 	return nil
 }
 
 func (s *fakeStore) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, uint64, error) {
-	if err := s.fail(ctx, kind, 0); err != nil && !fault.Is(err, fault.TooOld) {
+	err := s.fail(ctx, kind, 0)
+	if err != nil && !fault.Is(err, fault.TooOld) && (*s.failures.Load())[kind] != "garbled" {
 		return nil, 0, err
 	}
 	events := <-s.events
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -109,7 +109,10 @@
 	// suspendedAtCall is how long the machine had been suspended in total at that time.
 	suspendedAtCall time.Duration
 	totalSuspension func() time.Duration
-	failures        int
+	// failures counts the calls without an answer since the last answer.
+	failures int
+	// unreadable counts the answers that could not be read since the last changes that could.
+	unreadable int
 	// interrupted is true if the last call was cancelled to retry at once.
 	interrupted bool
 }
@@ -172,7 +175,7 @@
 // applyAssignment applies an assignment and returns the chart event for it.
 func (f *feed) applyAssignment(a assignment) string {
 	if !a.active {
-		f.failures, f.interrupted = 0, false // earlier failures do not matter when the feed reads again
+		f.failures, f.unreadable, f.interrupted = 0, 0, false // earlier failures do not matter when the feed reads again
 		return "deactivate"
 	}
 	f.revision = max(f.revision, a.revision)
@@ -226,6 +229,10 @@
 	}
 	u := kindUpdate{kind: f.kind, events: events, baseRevision: f.revision, revision: max(revision, f.revision),
 		asOf: f.callStart, suspendedAtCall: f.suspendedAtCall}
+	if f.unreadable > 0 {
+		f.log.Info("answers of the store can be read again", "unreadable", f.unreadable, "revision", u.revision)
+		f.unreadable = 0
+	}
 	return f.reportUpdate(ctx, u, "changed")
 }
 
@@ -278,6 +285,14 @@
 		f.log.Info("store no longer holds the changes since the last call; all objects are listed again", "revision", f.revision)
 		return "too_old"
 	}
+	if fault.Is(err, fault.Invalid) {
+		f.unreadable++
+		if f.unreadable == 1 {
+			f.log.Warn("answer of the store cannot be read; the known objects stay in force and all objects are listed again",
+				"error", err, "revision", f.revision)
+		}
+		return "unreadable"
+	}
 	f.failures++
 	if f.failures == 1 {
 		f.log.Warn("store does not answer", "error", err, "revision", f.revision)
@@ -289,7 +304,7 @@
 // backOff waits with exponential backoff and jitter, so that instances do not retry at the same time. During an outage of
 // the store, only the feed of backend servers retries often; the others wait until they are interrupted.
 func (f *feed) backOff(ctx context.Context) string {
-	base := min(minBackoff<<min(f.failures-1, 4), maxBackoff)
+	base := min(minBackoff<<min(max(f.failures+f.unreadable-1, 0), 4), maxBackoff)
 	wait := base/2 + rand.N(base)
 	if f.kind != objectapi.Backends && f.failures > 1 {
 		wait = outageBackoff/2 + rand.N(outageBackoff)
--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -2,14 +2,36 @@
 
 import (
 	"bytes"
+	"context"
 	"log/slog"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 )
 
+// lockedBuffer is a buffer to which several tasks write.
+type lockedBuffer struct {
+	lock sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	return b.text.String()
+}
+
 // applyList applies a complete list of objects of a kind to a board.
 func applyList(b *board, kind objectapi.Kind, revision uint64, objects ...objectapi.Object) {
 	u := kindUpdate{kind: kind, complete: true, revision: revision, asOf: time.Now()}
@@ -43,3 +65,71 @@
 		t.Errorf("a peer gets %d objects: %v", len(events), events)
 	}
 }
+
+// Guards against a feed that reads the same changes again and again because one answer of the store cannot be read, takes
+// that for an outage, or lists without a pause while no answer can be read.
+func TestFeedGetsPastUnreadableChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newFakeStore()
+		store.put(objectapi.Configuration, configObject, fleet.Config{Version: 1})
+		store.put(objectapi.Backends, "i-1", fleet.Backend{ID: "i-1", Service: "intake"})
+		var log lockedBuffer
+		snapshots, b := newTestBoard(t, store)
+		b.log = slog.New(slog.NewTextHandler(&log, nil))
+		for _, f := range b.source.feeds {
+			f.log = b.log
+			go func() { _ = f.run(ctx) }() // it ends with the context
+		}
+		go func() { _ = b.run(ctx) }() // same
+		time.Sleep(time.Second)
+		store.setFailures(map[objectapi.Kind]string{objectapi.Backends: "garbled"})
+		store.put(objectapi.Backends, "i-2", fleet.Backend{ID: "i-2", Service: "intake"})
+		before := store.calls.Load()
+		time.Sleep(10 * time.Second)
+		if known := snapshots.Newest().Backends["intake"]; len(known) != 2 {
+			t.Errorf("%d backend servers are known, want 2", len(known))
+		}
+		// Each pause is followed by a list and a watch; the other four feeds make a call in a few seconds.
+		if calls, most := store.calls.Load()-before, int64(2*10*time.Second/(maxBackoff/2)+30); calls > most {
+			t.Errorf("%d calls in 10 s, want at most %d", calls, most)
+		}
+		text := log.String()
+		if strings.Count(text, "answer of the store cannot be read") != 1 || strings.Contains(text, "store does not answer") {
+			t.Errorf("log is\n%s", text)
+		}
+		store.setFailures(nil)
+		store.put(objectapi.Backends, "i-3", fleet.Backend{ID: "i-3", Service: "intake"})
+		time.Sleep(3 * time.Second)
+		if known := snapshots.Newest().Backends["intake"]; len(known) != 3 {
+			t.Errorf("%d backend servers are known, want 3", len(known))
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against the loss of the known objects while neither a list nor a watch can be read.
+func TestKnownObjectsStayWhileNoAnswerCanBeRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newFakeStore()
+		store.put(objectapi.Configuration, configObject, fleet.Config{Version: 1})
+		store.put(objectapi.Backends, "i-1", fleet.Backend{ID: "i-1", Service: "intake"})
+		snapshots := startBoard(t, ctx, store)
+		time.Sleep(time.Second)
+		store.setFailures(map[objectapi.Kind]string{objectapi.Backends: "all garbled"})
+		store.put(objectapi.Backends, "i-2", fleet.Backend{ID: "i-2", Service: "intake"})
+		time.Sleep(10 * time.Second)
+		if known := snapshots.Newest().Backends["intake"]; len(known) != 1 {
+			t.Errorf("%d backend servers are known, want 1", len(known))
+		}
+		store.setFailures(nil)
+		time.Sleep(2 * time.Second)
+		if known := snapshots.Newest().Backends["intake"]; len(known) != 2 {
+			t.Errorf("%d backend servers are known after the store can be read again, want 2", len(known))
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -41,7 +41,8 @@
 }
 
 // Store is the part of the platform's store that a gateway uses. Errors are those of objectapi.API, and fault.Overloaded
-// when the store rejects a call because of its load.
+// when the store rejects a call because of its load. An answer that cannot be read is fault.Invalid. An object whose name
+// cannot be read has an empty name; one whose revision cannot be read has revision zero and no value.
 type Store interface {
 	// List returns all objects of a kind and the revision from which Changes continues.
 	List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, uint64, error)
