Serve requests under very large limits of the configuration

The process ended with "makeslice: len out of range" at the first head above 4 KB when the configuration allowed heads of a petabyte, because the buffer for a long head was allocated at its largest size at once. At the largest integer the size overflowed to a buffer of 16 bytes, and a request under the largest limit for bodies was sent on without its body.

The buffer now doubles as a head grows, up to the limit, and the limit for bodies leaves room for the byte that shows that it was exceeded.

Before the change:

--- FAIL: TestHugeLimitsOfConfiguration panic: runtime error: makeslice: len out of range (with the buffer corrected:) limit: *gateway.incomingRequest, <nil>

After it, the test passes.

--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -1,9 +1,14 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -133,3 +138,27 @@
 		synctest.Wait()
 	})
 }
+
+// fixedInfo is a dialect that reads no metadata of callers.
+type fixedInfo struct{ Dialect }
+
+func (fixedInfo) RequestInfo(http.Header) RequestInfo { return RequestInfo{} }
+
+// Guards against a process that ends, or a request that loses its body, because the limits of the configuration are so large
+// that a buffer of that size cannot be allocated or a sum overflows.
+func TestHugeLimitsOfConfiguration(t *testing.T) {
+	body := strings.Repeat("b", 10_000)
+	text := "POST /x HTTP/1.1\r\nHost: a.example\r\nX-Long: " + strings.Repeat("h", 3*readBuffer) + "\r\nContent-Length: " +
+		strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	for _, limit := range []int{1 << 20, 1 << 50, math.MaxInt - 1, math.MaxInt} {
+		caller, conn := net.Pipe()
+		go func() { _, _ = caller.Write([]byte(text)) }() // the reader ends with the test
+		r := &requestReader{conn: conn, buffer: bufio.NewReaderSize(conn, readBuffer), dialect: fixedInfo{}, notify: func(any) {},
+			limits: func() fleet.Limits { return fleet.Limits{HeaderBytes: limit, BodyBytes: int64(limit)} }}
+		m, err := r.next()
+		if request, ok := m.(*incomingRequest); !ok || string(request.request.Body) != body {
+			t.Errorf("limit %d: %T, %v", limit, m, err)
+		}
+		_, _ = caller.Close(), conn.Close() // both ends are only used here
+	}
+}
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -143,10 +144,11 @@
 	}
 }
 
-// grow replaces the buffer by one that can hold a head of the maximum size.
+// grow doubles the buffer, up to a size that can hold a head of the maximum size.
 func (r *requestReader) grow(seen []byte, limit int) {
 	kept := bytes.Clone(seen)
-	r.buffer = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(kept), r.conn), limit+readBuffer)
+	size := r.buffer.Size() + min(r.buffer.Size(), limit-len(seen)+readBuffer)
+	r.buffer = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(kept), r.conn), size)
 }
 
 // checkHead rejects heads that two parsers could read as different requests (request smuggling): bare line feeds, folded
@@ -199,6 +201,7 @@
 	if err := r.conn.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, err
 	}
+	limit = min(limit, math.MaxInt64-1)
 	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
 	switch {
 	case err != nil && errors.Is(err, io.ErrUnexpectedEOF):
