--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -292,10 +292,12 @@
 	b.onStrike(s)
 }
 
+// applyInstance keeps the entry of an instance. An entry that cannot be decoded removes the instance.
 func (b *board) applyInstance(o objectapi.Object) {
 	instance, err := b.schema.Instance(o)
 	if err != nil {
 		b.reportInvalid(o, err)
+		delete(b.instances, o.Name)
 		return
 	}
 	b.instances[o.Name] = instance
--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -162,3 +162,20 @@
 		_, _ = caller.Close(), conn.Close() // both ends are only used here
 	}
 }
+
+// Guards against an instance that keeps its own entry for registered after another writer has replaced it by one that is
+// not valid, and against peers that go on with the entry before.
+func TestInvalidEntryOfInstanceIsWrittenAgain(t *testing.T) {
+	snapshots, b := newTestBoard(t, newFakeStore())
+	due := 0
+	b.onUnregistered = func() { due++ }
+	own := objectapi.Object{Name: "edge-1", Version: 3, Value: []byte(`{"Name":"edge-1","Place":{"Region":"east","Zone":"a"}}`)}
+	applyList(b, objectapi.Instances, 3, own)
+	if due != 0 || len(snapshots.Newest().Instances) != 1 {
+		t.Fatalf("%d writes for a valid entry, %d instances", due, len(snapshots.Newest().Instances))
+	}
+	applyList(b, objectapi.Instances, 4, objectapi.Object{Name: "edge-1", Version: 4, Value: []byte("[[")})
+	if due != 1 || len(snapshots.Newest().Instances) != 0 {
+		t.Errorf("%d writes after the entry was replaced, %d instances", due, len(snapshots.Newest().Instances))
+	}
+}
