Expire strikes whose time is far in the future

A strike with a time thousands of years ahead never expired: each instance applied it at its start and refused equal requests for ten minutes, and the janitor left it in the store.

Before the change:

--- FAIL: TestStrikeFromTheFutureIsRemoved 3 strikes are applied, want 2 strikes ["old"] are expired

After it, the test passes.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -26,6 +26,8 @@
 	lapseGrace = 2 * time.Second
 	// maxStrikeAge is the age, by wall-clock time, up to which a crash counts. It matches charts/quarantine.toml.
 	maxStrikeAge = 10 * time.Minute
+	// maxStrikeAhead is how far in the future the time of a crash may be, far above the difference of two clocks.
+	maxStrikeAhead = 24 * time.Hour
 	// configObject is the name of the object that holds the newest configuration.
 	configObject = "main"
 )
@@ -279,6 +281,12 @@
 	}
 }
 
+// isExpired reports whether a crash no longer counts. One that is far ahead was recorded with a wrong time.
+func isExpired(now, crash time.Time) bool {
+	age := now.Sub(crash)
+	return age > maxStrikeAge || age < -maxStrikeAhead
+}
+
 func (b *board) applyStrike(o objectapi.Object) {
 	s, err := b.schema.Strike(o)
 	if err != nil {
@@ -286,8 +294,8 @@
 		return
 	}
 	b.strikes[o.Name] = s.Crash.At
-	if age := time.Since(s.Crash.At); age > maxStrikeAge {
-		return // too old; the janitor will remove it
+	if isExpired(time.Now(), s.Crash.At) {
+		return // the janitor will remove it
 	}
 	b.onStrike(s)
 }
--- a/internal/gateway/janitor.go
+++ b/internal/gateway/janitor.go
@@ -108,7 +108,7 @@
 		entries.instances = append(entries.instances, i)
 	}
 	for name, at := range b.strikes {
-		if now.Sub(at) > maxStrikeAge {
+		if isExpired(now, at) {
 			entries.strikes = append(entries.strikes, name)
 		}
 	}
--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"log/slog"
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +17,7 @@
 	"testing/synctest"
 	"time"
 
+	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 )
@@ -179,3 +182,30 @@
 		t.Errorf("%d writes after the entry was replaced, %d instances", due, len(snapshots.Newest().Instances))
 	}
 }
+
+// Guards against strikes whose time is far in the future, which refuse equal requests after each start of an instance
+// and are never removed.
+func TestStrikeFromTheFutureIsRemoved(t *testing.T) {
+	_, b := newTestBoard(t, newFakeStore())
+	applied := 0
+	b.onStrike = func(quarantine.Strike) { applied++ }
+	strike := func(at time.Time) []byte {
+		text, err := json.Marshal(quarantine.Strike{Crash: quarantine.Crash{At: at}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	now := time.Now()
+	applyList(b, objectapi.Strikes, 5,
+		objectapi.Object{Name: "recent", Version: 1, Value: strike(now)},
+		objectapi.Object{Name: "ahead", Version: 2, Value: strike(now.Add(time.Second))}, // the clock of another machine
+		objectapi.Object{Name: "old", Version: 3, Value: strike(now.Add(-2 * maxStrikeAge))},
+		objectapi.Object{Name: "future", Version: 4, Value: strike(now.AddDate(5000, 0, 0))})
+	if applied != 2 {
+		t.Errorf("%d strikes are applied, want 2", applied)
+	}
+	if removed := b.fleetEntries(now).strikes; !slices.Equal(removed, []string{"future", "old"}) {
+		t.Errorf("strikes %q are expired", removed)
+	}
+}
