Never take news of a peer for newer than its arrival

The age of news counts from the request plus the time for which the peer says that it held it. A peer that named a longer time than the answer took made the data newer than the present, up to 49 days: the instance did not read the store until then, and took no later data for current. The time held is now at most the time that the answer took.

Before the change:

--- FAIL: TestNewsIsNeverNewerThanItsArrival after a request that was held for 5000 ms, the data is -4.949s old

After it, the test passes.

--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -289,7 +289,7 @@
 			}
 			k.Objects = objects
 		}
-		u := m.toKindUpdate(k)
+		u := m.toKindUpdate(now, k)
 		s.board.adjustForSuspension(&u)
 		s.board.applyUpdate(now, u)
 		if u.kind == objectapi.Backends {
@@ -299,10 +299,11 @@
 }
 
 // toKindUpdate decodes the update of one kind. Its age counts from when the request was sent, so that network delay makes it
-// appear older but never newer.
-func (m *newsResult) toKindUpdate(k *peerpb.KindNews) kindUpdate {
+// appear older but never newer. A peer cannot have held the request for longer than the answer took.
+func (m *newsResult) toKindUpdate(now time.Time, k *peerpb.KindNews) kindUpdate {
 	kind := objectapi.Kind(k.GetKind())
 	held, age := time.Duration(m.reply.GetHeldMs())*time.Millisecond, time.Duration(k.GetAgeMs())*time.Millisecond
+	held = min(held, now.Sub(m.sentAt))
 	u := kindUpdate{
 		kind: kind, complete: k.GetWhole(), baseRevision: m.knownRevisions[kind], revision: k.GetRevision(),
 		asOf: m.sentAt.Add(held - age), suspendedAtCall: m.suspended,
--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -20,6 +20,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
 )
 
 // lockedBuffer is a buffer to which several tasks write.
@@ -209,3 +210,25 @@
 		t.Errorf("strikes %q are expired", removed)
 	}
 }
+
+// applyReply applies the reply of a peer to a request that was sent some time ago.
+func applyReply(b *board, now time.Time, sentAgo time.Duration, reply *peerpb.NewsReply) {
+	known := map[objectapi.Kind]uint64{}
+	for _, kind := range followedKinds {
+		known[kind] = b.cache.ofKind(kind).revision
+	}
+	b.source.handleResult(now, newsResult{address: "10.0.0.2:7", sentAt: now.Add(-sentAgo), knownRevisions: known, reply: reply})
+}
+
+// Guards against a peer whose news claims to come from the future: the instance did not read the store until then.
+func TestNewsIsNeverNewerThanItsArrival(t *testing.T) {
+	_, b := newTestBoard(t, newFakeStore())
+	now := time.Now()
+	for _, held := range []uint32{0, 20, 5000, math.MaxUint32} {
+		applyReply(b, now, 50*time.Millisecond, &peerpb.NewsReply{HeldMs: held, Kinds: []*peerpb.KindNews{
+			{Kind: string(objectapi.Backends), Revision: 5, Whole: true, AgeMs: 1, Reader: "edge-2"}}})
+		if age := b.source.dataAge(now); age < 0 {
+			t.Fatalf("after a request that was held for %d ms, the data is %s old", held, age)
+		}
+	}
+}
