Ignore kinds of objects in news that no instance follows

Each kind that a peer named in a request or a reply got an entry in the list of kinds, which is never removed, so a peer of another release, or anything else on that port, could fill the memory. Kinds that no instance follows are now ignored.

Before the change:

--- FAIL: TestUnknownKindsOfPeersAreIgnored 205 kinds are kept

After it, the test passes.

--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -280,6 +280,9 @@
 		delete(s.retryAt, m.address)
 	}
 	for _, k := range m.reply.GetKinds() {
+		if !isFollowed(k.GetKind()) {
+			continue
+		}
 		if packed := k.GetPacked(); len(packed) > 0 {
 			objects, err := unpack(packed)
 			if err != nil {
@@ -298,6 +301,9 @@
 	}
 }
 
+// isFollowed reports whether a kind that a peer names is one that instances follow. Another release may follow others.
+func isFollowed(kind string) bool { return slices.Contains(followedKinds, objectapi.Kind(kind)) }
+
 // toKindUpdate decodes the update of one kind. Its age counts from when the request was sent, so that network delay makes it
 // appear older but never newer. A peer cannot have held the request for longer than the answer took.
 func (m *newsResult) toKindUpdate(now time.Time, k *peerpb.KindNews) kindUpdate {
@@ -333,6 +339,7 @@
 
 // handleRequest handles a request of a peer: it is answered at once or held until there is an update.
 func (s *newsSource) handleRequest(now time.Time, m newsRequest) {
+	m.request.Known = slices.DeleteFunc(m.request.Known, func(k *peerpb.KnownKind) bool { return !isFollowed(k.GetKind()) })
 	q := heldRequest{newsRequest: m, receivedAt: now, deadline: now.Add(time.Duration(m.request.GetWaitMs()) * time.Millisecond)}
 	if s.hasNews(&q) || !now.Before(q.deadline) {
 		s.answer(now, &q)
--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -232,3 +232,21 @@
 		}
 	}
 }
+
+// Guards against kinds that no instance follows, which filled the memory with each request or reply of a peer that names
+// a new one.
+func TestUnknownKindsOfPeersAreIgnored(t *testing.T) {
+	_, b := newTestBoard(t, newFakeStore())
+	now := time.Now()
+	before := len(b.cache)
+	for i := range 100 {
+		kind := "kind-" + strconv.Itoa(i)
+		applyReply(b, now, 0, &peerpb.NewsReply{Kinds: []*peerpb.KindNews{{Kind: kind, Revision: 5, Whole: true,
+			Objects: []*peerpb.NewsObject{{Name: "x", Version: 1}}}}})
+		b.source.handleRequest(now, newsRequest{request: &peerpb.NewsRequest{Known: []*peerpb.KnownKind{{Kind: "more-" + kind}}},
+			reply: make(chan *peerpb.NewsReply, 1)})
+	}
+	if len(b.cache) > before+len(followedKinds) {
+		t.Errorf("%d kinds are kept", len(b.cache))
+	}
+}
