Bound the time for which a request of a peer is held

A request for news is held until there is a change, for as long as the peer says, up to 49 days, and stays when the peer has disconnected. It is now answered after ten seconds at the latest.

Before the change:

--- FAIL: TestHeldRequestsAreAnsweredInTime 1 requests are held after a minute

After it, the test passes.

--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -30,6 +30,8 @@
 	peerCheckInterval = 500 * time.Millisecond
 	// maxNewsBytes is the maximum size of one reply to a peer; kinds that do not fit follow in the next reply.
 	maxNewsBytes = 900 << 10
+	// maxNewsWait is the maximum time for which the request of a peer is held, several times the wait that peers ask for.
+	maxNewsWait = 10 * time.Second
 	// maxPeersInOutage is the number of peers that are asked at a time while the store does not answer this instance.
 	maxPeersInOutage = 2
 	// ageCheckInterval is the interval at which the age of the updates is checked.
@@ -340,7 +342,8 @@
 // handleRequest handles a request of a peer: it is answered at once or held until there is an update.
 func (s *newsSource) handleRequest(now time.Time, m newsRequest) {
 	m.request.Known = slices.DeleteFunc(m.request.Known, func(k *peerpb.KnownKind) bool { return !isFollowed(k.GetKind()) })
-	q := heldRequest{newsRequest: m, receivedAt: now, deadline: now.Add(time.Duration(m.request.GetWaitMs()) * time.Millisecond)}
+	wait := min(time.Duration(m.request.GetWaitMs())*time.Millisecond, maxNewsWait)
+	q := heldRequest{newsRequest: m, receivedAt: now, deadline: now.Add(wait)}
 	if s.hasNews(&q) || !now.Before(q.deadline) {
 		s.answer(now, &q)
 		return
--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -250,3 +250,17 @@
 		t.Errorf("%d kinds are kept", len(b.cache))
 	}
 }
+
+// Guards against requests of peers that are held for weeks: each is checked with each change.
+func TestHeldRequestsAreAnsweredInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, b := newTestBoard(t, newFakeStore())
+		reply := make(chan *peerpb.NewsReply, 1)
+		b.source.handleRequest(time.Now(), newsRequest{request: &peerpb.NewsRequest{WaitMs: math.MaxUint32}, reply: reply})
+		time.Sleep(time.Minute)
+		b.source.answerHeld(time.Now())
+		if len(reply) == 0 || len(b.source.heldRequests) > 0 {
+			t.Errorf("%d requests are held after a minute", len(b.source.heldRequests))
+		}
+	})
+}
