List again when the store has not reached the known revision

An instance that had taken a revision from a peer, or from an answer of the store, which the store had not reached read the changes after that revision for good: there were none, each answer made the data current again, and no list was newer than the known state. Servers that left stayed in use and new ones were never used.

The store answers with the latest revision, so an answer below the revision that was asked for proves that the known state never was in the store. The feed then lists all objects after a backoff, and the list replaces exactly the state that was disproved. A list that was only overtaken by newer news is ignored as before.

Before the change:

--- FAIL: TestRevisionBeyondStoreIsCorrected backend servers ["i-0"] are known

After it, the test passes.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -208,6 +208,9 @@
 func (b *board) applyUpdate(now time.Time, u kindUpdate) {
 	b.dropUnnamed(&u)
 	cached := b.cache.ofKind(u.kind)
+	if u.disproved > 0 && u.disproved == cached.revision {
+		cached.revision = 0 // any list is newer than a state that never was in the store
+	}
 	changes, ok := cached.apply(&u)
 	if !ok {
 		return
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -64,6 +64,8 @@
 	events       []objectapi.Event
 	baseRevision uint64
 	revision     uint64
+	// disproved is a revision that the store had not reached before the list was read; zero if there is none.
+	disproved uint64
 	// asOf is when the call of the store began; its answer is at least as recent.
 	asOf time.Time
 	// suspendedAtCall is how long the machine had been suspended in total at that time.
@@ -111,8 +113,10 @@
 	totalSuspension func() time.Duration
 	// failures counts the calls without an answer since the last answer.
 	failures int
-	// unreadable counts the answers that could not be read since the last changes that could.
+	// unreadable counts the answers that could not be used since the last changes that could.
 	unreadable int
+	// disproved is a revision after which changes were read and that the store has not reached.
+	disproved uint64
 	// interrupted is true if the last call was cancelled to retry at once.
 	interrupted bool
 }
@@ -203,8 +207,10 @@
 	for i, o := range objects {
 		events[i].Object = o
 	}
-	return f.reportUpdate(ctx, kindUpdate{kind: f.kind, complete: true, events: events, revision: revision,
-		asOf: f.callStart, suspendedAtCall: f.suspendedAtCall}, "listed")
+	u := kindUpdate{kind: f.kind, complete: true, events: events, revision: revision, disproved: f.disproved,
+		asOf: f.callStart, suspendedAtCall: f.suspendedAtCall}
+	f.disproved = 0
+	return f.reportUpdate(ctx, u, "listed")
 }
 
 // readChanges reads the changes after the known revision.
@@ -227,7 +233,16 @@
 	if err != nil {
 		return f.handleFailure(ctx, err)
 	}
-	u := kindUpdate{kind: f.kind, events: events, baseRevision: f.revision, revision: max(revision, f.revision),
+	if revision < f.revision {
+		f.disproved = f.revision
+		f.unreadable++
+		if f.unreadable == 1 {
+			f.log.Warn("store has not reached the known revision; all objects are listed again", "revision", f.revision,
+				"reached", revision)
+		}
+		return "unreadable"
+	}
+	u := kindUpdate{kind: f.kind, events: events, baseRevision: f.revision, revision: revision,
 		asOf: f.callStart, suspendedAtCall: f.suspendedAtCall}
 	if f.unreadable > 0 {
 		f.log.Info("answers of the store can be read again", "unreadable", f.unreadable, "revision", u.revision)
--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -264,3 +264,44 @@
 		}
 	})
 }
+
+// Guards against an instance that follows nothing any more, and takes its data for current, after a peer or the store named
+// a revision that the store has not reached.
+func TestRevisionBeyondStoreIsCorrected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := newFakeStore()
+		store.put(objectapi.Configuration, configObject, fleet.Config{Version: 1})
+		store.put(objectapi.Backends, "i-1", fleet.Backend{ID: "i-1", Service: "intake"})
+		snapshots, b := newTestBoard(t, store)
+		applyReply(b, time.Now(), 0, &peerpb.NewsReply{Kinds: []*peerpb.KindNews{
+			{Kind: string(objectapi.Backends), Revision: math.MaxUint64, Whole: true, AgeMs: 1, Reader: "edge-2",
+				Objects: []*peerpb.NewsObject{{Name: "i-0", Version: 1, Value: []byte(`{"ID":"i-0","Service":"intake"}`)}}}}})
+		for _, f := range b.source.feeds {
+			go func() { _ = f.run(ctx) }() // it ends with the context
+		}
+		go func() { _ = b.run(ctx) }() // same
+		time.Sleep(5 * time.Second)
+		store.put(objectapi.Backends, "i-2", fleet.Backend{ID: "i-2", Service: "intake"})
+		time.Sleep(5 * time.Second)
+		var ids []string
+		for _, entry := range snapshots.Newest().Backends["intake"] {
+			ids = append(ids, entry.ID)
+		}
+		if !slices.Equal(ids, []string{"i-1", "i-2"}) {
+			t.Errorf("backend servers %q are known", ids)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a list that was overtaken by newer news of a peer and takes the known objects back.
+func TestOvertakenListChangesNothing(t *testing.T) {
+	_, b := newTestBoard(t, newFakeStore())
+	applyList(b, objectapi.Backends, 9, objectapi.Object{Name: "i-1", Version: 8, Value: []byte(`{"ID":"i-1"}`)})
+	applyList(b, objectapi.Backends, 7)
+	if cached := b.cache.ofKind(objectapi.Backends); cached.revision != 9 || len(cached.objects) != 1 {
+		t.Errorf("revision %d with %d objects is known", cached.revision, len(cached.objects))
+	}
+}
