Send a kind that exceeds the size of a reply alone

A reply to a peer ends before a kind that does not fit when the reply has a kind already, even one without changes. A reply now ends only when it has objects.

Before the change:

--- FAIL: TestLargeKindIsSentAlone the peer gets the kinds ["configuration"]

After it, the test passes.

--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -396,10 +396,11 @@
 			Kind: k.GetKind(), Revision: cached.revision, Reader: s.board.readBy[kind],
 			AgeMs: uint32(now.Sub(s.board.asOf[kind]).Milliseconds()) + 1,
 		}
-		size += s.addObjects(out, cached, k.GetRevision(), q.request.GetPacked())
-		if size > maxNewsBytes && len(reply.Kinds) > 0 {
+		added := s.addObjects(out, cached, k.GetRevision(), q.request.GetPacked())
+		if size > 0 && size+added > maxNewsBytes {
 			break
 		}
+		size += added
 		reply.Kinds = append(reply.Kinds, out)
 	}
 	q.reply <- reply
--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -305,3 +306,25 @@
 		t.Errorf("revision %d with %d objects is known", cached.revision, len(cached.objects))
 	}
 }
+
+// Guards against a kind that is too large for one reply and never sent, so that the peer asks again without a pause: the
+// kinds before it have no changes.
+func TestLargeKindIsSentAlone(t *testing.T) {
+	_, b := newTestBoard(t, newFakeStore())
+	applyList(b, objectapi.Configuration, 5)
+	random := make([]byte, maxNewsBytes+1)
+	for i := range random {
+		random[i] = byte(rand.Uint32())
+	}
+	applyList(b, objectapi.Backends, 9, objectapi.Object{Name: "odd", Version: 8, Value: random})
+	reply := make(chan *peerpb.NewsReply, 1)
+	b.source.handleRequest(time.Now(), newsRequest{reply: reply, request: &peerpb.NewsRequest{Packed: true, WaitMs: 1000,
+		Known: []*peerpb.KnownKind{{Kind: string(objectapi.Configuration), Revision: 5}, {Kind: string(objectapi.Backends), Revision: 3}}}})
+	var kinds []string
+	for _, k := range (<-reply).GetKinds() {
+		kinds = append(kinds, k.GetKind())
+	}
+	if !slices.Contains(kinds, string(objectapi.Backends)) {
+		t.Errorf("the peer gets the kinds %q", kinds)
+	}
+}
