Report a watch line that is too long as malformed

A line of a watch above 2 MB counted as an object API that does not answer, although the API had answered. It is now a malformed answer, as every other line that cannot be read. The test of malformed answers also covers deep nesting and a version out of range, which were refused before.

Before the change:

--- FAIL: TestMalformedAnswers/too_long got error the object API does not answer for services: bufio.Scanner: token too long, want kind invalid

After it, the test passes.

--- a/internal/objecthttp/client_test.go
+++ b/internal/objecthttp/client_test.go
@@ -208,6 +208,9 @@
 		"no version":    `{"kind":"services","name":"a"}`,
 		"wrong version": `{"kind":"services","name":"a","version":-1}`,
 		"not base64":    `{"kind":"services","name":"a","version":3,"value":"%"}`,
+		"deep":          strings.Repeat(`[`, 20_000) + strings.Repeat(`]`, 20_000),
+		"huge version":  `{"kind":"services","name":"a","version":1e400}`,
+		"too long":      `{"kind":"services","name":"a","version":3,"value":"` + strings.Repeat("A", 4<<20) + `"}`,
 	}
 	for name, text := range answers {
 		t.Run(name, func(t *testing.T) {
--- a/internal/objecthttp/watch.go
+++ b/internal/objecthttp/watch.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -107,7 +108,11 @@
 		idle.Reset(watchIdleTimeout)
 	}
 	err := lines.Err()
-	if err == nil {
+	switch {
+	case errors.Is(err, bufio.ErrTooLong):
+		w.ended <- s.call.malformedAnswerError("a line of the watch is too long")
+		return
+	case err == nil:
 		err = io.ErrUnexpectedEOF
 	}
 	w.ended <- s.call.callFailedError(err, false)
