List again when a change of the object API cannot be read

A watcher whose watch ended at a change that could not be read resumed before that change, got it again and never went on: documents and instances that changed later stayed unknown, and the log said that the object API does not answer. It now lists the objects again, as after a version that is too old, and says that the answer cannot be read. The backoff stays.

Before the change:

--- FAIL: TestWatcherGetsPastUnreadableChange the change after the one that cannot be read was never reported level=WARN msg="object API does not answer" kind=services error=garbled

After it, the test passes.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -46,7 +46,8 @@
 var errNoEvent = errors.New("watch received no event")
 
 // watcher is the task that follows the objects of one kind: it lists them, watches the changes after the list, resumes a
-// broken watch, and lists again if the object API no longer keeps the version at which to resume.
+// broken watch, and lists again if the object API no longer keeps the version at which to resume or an answer cannot be
+// read.
 type watcher struct {
 	api   objectapi.API
 	kind  objectapi.Kind
@@ -82,10 +83,15 @@
 
 // handleError reports an error to the owner and waits for the backoff.
 func (w *watcher) handleError(ctx context.Context, err error) {
-	if fault.Is(err, fault.TooOld) {
+	problem := "object API does not answer"
+	switch {
+	case fault.Is(err, fault.TooOld):
 		w.canResume = false
+	case fault.Is(err, fault.Invalid):
+		w.canResume = false // a list passes the change that cannot be read
+		problem = "answer of the object API cannot be read"
 	}
-	w.log.Warn("object API does not answer", "kind", string(w.kind), "error", err)
+	w.log.Warn(problem, "kind", string(w.kind), "error", err)
 	w.notify(ctx, unreadableEvent{kind: w.kind, err: err})
 	task.Pause(ctx, w.retry.next())
 }
--- /dev/null
+++ b/internal/node/watch_test.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/task"
+)
+
+// garbledAPI is an object API whose change at version 5 cannot be read in a watch.
+type garbledAPI struct{ objectapi.API }
+
+func (garbledAPI) List(context.Context, objectapi.Kind) ([]objectapi.Object, uint64, error) {
+	version := uint64(4)
+	if time.Since(time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)) > time.Second {
+		version = 6
+	}
+	return nil, version, nil
+}
+
+func (garbledAPI) Watch(_ context.Context, _ objectapi.Kind, after uint64) (objectapi.Watch, error) {
+	return garbledWatch{after: after}, nil
+}
+
+type garbledWatch struct{ after uint64 }
+
+func (w garbledWatch) Next(ctx context.Context) (objectapi.Event, error) {
+	if !task.Pause(ctx, time.Second) {
+		return objectapi.Event{}, ctx.Err()
+	}
+	if w.after < 5 {
+		return objectapi.Event{}, fault.New(fault.Invalid, "", "garbled")
+	}
+	return objectapi.Event{Object: objectapi.Object{Kind: objectapi.Services, Name: "a", Version: 7}}, nil
+}
+
+func (garbledWatch) Close() error { return nil }
+
+// Guards against a watcher that resumes before a change that cannot be read, for good, and takes it for an outage.
+func TestWatcherGetsPastUnreadableChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		inbox := task.NewMailbox[any]("test", 64)
+		var log bytes.Buffer
+		newWatcher(garbledAPI{}, objectapi.Services, inbox, slog.New(slog.NewTextHandler(&log, nil))).run(ctx)
+		var changes int
+		for inbox.Len() > 0 {
+			if e, ok := (<-inbox.C()).(changeEvent); ok && e.event.Object.Version == 7 {
+				changes++
+			}
+		}
+		if changes == 0 {
+			t.Error("the change after the one that cannot be read was never reported")
+		}
+		if text := log.String(); strings.Contains(text, "does not answer") || !strings.Contains(text, "cannot be read") {
+			t.Errorf("log is\n%s", text)
+		}
+	})
+}
