Quote little of a text in the error about it

The error about a document quoted its key or value as a whole, up to 1 MB, in one log line and in the status. It quotes at most 400 bytes of each now.

Before the change:

--- FAIL: TestOddTextsAreRefusedWithShortErrors long key: the error has 900055 bytes: services/a:1: unknown key "xxx...

After it, the test passes.

--- a/internal/tomlfile/decode.go
+++ b/internal/tomlfile/decode.go
@@ -27,12 +27,27 @@
 	if errors.As(err, &unknown) && len(unknown.Errors) > 0 {
 		first := unknown.Errors[0]
 		line, _ := first.Position()
-		return fault.New(fault.Invalid, remedy, "%s:%d: unknown key %q", source, line, strings.Join(first.Key(), "."))
+		return fault.New(fault.Invalid, remedy, "%s:%d: unknown key %q", source, line, excerpt(strings.Join(first.Key(), ".")))
 	}
 	var syntax *toml.DecodeError
 	if errors.As(err, &syntax) {
 		line, _ := syntax.Position()
-		return fault.New(fault.Invalid, remedy, "%s:%d: key %q: %s", source, line, strings.Join(syntax.Key(), "."), syntax.Error())
+		return fault.New(fault.Invalid, remedy, "%s:%d: key %q: %s", source, line,
+			excerpt(strings.Join(syntax.Key(), ".")), excerpt(syntax.Error()))
+	}
+	if len(err.Error()) > maxExcerptBytes {
+		err = errors.New(excerpt(err.Error()))
 	}
 	return fault.Wrap(err, fault.Invalid, remedy, "%s", source)
 }
+
+// maxExcerptBytes is the maximum size of a part of the text in an error.
+const maxExcerptBytes = 400
+
+// excerpt returns the beginning of a part of the text.
+func excerpt(text string) string {
+	if len(text) <= maxExcerptBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxExcerptBytes], "") + "..."
+}
