--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -328,3 +328,21 @@
 		t.Errorf("the peer gets the kinds %q", kinds)
 	}
 }
+
+// Guards against a list of a peer that is small and takes much memory when it is decoded: an empty object takes two bytes
+// in the list and about a hundred in memory.
+func TestListOfTooManyObjectsIsRejected(t *testing.T) {
+	for _, count := range []int{maxUnpackedObjects, maxUnpackedObjects + 1} {
+		objects := make([]*peerpb.NewsObject, count)
+		for i := range objects {
+			objects[i] = &peerpb.NewsObject{}
+		}
+		packed, err := pack(objects)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := unpack(packed); (err == nil) != (count <= maxUnpackedObjects) || err == nil && len(got) != count {
+			t.Errorf("%d objects are decoded as %d, %v", count, len(got), err)
+		}
+	}
+}
