Merge the handling of odd entries

An answer that is too long is unreadable for a read and ambiguous for a write, for both stores: a store that sends too much is not an outage.

--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -21,6 +21,8 @@
 	foreignAnswers metrics.Counter
 	// checks counts health checks of backend servers.
 	checks metrics.Counter
+	// invalidObjects counts revisions of objects of the store that are not valid.
+	invalidObjects metrics.Counter
 	// callers is the number of open caller connections, placing the number of placements that wait for load reports.
 	callers, placing metrics.Gauge
 	// newsAge is the age of the known entries of backend servers, in milliseconds.
@@ -54,6 +56,7 @@
 		hedged:         metrics.GetOrRegisterCounter("gateway.hedged", registry),
 		resendRefused:  metrics.GetOrRegisterCounter("gateway.resend_refused", registry),
 		checks:         metrics.GetOrRegisterCounter("gateway.checks", registry),
+		invalidObjects: metrics.GetOrRegisterCounter("gateway.invalid_objects", registry),
 		callers:        metrics.GetOrRegisterGauge("gateway.callers", registry),
 		placing:        metrics.GetOrRegisterGauge("gateway.placing", registry),
 		newsAge:        metrics.GetOrRegisterGauge("gateway.news_age_ms", registry),
--- a/internal/objecthttp/exchange.go
+++ b/internal/objecthttp/exchange.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -19,8 +18,6 @@
 	maxProblemBytes = 16 << 10
 )
 
-var errAnswerTooLarge = errors.New("answer is too large")
-
 // do makes one call and decodes its answer into the target; with a nil target the body is ignored.
 func (c *Client) do(ctx context.Context, call apiCall, into any) error {
 	if err := call.validate(); err != nil {
@@ -81,12 +78,12 @@
 		limit = maxObjectBytes
 	}
 	text, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
-	if err == nil && len(text) > limit {
-		err = errAnswerTooLarge
-	}
 	if err != nil {
 		return call.callFailedError(err, true)
 	}
+	if len(text) > limit {
+		return call.malformedAnswerError("the answer is too large")
+	}
 	if err := json.Unmarshal(text, into); err != nil {
 		return call.malformedAnswerError("the answer is not valid JSON")
 	}
