--- a/internal/objecthttp/endless_test.go
+++ b/internal/objecthttp/endless_test.go
@@ -75,16 +75,17 @@
 	for name, c := range map[string]struct {
 		part     endlessPart
 		accepted int
+		kind     fault.Kind
 	}{
-		"header line":     {endlessPart{start: "HTTP/1.1 200 OK\r\nA: ", repeated: "a"}, 256 << 10},
-		"interim answers": {endlessPart{repeated: "HTTP/1.1 103 Early Hints\r\n\r\n"}, 256 << 10},
-		"body":            {endlessPart{start: "HTTP/1.1 200 OK\r\n\r\n", repeated: " "}, 3 << 20},
-		"failure":         {endlessPart{start: "HTTP/1.1 500 Oops\r\n\r\n", repeated: " "}, 256 << 10},
+		"header line":     {endlessPart{start: "HTTP/1.1 200 OK\r\nA: ", repeated: "a"}, 256 << 10, fault.StoreUnavailable},
+		"interim answers": {endlessPart{repeated: "HTTP/1.1 103 Early Hints\r\n\r\n"}, 256 << 10, fault.StoreUnavailable},
+		"body":            {endlessPart{start: "HTTP/1.1 200 OK\r\n\r\n", repeated: " "}, 3 << 20, fault.Invalid},
+		"failure":         {endlessPart{start: "HTTP/1.1 500 Oops\r\n\r\n", repeated: " "}, 256 << 10, fault.StoreUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			withEndlessPlatform(t, c.part, func(t *testing.T, client *objecthttp.Client, ended <-chan int) {
 				_, err := client.Get(t.Context(), objectapi.Fleet, "a")
-				wantKind(t, err, fault.StoreUnavailable)
+				wantKind(t, err, c.kind)
 				if sent := <-ended; sent > c.accepted {
 					t.Errorf("get: the platform could send %d bytes, at most %d are accepted", sent, c.accepted)
 				}
