Deliver an answer that came before the deadline

Callers saw 504 for a request whose answer had reached the task of the request before the deadline, when the task ran late; the backend server had run it, and one that is not idempotent was lost to the caller.

Cause: the task waits for messages and for the timer of the deadline at the same time. When it runs late both are ready, and select takes either: the same race as the idle timeout of a caller's connection.

Change: when the timer fires, a message that has arrived is handled first.

An answer that still lies in the socket, or with the task of the connection, when the deadline passes is not covered.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -251,6 +251,10 @@
 	case m := <-f.events:
 		f.handle(m)
 	case <-expiry.C:
+		if f.handleArrived() {
+			expiry.Reset(0)
+			return
+		}
 		if f.copiesInFlight > 0 && time.Now().Before(f.deadline.Add(answerSlack)) {
 			expiry.Reset(time.Until(f.deadline.Add(answerSlack)))
 			return
@@ -265,6 +269,18 @@
 	}
 }
 
+// handleArrived handles a message that has arrived, and returns false if there is none. It comes before a timer that is due
+// as well, since the task may run late.
+func (f *forward) handleArrived() bool {
+	select {
+	case m := <-f.events:
+		f.handle(m)
+		return true
+	default:
+		return false
+	}
+}
+
 func (f *forward) handle(m any) {
 	switch m := m.(type) {
 	case *grant:
