Send no second copy behind an answer that has come

Backend servers saw a second copy of an idempotent request whose answer had reached the instance before the hedge was due. It was charged to the resend budget, and the server that had answered counted as slow for 150 ms: a late instance made its own overload worse.

Cause: the timer of the hedge and the message with the answer are both ready when the task of the request runs late, and select takes either.

Change: when the hedge is due, a message that has arrived is handled first.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -261,6 +261,9 @@
 		}
 		f.fire("expired")
 	case <-hedgeDue:
+		if f.handleArrived() {
+			return
+		}
 		f.hedgeAt = time.Time{}
 		f.notifyDirector(overdueEvent{grant: f.lastGrant})
 		f.fire("slow")
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -78,3 +78,28 @@
 		}
 	})
 }
+
+// Guards against a second copy of a request whose first answer has come, and against a server that counts as slow, because
+// the instance was late.
+func TestNoHedgeBehindAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newConnectionTest(t)
+		for range raceRepeats {
+			f := lateForward(t, test, &fleet.Route{Name: "crew", Attempts: 2, Idempotent: true}, 500*time.Millisecond)
+			expiry := time.NewTimer(time.Until(f.deadline))
+			for !f.machine.Final() {
+				f.waitForEvent(expiry)
+			}
+			for test.director.Len() > 0 {
+				if m := <-test.director.C(); !isRelease(m) {
+					t.Errorf("the director got %T", m)
+				}
+			}
+		}
+	})
+}
+
+func isRelease(m any) bool {
+	_, ok := m.(grantRelease)
+	return ok
+}
