Send no hedge behind an answer on the native path

Backend servers saw a second copy of a request whose answer had come before the hedge was due, and it was charged to the budget of hedges: the race of the gateway's hedge, in the other request path.

Cause: the timer of the hedge and the result of the first copy are both ready when the goroutine runs late, and select takes either.

Evidence, before the fix, for 24 of 64 requests: --- FAIL: TestNoHedgeBehindAnswer a server was requested for a hedge

Change: a result that has come is handled before the hedge. The loop is a function of its own, so that a test can decide what is ready.

Result: the test passes 5 times.

--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -31,11 +31,19 @@
 	h.startCopy(e.assignment, req, false)
 	timer := time.NewTimer(e.assignment.hedgeAfter)
 	defer timer.Stop()
+	return h.await(req, timer.C)
+}
+
+// await returns the result that decides the request. It starts the hedge when that is due.
+func (h *hedgedRequest) await(req *call.Request, due <-chan time.Time) backend.Result {
+	e := h.e
 	var failed *backend.Result
 	for {
 		select {
-		case <-timer.C:
-			h.startHedge(req)
+		case <-due:
+			if len(h.results) == 0 { // this goroutine may run late
+				h.startHedge(req)
+			}
 		case c := <-h.results:
 			h.inFlight--
 			e.recordBrokenCopy(c.copy, c.result)
