Look for a request once more before a connection is closed

Callers saw a reset instead of an answer when their request arrived at the idle timeout or a planned stop, after the reading goroutine had looked at the socket for the last time and before the task of the connection closed it. A pipelining caller could lose the rest of the answer before it too, which was still in the send buffer.

Cause: the last look and the close are done by two goroutines. What arrives while the message "stopped" waits for the task lies unread in the socket; the close then resets the connection. The task may wait long: the process has no processor time, or it writes an answer to a slow caller.

Evidence, before the fix: --- FAIL: TestRequestBehindLastLookIsAnswered/idle_timeout connection ended without an answer: read tcp 127.0.0.1:56228->127.0.0.1:44097: read: connection reset by peer and the same for planned_stop.

Change: the task looks at the socket itself, directly before it closes it. If something has arrived, the reading goroutine goes on; the request it finds is the last one, and its answer says so.

Left is what arrives between two system calls of one goroutine.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -11,6 +11,7 @@
 	"fuchsiahub.example/fuchsiahub/charts"
 	"fuchsiahub.example/fuchsiahub/internal/chart"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
+	"fuchsiahub.example/fuchsiahub/internal/tcp"
 )
 
 const (
@@ -45,11 +46,14 @@
 	bound, err := chart.Bind(ch, chart.Bindings[*caller]{
 		Guards: map[string]func(*caller) bool{
 			"all_answered": func(c *caller) bool { return len(c.queue) == 0 },
-			"can_linger":   func(c *caller) bool { _, ok := c.conn.(halfCloser); return ok },
+			// A request may have arrived since the reading goroutine looked for the last time.
+			"request_arrived": func(c *caller) bool { unread, _ := tcp.HasUnread(c.conn); return unread && len(c.queue) == 0 },
+			"can_linger":      func(c *caller) bool { _, ok := c.conn.(halfCloser); return ok },
 		},
 		Actions: map[string]func(*caller){
 			"start_request": (*caller).startRequest, "reject": (*caller).reject,
 			"stop_reading": func(c *caller) { c.stopReading() }, "discard_input": func(c *caller) { close(c.discarding) },
+			"read_on":          func(c *caller) { c.readOn <- struct{}{} },
 			"close_write_side": (*caller).closeWriteSide, "close_socket": (*caller).closeSocket,
 		},
 		Observe: func(c *caller, from, _, _ string) { c.stateBefore = from },
@@ -82,6 +86,8 @@
 	// stopOrder is done when the reading goroutine should end as soon as it holds no byte of a request.
 	stopOrder   context.Context
 	stopReading context.CancelFunc
+	// readOn tells the reading goroutine, after it has stopped, to look at the socket once more.
+	readOn chan struct{}
 	// discarding is closed when the reading goroutine should discard all further bytes until the end of the connection.
 	discarding chan struct{}
 	// queue holds the unanswered requests in the order in which they were read.
@@ -138,7 +144,7 @@
 
 func (s *callerServer) newCaller(ctx context.Context, conn net.Conn) *caller {
 	c := &caller{callerServer: s, conn: conn, writer: bufio.NewWriterSize(timedWriter{conn}, writeBuffer), readEvents: make(chan any, 1),
-		discarding: make(chan struct{}), idleSince: time.Now()}
+		readOn: make(chan struct{}, 1), discarding: make(chan struct{}), idleSince: time.Now()}
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.stopOrder, c.stopReading = context.WithCancel(c.ctx)
 	c.machine = s.bound.New(time.Now(), c)
@@ -169,9 +175,16 @@
 			return
 		}
 		send(m)
-		if last {
+		if !last {
+			continue
+		}
+		select {
+		case <-c.readOn:
+		case <-c.discarding:
 			send(readEnd{err: c.discardInput()})
 			return
+		case <-c.ctx.Done():
+			return
 		}
 	}
 }
@@ -180,11 +193,6 @@
 // resets it. It begins when the task has decided that an answer follows: a connection that ends without one must not take
 // in a request that crosses its end.
 func (c *caller) discardInput() error {
-	select {
-	case <-c.discarding:
-	case <-c.ctx.Done():
-		return c.ctx.Err()
-	}
 	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
 		return err
 	}
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -41,6 +41,18 @@
 }
 
 func newConnectionTest(t *testing.T) *connectionTest {
+	t.Helper()
+	test := newSocketTest(t)
+	t.Cleanup(func() {
+		for test.refuse() { // a request whose caller has gone waits for the director
+			continue
+		}
+	})
+	return test
+}
+
+// newSocketTest returns a connectionTest for sockets of the kernel, which a synctest bubble cannot hold.
+func newSocketTest(t *testing.T) *connectionTest {
 	t.Helper()
 	config := &fleet.Config{Routes: []fleet.Route{{Name: "crew", Host: "hotline", Prefix: "/", Attempts: 1,
 		Shares: []fleet.ServiceShare{{Service: "intake", Weight: 1}}}}}
@@ -58,11 +70,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() {
-		for test.refuse() { // a request whose caller has gone waits for the director
-			continue
-		}
-	})
 	return test
 }
 
@@ -635,6 +642,71 @@
 	})
 }
 
+// connectedSockets returns both ends of a connection of the kernel.
+func connectedSockets(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	if near, err = net.Dial("tcp", listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = near.Close() })
+	if far, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = far.Close() })
+	return near, far
+}
+
+// Guards against a close of a connection whose request arrived after the reading goroutine had looked for the last time, and
+// before the task closed the connection.
+func TestRequestBehindLastLookIsAnswered(t *testing.T) {
+	for name, stop := range map[string]func(*caller){
+		"idle timeout": func(c *caller) { c.stopFor(endIdle, "idle_timeout") },
+		"planned stop": func(c *caller) { c.stopFor(endStop, "leave") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			test := newSocketTest(t)
+			near, far := connectedSockets(t)
+			c := test.server.newCaller(t.Context(), far)
+			go c.read()
+			stop(c)
+			m := <-c.readEvents
+			if _, ok := m.(readingStopped); !ok {
+				t.Fatalf("reading goroutine reports %T", m)
+			}
+			if _, err := io.WriteString(near, testPost); err != nil {
+				t.Fatal(err)
+			}
+			c.handle(m)
+			ended := make(chan struct{})
+			go func() {
+				c.run()
+				close(ended)
+			}()
+			go func() {
+				select {
+				case p := <-test.director.C():
+					p.(placeRequest).reply(placeRefusal{reason: reasonNoRoom})
+				case <-ended:
+				}
+			}()
+			response, err := http.ReadResponse(bufio.NewReader(near), nil)
+			if err != nil {
+				t.Fatalf("connection ended without an answer: %v", err)
+			}
+			if response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+				t.Errorf("status %d, connection closes: %v", response.StatusCode, response.Close)
+			}
+			_ = near.Close()
+			<-ended
+		})
+	}
+}
+
 // Guards against a read that fails after its deadline although the bytes have arrived.
 func TestReadAfterDeadlineReturnsArrivedBytes(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
