Test that requests read after a planned stop are bounded

A caller that always has a further request in the buffer could delay a planned stop. The bound of 64 requests had no test: without it the new test reports "192 requests were passed on after the stop, want at most 64". It passes with the code as it is.

--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -642,6 +642,27 @@
 	})
 }
 
+// Guards against a planned stop that a caller delays without end by always having sent a further request.
+func TestPlannedStopIsBoundedWithPipelinedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newConnectionTest(t)
+		close(test.leaving)
+		close(test.closingIdle)
+		conn := test.connect()
+		conn.send(strings.Repeat(testPost, 3*maxPipelined))
+		passedOn := 0
+		for answered := 0; test.refuse(); passedOn++ {
+			for ; answered <= passedOn; answered++ {
+				conn.expectRefusal("pipelined request")
+			}
+		}
+		if passedOn > maxPipelined {
+			t.Errorf("%d requests were passed on after the stop, want at most %d", passedOn, maxPipelined)
+		}
+		conn.expectEnd()
+	})
+}
+
 // connectedSockets returns both ends of a connection of the kernel.
 func connectedSockets(t *testing.T) (near, far net.Conn) {
 	t.Helper()
