Do not report a complete long answer as cut off

Operators saw "connection of a caller ended with requests in hand" and a count in gateway.requests_cut.caller-closed for a long answer that the caller had received completely, when the caller closed the connection after it.

Cause: while a long answer is written, the end of the connection and the end of the writing can both be ready. When the end of the connection came first, the result of the writing was dropped.

Evidence, before the fix: --- FAIL: TestCompleteStreamIsNotReportedAsCut line map[... cause:caller-closed error:EOF ... requests:[long] state:waiting unanswered:1] 1 requests were cut

Change: without an error of the writing, the answer counts as written, and the end of the connection is handled after it.

--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -299,6 +299,31 @@
 	}
 }
 
+// Guards against a long answer that was written completely and counts as cut off, because its caller closed the connection
+// before the task had taken note.
+func TestCompleteStreamIsNotReportedAsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCallerTest(t)
+		go func() { _, _ = io.Copy(io.Discard, s.caller) }()
+		c := s.server.newCaller(t.Context(), s.conn)
+		c.queue = []pendingRequest{{id: "long", receivedAt: time.Now(), method: http.MethodGet}}
+		c.readEvents <- readEnd{err: io.EOF}
+		c.writeAnswer(reply{status: http.StatusOK, stream: io.NopCloser(strings.NewReader("answer")), length: 6})
+		for !c.machine.Final() {
+			c.waitForEvent()
+		}
+		if line := s.endLine(); line != nil {
+			t.Errorf("line %v", line)
+		}
+		if n := s.count("gateway.requests_cut.caller-closed"); n != 0 {
+			t.Errorf("%d requests were cut", n)
+		}
+		if n := s.count("gateway.connections_closed.caller-closed"); n != 1 {
+			t.Errorf("%d connections were closed for caller-closed, want 1", n)
+		}
+	})
+}
+
 // Guards against a line whose length the caller decides.
 func TestRequestsInLineAreBounded(t *testing.T) {
 	var h inHand
--- a/internal/gateway/streaming.go
+++ b/internal/gateway/streaming.go
@@ -25,8 +25,11 @@
 		case m := <-readEvents:
 			if end, ok := m.(readEnd); ok {
 				c.cancel()
-				<-written // the cancelled copy ends the answer
-				return callerEndError{end.err}
+				if err := <-written; err != nil { // the cancelled copy ends the answer
+					return callerEndError{end.err}
+				}
+				c.readEvents <- end // nothing else is sent there any more
+				return nil
 			}
 			c.handle(m)
 		}
