Drain the daemon without cutting a request read ahead

Callers of the product's own mode lost a request at a planned stop when its first byte, and no more, had come while the request before it on the same connection was served.

Cause: net/http reads one byte ahead to notice the end of the connection. When the connection became idle again, that byte was forgotten, and the stop ended the read of the rest.

Evidence, before the fix: --- FAIL: TestDrainAnswersRequestReadAhead the drain returned while a request was read connection was closed within a request: io: read/write on closed pipe connection ended without an answer: unexpected EOF

Change: a byte read ahead counts as the begin of the next request.

Result: the test passes. TestStopThatCrossesFirstByteDoesNotEndRequest guards an order of events that had no test; it passed before the change and fails when an interrupted read is not resumed.

--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -75,6 +75,8 @@
 	forgetStop  func() bool
 	// idle is true while the server waits for a request or reads its head, begun when the first byte has arrived.
 	idle, begun atomic.Bool
+	// readAhead is true when the server has read a byte behind the request that it serves.
+	readAhead atomic.Bool
 	// deadlines counts the deadlines that the server has set since the connection became idle.
 	deadlines atomic.Int64
 	// stopping is true when the connection should end unless a request has begun.
@@ -92,7 +94,7 @@
 	}
 	switch state {
 	case http.StateIdle:
-		c.begun.Store(false)
+		c.begun.Store(c.readAhead.Swap(false))
 		c.deadlines.Store(0)
 		c.idle.Store(true)
 	case http.StateActive:
@@ -107,6 +109,7 @@
 		n, err := c.Conn.Read(p)
 		if n > 0 {
 			c.begun.Store(true)
+			c.readAhead.Store(!c.idle.Load() && len(p) == 1) // the server notices the end of a connection by reading one byte
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -191,6 +191,62 @@
 	}
 }
 
+// Guards against a drain that closes a connection on which the first byte of the next request was read while the one before
+// was served: net/http reads it ahead.
+func TestDrainAnswersRequestReadAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		release := make(chan struct{})
+		d := newDrainTest(t)
+		next := d.servers.callers.Handler
+		d.servers.callers.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-release
+			next.ServeHTTP(w, r)
+		})
+		conn, reader := d.connect(t)
+		sendText(t, conn, drainPost)
+		sendText(t, conn, drainPost[:1])
+		close(release)
+		expectAccepted(t, reader)
+		synctest.Wait()
+		drained := make(chan error, 1)
+		go func() { drained <- d.servers.drain(context.Background()) }()
+		time.Sleep(time.Second)
+		if len(drained) > 0 {
+			t.Error("the drain returned while a request was read")
+		}
+		sendText(t, conn, drainPost[1:])
+		expectAccepted(t, reader)
+		if err := <-drained; err != nil {
+			t.Errorf("drain: %v", err)
+		}
+	})
+}
+
+// Guards against an order to stop that ends the read of a request whose first byte came while the order was given.
+func TestStopThatCrossesFirstByteDoesNotEndRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		connections := newCallerConnections()
+		connections.open.Add(1)
+		c := &callerConn{Conn: far, connections: connections, forgetStop: func() bool { return true }}
+		defer func() { _ = c.Close() }()
+		c.idle.Store(true)
+		go func() { _, _ = io.WriteString(near, "PO") }()
+		one := make([]byte, 1)
+		if _, err := c.Read(one); err != nil {
+			t.Fatal(err)
+		}
+		c.stopping.Store(true)
+		if err := c.interrupt(); err != nil { // as an order to stop that looked before the first byte
+			t.Fatal(err)
+		}
+		if _, err := c.Read(one); err != nil || string(one) != "O" {
+			t.Errorf("read %q, error %v", one, err)
+		}
+	})
+}
+
 // Guards against a drain that waits for connections without a request.
 func TestDrainClosesIdleConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
