Test two orders of events in the drain of the daemon

No fault was found. A request whose first part was read with the one before, and a connection whose request ends while the daemon drains, had no test: without the count of deadlines the new TestDrainAnswersRequestReadWithAnother fails, and without the check in SetReadDeadline TestDrainClosesConnectionBehindAnswer.

--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -195,14 +195,8 @@
 // was served: net/http reads it ahead.
 func TestDrainAnswersRequestReadAhead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		release := make(chan struct{})
 		d := newDrainTest(t)
-		next := d.servers.callers.Handler
-		d.servers.callers.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_, _ = io.Copy(io.Discard, r.Body)
-			<-release
-			next.ServeHTTP(w, r)
-		})
+		release := d.holdRequests()
 		conn, reader := d.connect(t)
 		sendText(t, conn, drainPost)
 		sendText(t, conn, drainPost[:1])
@@ -223,6 +217,60 @@
 	})
 }
 
+// holdRequests makes the requests wait for the returned channel.
+func (d *drainTest) holdRequests() chan struct{} {
+	release, next := make(chan struct{}), d.servers.callers.Handler
+	d.servers.callers.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-release
+		next.ServeHTTP(w, r)
+	})
+	return release
+}
+
+// Guards against a drain that ends the read of a request whose first part was read together with the request before it.
+func TestDrainAnswersRequestReadWithAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrainTest(t)
+		release := d.holdRequests()
+		conn, reader := d.connect(t)
+		sendText(t, conn, drainPost+drainPost[:20])
+		drained := make(chan error, 1)
+		go func() { drained <- d.servers.drain(context.Background()) }()
+		synctest.Wait()
+		close(release)
+		expectAccepted(t, reader)
+		time.Sleep(time.Second)
+		sendText(t, conn, drainPost[20:])
+		expectAccepted(t, reader)
+		if err := <-drained; err != nil {
+			t.Errorf("drain: %v", err)
+		}
+	})
+}
+
+// Guards against a drain that waits for the idle timeout of a connection whose request was served while it drained.
+func TestDrainClosesConnectionBehindAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrainTest(t)
+		release := d.holdRequests()
+		conn, reader := d.connect(t)
+		sendText(t, conn, drainPost)
+		drained := make(chan error, 1)
+		go func() { drained <- d.servers.drain(context.Background()) }()
+		synctest.Wait()
+		close(release)
+		expectAccepted(t, reader)
+		start := time.Now()
+		if err := <-drained; err != nil {
+			t.Errorf("drain: %v", err)
+		}
+		if elapsed := time.Since(start); elapsed > time.Second {
+			t.Errorf("the drain took %v after the answer", elapsed)
+		}
+	})
+}
+
 // Guards against an order to stop that ends the read of a request whose first byte came while the order was given.
 func TestStopThatCrossesFirstByteDoesNotEndRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
