Send no 100 Continue when no request waits for it

Callers that pipeline saw "HTTP/1.1 100 Continue" on an idle connection, behind the last answer: bytes that belong to no request. It needs a request with Expect: 100-continue whose body comes at once, while an answer before it is awaited.

Cause: the wait for 100 Continue ended only when it was sent, and it is sent when no answer is pending.

Evidence, before the fix: --- FAIL: TestNoContinueBehindAnswer connection did not end: <nil>

Change: the wait ends when the request has been read or rejected.

Result: the test passes 5 times.

--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -430,6 +430,21 @@
 	})
 }
 
+// Guards against a 100 Continue without a request that waits for it: one whose body came at once, behind another request.
+func TestNoContinueBehindAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newConnectionTest(t)
+		conn := test.connect()
+		conn.send(testPost)
+		conn.send("POST /crew HTTP/1.1\r\nHost: hotline\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nmain")
+		test.refuse()
+		conn.expectRefusal("first request")
+		test.refuse()
+		conn.expectRefusal("second request")
+		conn.expectEnd()
+	})
+}
+
 // heldConn holds back the reads of its connection from the given one on.
 type heldConn struct {
 	net.Conn
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -128,13 +128,13 @@
 	return h
 }
 
-// noteRead records whether a request is being read.
+// noteRead records whether a request is being read, and ends the wait for 100 Continue with it.
 func (c *caller) noteRead(m any) {
 	switch m := m.(type) {
 	case requestBegun:
 		c.begunAt = m.at
 	case *incomingRequest, rejection:
-		c.begunAt = time.Time{}
+		c.begunAt, c.continuePending = time.Time{}, false
 	}
 }
 
