Count the reports that have arrived before a placement is decided

Callers saw 503 "no backend server can be reached" while the answers of the servers to the health checks lay in the inbox of the director.

Cause: the director decided every placement whose wait was over after each single message. When it runs late, the first message it takes, whatever it is, ends the wait of all placements, and the reports behind it come too late. The time of the wait passed for the servers, although it was the instance that was late.

Evidence, before the fix, 64 of 64 times: --- FAIL: TestReportsThatArrivedCountForPlacement the placement is refused: no backend server can be reached

Change: all messages that have arrived are handled before placements are decided.

--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -148,10 +148,19 @@
 		case <-ctx.Done():
 			return nil
 		}
+		d.handleArrived(ctx)
 		d.decideDue(ctx, time.Now())
 	}
 }
 
+// handleArrived handles the messages that have arrived. The task may run late, so the reports that a placement waits for may be
+// among them although its wait is over.
+func (d *director) handleArrived(ctx context.Context) {
+	for range d.inbox.Len() {
+		d.handle(ctx, time.Now(), <-d.inbox.C())
+	}
+}
+
 func (d *director) nextDecision() time.Duration {
 	wait := idleWait
 	for _, p := range d.pending {
