Say in a ready answer of a leaving instance that the connection closes

Callers on a kept connection got an answer without Connection: close from a leaving instance, and the connection was closed right after it: their next request on it was sent into a closed connection. An answer that the instance makes itself always came like this, the answer of a quick server when the instance ran late.

Cause: the answer was written while the reading goroutine was still being asked to stop, so that nobody knew whether its request was the last.

Evidence, before the fix, for 64 of 64 connections: --- FAIL: TestReadyAnswerOfLeavingInstanceClosesConnection ... StatusCode:503 ... Close:false ..., want an answer that closes the connection

Change: while reading stops, the answer to the only pending request waits until the reading goroutine has said that it has stopped or that a further request has begun. That takes a look at the socket, and no time of the caller.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -220,7 +220,7 @@
 		readEvents = nil
 	}
 	var firstReply chan reply
-	if len(c.queue) > 0 {
+	if len(c.queue) > 0 && !c.mayBeLast() {
 		firstReply = c.queue[0].reply
 	}
 	due, limited := c.deadline()
@@ -244,6 +244,12 @@
 	}
 }
 
+// mayBeLast reports whether the reading goroutine is about to tell whether the only pending request is the last one, which its
+// answer has to say. It does not wait for the caller then.
+func (c *caller) mayBeLast() bool {
+	return len(c.queue) == 1 && c.machine.In("stopping") && c.begunAt.IsZero()
+}
+
 // leaveOrder returns the channel that is closed when the connection should end: at once when it is idle, and with the
 // answers to its pending requests otherwise. It is nil when the connection is ending already.
 func (c *caller) leaveOrder() <-chan struct{} {
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -292,6 +292,24 @@
 	})
 }
 
+// Guards against a leaving instance that closes a connection after an answer that does not say so, because the answer was ready
+// before the reading goroutine had stopped.
+func TestReadyAnswerOfLeavingInstanceClosesConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newConnectionTest(t)
+		close(test.leaving)
+		for range raceRepeats {
+			conn := test.connect()
+			conn.send("GET / HTTP/1.1\r\nHost: unknown\r\n\r\n")
+			response, err := conn.answer()
+			if err != nil || !response.Close {
+				t.Errorf("%+v, error %v, want an answer that closes the connection", response, err)
+			}
+			conn.expectEnd()
+		}
+	})
+}
+
 // Guards against requests that are passed on behind a request after which the caller wants the connection closed.
 func TestNothingIsPassedOnBehindLastRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
