Report a long answer that the end of the process cuts off

Operators saw, for a long answer that was cut off when the drain time had passed, either no line or the cause "stream", which blames the backend server.

Cause: while a long answer is written, the task of the connection waits only for the caller and for the writing. It did not hear of the end of the process, and the cancelled copy then looked like a server that broke off, if the process lived long enough.

Evidence, before the fix: --- FAIL: TestStreamCutByEndOfProcessIsReported line map[... cause:stream error:context canceled in_hand_ms:1020 ...] 0 requests were cut for process, want 1

--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -55,7 +55,10 @@
 func endOfWrite(err error) ending {
 	var stream streamError
 	var callerEnd callerEndError
+	var processEnd processEndError
 	switch {
+	case errors.As(err, &processEnd):
+		return endProcess
 	case errors.As(err, &callerEnd):
 		return endOfRead(callerEnd.error)
 	case errors.As(err, &stream):
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -324,6 +325,35 @@
 	})
 }
 
+// silentStream is an answer that ends only when the request is cancelled.
+type silentStream struct{ ctx context.Context }
+
+func (s silentStream) Read([]byte) (int, error) {
+	<-s.ctx.Done()
+	return 0, s.ctx.Err()
+}
+
+func (silentStream) Close() error { return nil }
+
+// Guards against a long answer that the end of the process cuts off without a line.
+func TestStreamCutByEndOfProcessIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCallerTest(t)
+		go func() { _, _ = io.Copy(io.Discard, s.caller) }()
+		c := s.server.newCaller(t.Context(), s.conn)
+		c.queue = []pendingRequest{{id: "long", receivedAt: time.Now(), method: http.MethodGet}}
+		time.AfterFunc(time.Second, func() { close(s.processEnding) })
+		time.AfterFunc(time.Second+endReportTime, c.cancel) // the process ends
+		c.writeAnswer(reply{status: http.StatusOK, stream: silentStream{c.ctx}, length: 10})
+		if line := s.endLine(); line == nil || line["cause"] != "process" || line["in_hand_ms"] != 1000.0 {
+			t.Errorf("line %v", line)
+		}
+		if n := s.count("gateway.requests_cut.process"); n != 1 {
+			t.Errorf("%d requests were cut for process, want 1", n)
+		}
+	})
+}
+
 // Guards against a line whose length the caller decides.
 func TestRequestsInLineAreBounded(t *testing.T) {
 	var h inHand
