Stop a link to a peer only when it has taken up no further call

Callers of a peer got "peer ... has left or moved" for a call to a sound peer: for the caller of a request a refusal, when the call was the claim of a once-only request.

Cause: a link without connections reports that it is idle. While the report waits for the client, the link may take up a call, and its inbox is empty again. The client took the empty inbox for an idle link and stopped it, which fails the calls that wait for a connection: an idle timeout that closes a connection with work in hand.

Change: the report says how many calls the link had taken up. The client stops the link only if it has passed on no more.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -66,7 +66,11 @@
 		to   string
 		call peerCall
 	}
-	linkIdle  struct{ link *link }
+	// linkIdle reports a link without connections that has taken up a number of calls.
+	linkIdle struct {
+		link  *link
+		calls int
+	}
 	linkEnded struct{}
 )
 
@@ -93,7 +97,7 @@
 	case callRequest:
 		c.routeCall(ctx, m)
 	case linkIdle:
-		if c.links[m.link.name] == m.link && m.link.inbox.Len() == 0 {
+		if c.links[m.link.name] == m.link && m.link.routed == m.calls {
 			c.stopLink(m.link.name)
 		}
 	case linkEnded:
@@ -122,7 +126,9 @@
 	}
 	if err := l.inbox.Offer(m.call); err != nil {
 		m.call.fail(unavailableError(err, m.to, "too many calls wait for it"))
+		return
 	}
+	l.routed++
 }
 
 func (c *Client) address(name string) (string, bool) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -51,6 +51,9 @@
 	cancel  context.CancelFunc
 	ctx     context.Context
 
+	// routed counts the calls that the client has passed on and belongs to the task of the client, calls those taken up.
+	routed, calls int
+
 	pools    [classCount]connectionPool
 	open     int
 	stopping bool
@@ -98,13 +101,14 @@
 // requestStop asks the client to stop a link without connections. A full mailbox does no harm, because the link asks again.
 func (l *link) requestStop() {
 	if l.open == 0 {
-		_ = l.client.inbox.Offer(linkIdle{link: l})
+		_ = l.client.inbox.Offer(linkIdle{link: l, calls: l.calls})
 	}
 }
 
 func (l *link) handle(m any) {
 	switch m := m.(type) {
 	case peerCall:
+		l.calls++
 		l.assign(m)
 	case connectionIdle:
 		l.handleIdle(m)
