--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -41,6 +41,18 @@
 }
 
 func newConnectionTest(t *testing.T) *connectionTest {
+	t.Helper()
+	test := newSocketTest(t)
+	t.Cleanup(func() {
+		for test.refuse() { // a request whose caller has gone waits for the director
+			continue
+		}
+	})
+	return test
+}
+
+// newSocketTest returns a connectionTest for sockets of the kernel, which a synctest bubble cannot hold.
+func newSocketTest(t *testing.T) *connectionTest {
 	t.Helper()
 	config := &fleet.Config{Routes: []fleet.Route{{Name: "crew", Host: "hotline", Prefix: "/", Attempts: 1,
 		Shares: []fleet.ServiceShare{{Service: "intake", Weight: 1}}}}}
@@ -58,11 +70,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() {
-		for test.refuse() { // a request whose caller has gone waits for the director
-			continue
-		}
-	})
 	return test
 }
 
@@ -284,6 +291,24 @@
 	})
 }
 
+// Guards against a leaving instance that closes a connection after an answer that does not say so, because the answer was ready
+// before the reading goroutine had stopped.
+func TestReadyAnswerOfLeavingInstanceClosesConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newConnectionTest(t)
+		close(test.leaving)
+		for range raceRepeats {
+			conn := test.connect()
+			conn.send("GET / HTTP/1.1\r\nHost: unknown\r\n\r\n")
+			response, err := conn.answer()
+			if err != nil || !response.Close {
+				t.Errorf("%+v, error %v, want an answer that closes the connection", response, err)
+			}
+			conn.expectEnd()
+		}
+	})
+}
+
 // Guards against requests that are passed on behind a request after which the caller wants the connection closed.
 func TestNothingIsPassedOnBehindLastRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -422,6 +447,21 @@
 	})
 }
 
+// Guards against a 100 Continue without a request that waits for it: one whose body came at once, behind another request.
+func TestNoContinueBehindAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newConnectionTest(t)
+		conn := test.connect()
+		conn.send(testPost)
+		conn.send("POST /crew HTTP/1.1\r\nHost: hotline\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nmain")
+		test.refuse()
+		conn.expectRefusal("first request")
+		test.refuse()
+		conn.expectRefusal("second request")
+		conn.expectEnd()
+	})
+}
+
 // heldConn holds back the reads of its connection from the given one on.
 type heldConn struct {
 	net.Conn
@@ -634,6 +674,92 @@
 	})
 }
 
+// Guards against a planned stop that a caller delays without end by always having sent a further request.
+func TestPlannedStopIsBoundedWithPipelinedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newConnectionTest(t)
+		close(test.leaving)
+		close(test.closingIdle)
+		conn := test.connect()
+		conn.send(strings.Repeat(testPost, 3*maxPipelined))
+		passedOn := 0
+		for answered := 0; test.refuse(); passedOn++ {
+			for ; answered <= passedOn; answered++ {
+				conn.expectRefusal("pipelined request")
+			}
+		}
+		if passedOn > maxPipelined {
+			t.Errorf("%d requests were passed on after the stop, want at most %d", passedOn, maxPipelined)
+		}
+		conn.expectEnd()
+	})
+}
+
+// connectedSockets returns both ends of a connection of the kernel.
+func connectedSockets(t *testing.T) (near, far net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	if near, err = net.Dial("tcp", listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = near.Close() })
+	if far, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = far.Close() })
+	return near, far
+}
+
+// Guards against a close of a connection whose request arrived after the reading goroutine had looked for the last time, and
+// before the task closed the connection.
+func TestRequestBehindLastLookIsAnswered(t *testing.T) {
+	for name, stop := range map[string]func(*caller){
+		"idle timeout": func(c *caller) { c.stopFor(endIdle, "idle_timeout") },
+		"planned stop": func(c *caller) { c.stopFor(endStop, "leave") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			test := newSocketTest(t)
+			near, far := connectedSockets(t)
+			c := test.server.newCaller(t.Context(), far)
+			go c.read()
+			stop(c)
+			m := <-c.readEvents
+			if _, ok := m.(readingStopped); !ok {
+				t.Fatalf("reading goroutine reports %T", m)
+			}
+			if _, err := io.WriteString(near, testPost); err != nil {
+				t.Fatal(err)
+			}
+			c.handle(m)
+			ended := make(chan struct{})
+			go func() {
+				c.run()
+				close(ended)
+			}()
+			go func() {
+				select {
+				case p := <-test.director.C():
+					p.(placeRequest).reply(placeRefusal{reason: reasonNoRoom})
+				case <-ended:
+				}
+			}()
+			response, err := http.ReadResponse(bufio.NewReader(near), nil)
+			if err != nil {
+				t.Fatalf("connection ended without an answer: %v", err)
+			}
+			if response.StatusCode != http.StatusServiceUnavailable || !response.Close {
+				t.Errorf("status %d, connection closes: %v", response.StatusCode, response.Close)
+			}
+			_ = near.Close()
+			<-ended
+		})
+	}
+}
+
 // Guards against a read that fails after its deadline although the bytes have arrived.
 func TestReadAfterDeadlineReturnsArrivedBytes(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -55,7 +55,10 @@
 func endOfWrite(err error) ending {
 	var stream streamError
 	var callerEnd callerEndError
+	var processEnd processEndError
 	switch {
+	case errors.As(err, &processEnd):
+		return endProcess
 	case errors.As(err, &callerEnd):
 		return endOfRead(callerEnd.error)
 	case errors.As(err, &stream):
@@ -128,13 +131,13 @@
 	return h
 }
 
-// noteRead records whether a request is being read.
+// noteRead records whether a request is being read, and ends the wait for 100 Continue with it.
 func (c *caller) noteRead(m any) {
 	switch m := m.(type) {
 	case requestBegun:
 		c.begunAt = m.at
 	case *incomingRequest, rejection:
-		c.begunAt = time.Time{}
+		c.begunAt, c.continuePending = time.Time{}, false
 	}
 }
 
