Let the endless peer of a test read the call first

Change: the peer writes after it has read the first bytes of the call, so the order is certain. The checks stay.

--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -41,14 +41,14 @@
 					near, far := net.Pipe()
 					go func() {
 						defer func() { _ = far.Close() }()
-						go func() { // the call is read and ignored
-							for buffer := make([]byte, 4<<10); ; {
-								if _, err := far.Read(buffer); err != nil {
-									return
-								}
+						buffer := make([]byte, 4<<10)
+						_, err := far.Read(buffer) // a call that meets the bytes before it is sent goes to another connection
+						go func() {                // the rest of the call is read and ignored
+							for err := error(nil); err == nil; {
+								_, err = far.Read(buffer)
 							}
 						}()
-						sent, err := 0, error(nil)
+						sent := 0
 						for n := 0; err == nil && sent < sentCap; sent += n {
 							n, err = far.Write(c.repeated)
 						}
