Read the answer of a backend server that arrived before the deadline

Callers saw 503 'no backend server can be reached' from an instance that was held up for a quarter of a second, for example by a large configuration: the answers to its health checks lay unread in the sockets when their time ended, and the servers counted as unresponsive. Cause: a read after its deadline fails without looking, the same cause as for the requests of callers. Change: after the deadline, bytes that have arrived are still read; the bounds of size hold. The time of such an answer is kept out of the average round trip and the shortest check (TestLateAnswerLeavesRoundTripUnchanged).

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -183,7 +183,7 @@
 		c.notifyPool(exchange)
 		return
 	}
-	c.socket.written = 0
+	c.socket.beginExchange()
 	stopCancel := context.AfterFunc(exchange.Ctx, func() { _ = c.socket.SetDeadline(time.Unix(1, 0)) })
 	result, body := c.roundTrip(exchange)
 	// The caller may end its context as soon as it has a buffered answer; that must not close the connection. A streamed
@@ -235,7 +235,7 @@
 	if err != nil {
 		return c.brokenResult(c.socket.answerError(err)), body{}
 	}
-	result := Result{Fate: call.Answered, Elapsed: time.Since(start), ClosesConnection: response.Close}
+	result := Result{Fate: call.Answered, Elapsed: time.Since(start), Late: c.socket.late, ClosesConnection: response.Close}
 	c.codec.Decode(&result, response.StatusCode, response.Header)
 	c.keepAlive = keepAliveTimeout(response.Header)
 	if exchange.MaxBodyBytes > 0 {
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -81,4 +81,6 @@
 	ForeignAnswers int
 	// Elapsed is the time from the first byte of the request to the head of the answer.
 	Elapsed time.Duration
+	// Late is true when the answer had arrived in time and was read after the deadline. Elapsed is then no time of the server.
+	Late bool
 }
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -3,9 +3,12 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"strings"
+	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/tcp"
 )
 
 const (
@@ -39,9 +42,18 @@
 	readable int
 	// readFailed is true when a read has failed for a reason other than the limit.
 	readFailed bool
+	// late is true when bytes were read after the deadline.
+	late bool
 }
 
-// Read fails when more bytes are wanted than may be read.
+// lookTime is the maximum time of a read of bytes that have already arrived.
+const lookTime = 10 * time.Millisecond
+
+// beginExchange forgets what happened to the last exchange.
+func (c *limitedConn) beginExchange() { c.written, c.late = 0, false }
+
+// Read fails when more bytes are wanted than may be read. After the deadline it still returns the bytes that have arrived: the
+// process may have been late and not the server.
 func (c *limitedConn) Read(p []byte) (int, error) {
 	if c.readable == 0 {
 		return 0, errTooLong
@@ -50,6 +62,12 @@
 		p = p[:min(len(p), c.readable)]
 	}
 	n, err := c.Conn.Read(p)
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.hasUnread() {
+		c.late = true
+		if err = c.SetReadDeadline(time.Now().Add(lookTime)); err == nil {
+			n, err = c.Conn.Read(p)
+		}
+	}
 	if c.readable > 0 {
 		c.readable -= n
 	}
@@ -57,6 +75,11 @@
 	return n, err
 }
 
+func (c *limitedConn) hasUnread() bool {
+	unread, known := tcp.HasUnread(c.Conn)
+	return known && unread
+}
+
 func (c *limitedConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.written += n
--- a/internal/gateway/director_test.go
+++ b/internal/gateway/director_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"testing"
 	"time"
 
@@ -122,3 +123,16 @@
 		t.Errorf("the request gets %+v", reply)
 	}
 }
+
+// Guards against an average round trip that includes the time for which the instance itself was held up.
+func TestLateAnswerLeavesRoundTripUnchanged(t *testing.T) {
+	for _, reportsLoad := range []bool{true, false} {
+		s := &server{entry: &fleet.Backend{}, roundTrip: 5 * time.Millisecond, minCheckTime: 2 * time.Millisecond}
+		s.applyCheck(time.Now(), backend.Result{Answer: &call.Answer{Status: http.StatusOK}, LoadKnown: reportsLoad,
+			Elapsed: time.Second, Late: true})
+		if s.unresponsive || s.roundTrip != 5*time.Millisecond || s.minCheckTime != 2*time.Millisecond || s.report.checkDelay != 0 {
+			t.Errorf("unresponsive %v, round trip %v, shortest check %v, delay %v", s.unresponsive, s.roundTrip, s.minCheckTime,
+				s.report.checkDelay)
+		}
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -208,6 +208,9 @@
 	if r.ColdFor <= 0 {
 		s.report.coldUntil = time.Time{}
 	}
+	if r.Late {
+		return
+	}
 	if r.LoadKnown { // otherwise the time of the check may include a wait for a slot
 		s.roundTrip += time.Duration(roundTripWeight * float64(r.Elapsed-s.roundTrip))
 		return
