--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -44,6 +44,8 @@
 	Request *call.Request
 	// Reply has a buffer for one result, so that a connection never blocks on it.
 	Reply chan Result
+	// MaxBodyBytes is the maximum size of the body of the answer, with its chunk framing; zero allows any size.
+	MaxBodyBytes int
 }
 
 // Result is the outcome of an exchange.
@@ -72,6 +74,11 @@
 	ServerID string
 	// ClosesConnection is true when the server closes the connection after the answer.
 	ClosesConnection bool
+	// UndeclaredRefusal is true when callers take the status for a promise that the request did not run, and the server does
+	// not declare it.
+	UndeclaredRefusal bool
+	// ForeignAnswers counts the answers on the connection that belong to another request, to none, or to an unknown one.
+	ForeignAnswers int
 	// Elapsed is the time from the first byte of the request to the head of the answer.
 	Elapsed time.Duration
 }
--- a/internal/backend/pool_test.go
+++ b/internal/backend/pool_test.go
@@ -117,7 +117,13 @@
 			}
 			close(answered)
 			<-unsolicitedSent
-			second := doUntilSent(t, p, getRequest("/second"))
+			second := p.Do(t.Context(), getRequest("/second"))
+			if reported := first.ForeignAnswers + second.ForeignAnswers; reported != 1 {
+				t.Errorf("%d foreign answers are reported, want 1", reported)
+			}
+			if second.Fate == call.NotSent {
+				second = doUntilSent(t, p, getRequest("/second"))
+			}
 			if second.Fate != call.Answered || string(second.Answer.Body) != "/second" {
 				t.Fatalf("second caller got %q, fate %v, error %v", body(second), second.Fate, second.Err)
 			}
@@ -325,3 +331,51 @@
 		t.Fatalf("header %v", got)
 	}
 }
+
+// Guards against a repeated refusal that says "not run" of the next request on the same connection, which the server runs.
+func TestRepeatedRefusalIsNotTheAnswerToTheNextRequest(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nBackend-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
+	ran := make(chan string, 2)
+	address := scriptedServer(t, func(number int, c net.Conn, r *bufio.Reader) {
+		for path, more := readRequest(r); more; path, more = readRequest(r) {
+			if path == "/first" {
+				write(c, refusal)
+				continue
+			}
+			ran <- path
+			if number == 1 {
+				write(c, refusal)
+			}
+			write(c, okAnswer(path))
+		}
+	})
+	p := startPool(t, address, backend.PoolSize{MaxConnections: 1})
+	if first := p.Do(t.Context(), getRequest("/first")); first.Fate != call.DeclaredNotRun {
+		t.Fatalf("first: %+v", first)
+	}
+	second := p.Do(t.Context(), getRequest("/second"))
+	if second.Fate != call.Answered || body(second) != "/second" || len(ran) != 1 {
+		t.Errorf("second: fate %v, body %q; the server ran %d requests", second.Fate, body(second), len(ran))
+	}
+}
+
+// Guards against a connection that stays busy, or a pool that never stops, after a refusal whose long body nobody reads.
+func TestLongRefusalFreesConnection(t *testing.T) {
+	address := scriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for path, more := readRequest(r); more; path, more = readRequest(r) {
+			if path == "/refused" {
+				text := strings.Repeat("x", 4*backend.MaxBufferedAnswerBytes)
+				write(c, fmt.Sprintf("HTTP/1.1 503 X\r\nBackend-Not-Run: true\r\nContent-Length: %d\r\n\r\n%s", len(text), text))
+				continue
+			}
+			write(c, okAnswer(path))
+		}
+	})
+	p := startPool(t, address, backend.PoolSize{MaxConnections: 1})
+	if refused := p.Do(t.Context(), getRequest("/refused")); refused.Fate != call.DeclaredNotRun {
+		t.Fatalf("refused: fate %v, error %v", refused.Fate, refused.Err)
+	}
+	if next := p.Do(t.Context(), getRequest("/next")); body(next) != "/next" {
+		t.Fatalf("next caller got %q, fate %v", body(next), next.Fate)
+	}
+}
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -272,7 +272,6 @@
 		conn.send(testPost)
 		conn.send(testPost)
 		close(test.leaving)
-		time.Sleep(time.Second) // the reading goroutine stops
 		test.refuse()
 		if conn.expectRefusal("first request").Close {
 			t.Error("an answer closes the connection before the answer to a later request")
@@ -504,7 +503,7 @@
 	write := func(stream io.Reader) (*http.Response, error) {
 		var wire bytes.Buffer
 		r := reply{status: http.StatusOK, header: http.Header{}, stream: io.NopCloser(stream), length: -1}
-		_ = r.write(bufio.NewWriter(&wire), http.MethodGet) // the caller sees what has been written
+		_ = r.write(bufio.NewWriter(&wire), &pendingRequest{method: http.MethodGet}) // the caller sees what has been written
 		return http.ReadResponse(bufio.NewReader(&wire), &http.Request{Method: http.MethodGet})
 	}
 	long := strings.Repeat("x", 1<<17)
@@ -532,8 +531,8 @@
 func TestStreamToHTTP10EndsWithConnection(t *testing.T) {
 	var wire bytes.Buffer
 	r := reply{status: http.StatusOK, header: http.Header{}, stream: io.NopCloser(strings.NewReader("x")), length: -1,
-		unframed: true, closing: true}
-	if err := r.write(bufio.NewWriter(&wire), http.MethodGet); err != nil {
+		closing: true}
+	if err := r.write(bufio.NewWriter(&wire), &pendingRequest{method: http.MethodGet, http10: true}); err != nil {
 		t.Fatal(err)
 	}
 	if text := wire.String(); !strings.Contains(text, "Connection: close") || !strings.HasSuffix(text, "\r\n\r\nx") {
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -64,6 +64,8 @@
 	events       []objectapi.Event
 	baseRevision uint64
 	revision     uint64
+	// disproved is a revision that the store had not reached before the list was read; zero if there is none.
+	disproved uint64
 	// asOf is when the call of the store began; its answer is at least as recent.
 	asOf time.Time
 	// suspendedAtCall is how long the machine had been suspended in total at that time.
@@ -109,7 +111,12 @@
 	// suspendedAtCall is how long the machine had been suspended in total at that time.
 	suspendedAtCall time.Duration
 	totalSuspension func() time.Duration
-	failures        int
+	// failures counts the calls without an answer since the last answer.
+	failures int
+	// unreadable counts the answers that could not be used since the last changes that could.
+	unreadable int
+	// disproved is a revision after which changes were read and that the store has not reached.
+	disproved uint64
 	// interrupted is true if the last call was cancelled to retry at once.
 	interrupted bool
 }
@@ -172,7 +179,7 @@
 // applyAssignment applies an assignment and returns the chart event for it.
 func (f *feed) applyAssignment(a assignment) string {
 	if !a.active {
-		f.failures, f.interrupted = 0, false // earlier failures do not matter when the feed reads again
+		f.failures, f.unreadable, f.interrupted = 0, 0, false // earlier failures do not matter when the feed reads again
 		return "deactivate"
 	}
 	f.revision = max(f.revision, a.revision)
@@ -200,8 +207,10 @@
 	for i, o := range objects {
 		events[i].Object = o
 	}
-	return f.reportUpdate(ctx, kindUpdate{kind: f.kind, complete: true, events: events, revision: revision,
-		asOf: f.callStart, suspendedAtCall: f.suspendedAtCall}, "listed")
+	u := kindUpdate{kind: f.kind, complete: true, events: events, revision: revision, disproved: f.disproved,
+		asOf: f.callStart, suspendedAtCall: f.suspendedAtCall}
+	f.disproved = 0
+	return f.reportUpdate(ctx, u, "listed")
 }
 
 // readChanges reads the changes after the known revision.
@@ -224,8 +233,21 @@
 	if err != nil {
 		return f.handleFailure(ctx, err)
 	}
-	u := kindUpdate{kind: f.kind, events: events, baseRevision: f.revision, revision: max(revision, f.revision),
+	if revision < f.revision {
+		f.disproved = f.revision
+		f.unreadable++
+		if f.unreadable == 1 {
+			f.log.Warn("store has not reached the known revision; all objects are listed again", "revision", f.revision,
+				"reached", revision)
+		}
+		return "unreadable"
+	}
+	u := kindUpdate{kind: f.kind, events: events, baseRevision: f.revision, revision: revision,
 		asOf: f.callStart, suspendedAtCall: f.suspendedAtCall}
+	if f.unreadable > 0 {
+		f.log.Info("answers of the store can be read again", "unreadable", f.unreadable, "revision", u.revision)
+		f.unreadable = 0
+	}
 	return f.reportUpdate(ctx, u, "changed")
 }
 
@@ -278,6 +300,14 @@
 		f.log.Info("store no longer holds the changes since the last call; all objects are listed again", "revision", f.revision)
 		return "too_old"
 	}
+	if fault.Is(err, fault.Invalid) {
+		f.unreadable++
+		if f.unreadable == 1 {
+			f.log.Warn("answer of the store cannot be read; the known objects stay in force and all objects are listed again",
+				"error", err, "revision", f.revision)
+		}
+		return "unreadable"
+	}
 	f.failures++
 	if f.failures == 1 {
 		f.log.Warn("store does not answer", "error", err, "revision", f.revision)
@@ -289,7 +319,7 @@
 // backOff waits with exponential backoff and jitter, so that instances do not retry at the same time. During an outage of
 // the store, only the feed of backend servers retries often; the others wait until they are interrupted.
 func (f *feed) backOff(ctx context.Context) string {
-	base := min(minBackoff<<min(f.failures-1, 4), maxBackoff)
+	base := min(minBackoff<<min(max(f.failures+f.unreadable-1, 0), 4), maxBackoff)
 	wait := base/2 + rand.N(base)
 	if f.kind != objectapi.Backends && f.failures > 1 {
 		wait = outageBackoff/2 + rand.N(outageBackoff)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -115,6 +117,8 @@
 	placing    bool
 	mayHaveRun bool
 	answer     *backend.Result
+	// answeredBy is the grant of the copy with that answer.
+	answeredBy *grant
 	lastError  error
 	refusal    placeRefusal
 	reply      reply
@@ -132,7 +136,7 @@
 	if earlyReply, ok := f.resolve(f.snapshots.Newest()); !ok {
 		return earlyReply
 	}
-	ctx, cancel := context.WithCancel(f.ctx)
+	ctx, cancel := context.WithCancelCause(f.ctx)
 	f.ctx = ctx
 	f.machine = f.bound.New(f.receivedAt, f)
 	f.fire("start")
@@ -141,15 +145,63 @@
 	for !f.machine.Final() {
 		f.waitForEvent(expiry)
 	}
-	f.reply.done = cancel
+	f.reply.done = func() { cancel(nil) }
 	if f.reply.stream == nil {
-		cancel()
+		cancel(nil)
+	} else {
+		f.endStreamAtDeadline(cancel)
+		f.reply.stream = &answerStream{ReadCloser: f.reply.stream, ctx: ctx, onCut: f.answerCut}
 	}
 	f.abandonCopies()
 	f.logOutcome()
 	return f.reply
 }
 
+var errStreamLate = errors.New("answer of the backend server did not end in the time of the request")
+
+// endStreamAtDeadline cancels the copy whose answer is streamed when the deadline passes before the end of the answer.
+func (f *forward) endStreamAtDeadline(cancel context.CancelCauseFunc) {
+	late := time.AfterFunc(time.Until(f.deadline.Add(answerSlack)), func() { cancel(errStreamLate) })
+	f.reply.done = func() {
+		late.Stop()
+		cancel(nil)
+	}
+}
+
+// answerStream is a long answer on its way to the caller. It reports once when the answer is cut off by the server or by the
+// deadline.
+type answerStream struct {
+	io.ReadCloser
+	ctx context.Context
+	// onCut is told whether the server had to send more when the answer was cut off.
+	onCut    func(err error, serverFailed bool)
+	reported bool
+}
+
+func (s *answerStream) Read(p []byte) (int, error) {
+	awaited := s.ctx.Err() == nil
+	n, err := s.ReadCloser.Read(p)
+	if err == nil || err == io.EOF || s.reported {
+		return n, err
+	}
+	if cause := context.Cause(s.ctx); cause == nil || errors.Is(cause, errStreamLate) {
+		s.reported = true
+		s.onCut(err, awaited)
+	}
+	return n, err
+}
+
+// answerCut records a long answer that was cut off. It is called by the task of the caller's connection after the task of the
+// request has ended.
+func (f *forward) answerCut(err error, serverFailed bool) {
+	f.counters.cutAnswers.Inc(1)
+	f.log.Warn("long answer of a backend server was cut off", "request", f.request.ID, "backend", f.answeredBy.entry.ID,
+		"server_failed", serverFailed, "elapsed_ms", time.Since(f.receivedAt).Milliseconds(), "error", err)
+	if serverFailed {
+		_ = f.director.Offer(streamFailure{server: f.answeredBy.server}) // without it the next failure lowers the score
+	}
+}
+
 // resolve finds the route of the request in the newest snapshot. It returns false and the reply when there is none.
 func (f *forward) resolve(snapshot *Snapshot) (reply, bool) {
 	if !snapshot.Ready() {
@@ -232,18 +284,23 @@
 // handleCopyResult returns the grant of the copy, records its result and fires the event for it.
 func (f *forward) handleCopyResult(m copyResult) {
 	event := f.resultEvent(m.result)
+	reportForeignAnswers(f.log, f.counters, m.grant.entry.ID, f.request.ID, m.result)
 	f.notifyDirector(grantRelease{grant: m.grant, result: m.result, succeeded: event == "answered"})
+	if event == "lost" && m.result.UndeclaredRefusal {
+		discard(m.result)
+		m.result.Err = errUndeclaredRefusal
+	}
 	switch event {
 	case "answered":
 		if f.answer != nil {
 			discard(*f.answer)
 		}
-		f.answer = &m.result
+		f.answer, f.answeredBy = &m.result, m.grant
 	case "failed_answer":
 		if f.answer != nil {
 			discard(*f.answer)
 		}
-		f.answer = &m.result
+		f.answer, f.answeredBy = &m.result, m.grant
 	case "lost":
 		f.mayHaveRun = true
 		f.lastError = m.result.Err
@@ -259,12 +316,14 @@
 	f.fire(event)
 }
 
+var errUndeclaredRefusal = errors.New("backend server refused the request without declaring that it did not run it")
+
 // resultEvent returns the chart event for the result of a copy.
 func (f *forward) resultEvent(r backend.Result) string {
 	switch {
 	case r.Fate.SurelyNotRun():
 		return "not_run"
-	case r.Answer == nil:
+	case r.Answer == nil || r.UndeclaredRefusal && !f.route.Idempotent:
 		return "lost"
 	case r.Answer.Status >= http.StatusInternalServerError:
 		return "failed_answer"
@@ -356,7 +415,7 @@
 	if copies == 0 && !placing {
 		return
 	}
-	events, director := f.events, f.director
+	events, director, log, counters, id := f.events, f.director, f.log, f.counters, f.request.ID
 	go func() {
 		for copies > 0 || placing {
 			switch m := (<-events).(type) {
@@ -367,6 +426,7 @@
 				placing = false
 			case copyResult:
 				copies--
+				reportForeignAnswers(log, counters, m.grant.entry.ID, id, m.result)
 				discard(m.result)
 				_ = director.Send(context.Background(), grantRelease{grant: m.grant, result: m.result, cancelled: true}) // same
 			}
--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -30,6 +30,8 @@
 	peerCheckInterval = 500 * time.Millisecond
 	// maxNewsBytes is the maximum size of one reply to a peer; kinds that do not fit follow in the next reply.
 	maxNewsBytes = 900 << 10
+	// maxNewsWait is the maximum time for which the request of a peer is held, several times the wait that peers ask for.
+	maxNewsWait = 10 * time.Second
 	// maxPeersInOutage is the number of peers that are asked at a time while the store does not answer this instance.
 	maxPeersInOutage = 2
 	// ageCheckInterval is the interval at which the age of the updates is checked.
@@ -280,6 +282,9 @@
 		delete(s.retryAt, m.address)
 	}
 	for _, k := range m.reply.GetKinds() {
+		if !isFollowed(k.GetKind()) {
+			continue
+		}
 		if packed := k.GetPacked(); len(packed) > 0 {
 			objects, err := unpack(packed)
 			if err != nil {
@@ -289,7 +294,7 @@
 			}
 			k.Objects = objects
 		}
-		u := m.toKindUpdate(k)
+		u := m.toKindUpdate(now, k)
 		s.board.adjustForSuspension(&u)
 		s.board.applyUpdate(now, u)
 		if u.kind == objectapi.Backends {
@@ -298,11 +303,15 @@
 	}
 }
 
+// isFollowed reports whether a kind that a peer names is one that instances follow. Another release may follow others.
+func isFollowed(kind string) bool { return slices.Contains(followedKinds, objectapi.Kind(kind)) }
+
 // toKindUpdate decodes the update of one kind. Its age counts from when the request was sent, so that network delay makes it
-// appear older but never newer.
-func (m *newsResult) toKindUpdate(k *peerpb.KindNews) kindUpdate {
+// appear older but never newer. A peer cannot have held the request for longer than the answer took.
+func (m *newsResult) toKindUpdate(now time.Time, k *peerpb.KindNews) kindUpdate {
 	kind := objectapi.Kind(k.GetKind())
 	held, age := time.Duration(m.reply.GetHeldMs())*time.Millisecond, time.Duration(k.GetAgeMs())*time.Millisecond
+	held = min(held, now.Sub(m.sentAt))
 	u := kindUpdate{
 		kind: kind, complete: k.GetWhole(), baseRevision: m.knownRevisions[kind], revision: k.GetRevision(),
 		asOf: m.sentAt.Add(held - age), suspendedAtCall: m.suspended,
@@ -332,7 +341,9 @@
 
 // handleRequest handles a request of a peer: it is answered at once or held until there is an update.
 func (s *newsSource) handleRequest(now time.Time, m newsRequest) {
-	q := heldRequest{newsRequest: m, receivedAt: now, deadline: now.Add(time.Duration(m.request.GetWaitMs()) * time.Millisecond)}
+	m.request.Known = slices.DeleteFunc(m.request.Known, func(k *peerpb.KnownKind) bool { return !isFollowed(k.GetKind()) })
+	wait := min(time.Duration(m.request.GetWaitMs())*time.Millisecond, maxNewsWait)
+	q := heldRequest{newsRequest: m, receivedAt: now, deadline: now.Add(wait)}
 	if s.hasNews(&q) || !now.Before(q.deadline) {
 		s.answer(now, &q)
 		return
@@ -385,10 +396,11 @@
 			Kind: k.GetKind(), Revision: cached.revision, Reader: s.board.readBy[kind],
 			AgeMs: uint32(now.Sub(s.board.asOf[kind]).Milliseconds()) + 1,
 		}
-		size += s.addObjects(out, cached, k.GetRevision(), q.request.GetPacked())
-		if size > maxNewsBytes && len(reply.Kinds) > 0 {
+		added := s.addObjects(out, cached, k.GetRevision(), q.request.GetPacked())
+		if size > 0 && size+added > maxNewsBytes {
 			break
 		}
+		size += added
 		reply.Kinds = append(reply.Kinds, out)
 	}
 	q.reply <- reply
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -70,6 +70,10 @@
 		m.reply(placeRefusal{reason: reasonCrashes, retryAfter: d.retryAfter(now, &m, m.deadline.Sub(now))})
 		return
 	}
+	if d.snapshot.Config == nil { // the request was routed by a snapshot that has not arrived here yet
+		m.reply(placeRefusal{reason: reasonUninformed, retryAfter: d.retryAfter(now, &m, 0)})
+		return
+	}
 	p := &pendingPlacement{placeRequest: m, startedAt: now, checksSentAt: now, reportWait: d.timing.ReportWait}
 	p.servers = d.selectServers(now, &m, false, maxServersNear)
 	if len(p.servers) == 0 {
@@ -172,7 +176,9 @@
 
 // applyCheck applies the result of a health check.
 func (d *director) applyCheck(ctx context.Context, now time.Time, m checkResult) {
+	reportForeignAnswers(d.log, d.counters, m.server.entry.ID, "", m.result)
 	wasUnresponsive := m.server.unresponsive
+	d.noteInvalidAnswer(m.server, m.result)
 	m.server.applyCheck(now, m.result)
 	if m.server.crashChecksLeft > 0 {
 		d.checkForCrash(ctx, now, m)
@@ -188,7 +194,7 @@
 func (d *director) checkForCrash(ctx context.Context, now time.Time, m checkResult) {
 	d.crashes.serverChecked(now, m.server.entry, m.result)
 	m.server.crashChecksLeft--
-	if m.result.ConnectionRefused || m.result.Answer != nil || backend.IsTimeout(m.result.Err) {
+	if m.result.ConnectionRefused || m.result.Answer != nil || backend.IsTimeout(m.result.Err) || backend.IsInvalidAnswer(m.result.Err) {
 		m.server.crashChecksLeft = 0
 	}
 	if m.server.crashChecksLeft > 0 {
--- a/internal/objecthttp/exchange.go
+++ b/internal/objecthttp/exchange.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -14,12 +13,11 @@
 )
 
 const (
-	maxAnswerBytes  = 64 << 20
+	maxListBytes    = 64 << 20
+	maxObjectBytes  = maxLineBytes
 	maxProblemBytes = 16 << 10
 )
 
-var errAnswerTooLarge = errors.New("answer is larger than 64 MiB")
-
 // do makes one call and decodes its answer into the target; with a nil target the body is ignored.
 func (c *Client) do(ctx context.Context, call apiCall, into any) error {
 	if err := call.validate(); err != nil {
@@ -75,13 +73,17 @@
 	if into == nil {
 		return nil
 	}
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
-	if err == nil && len(text) > maxAnswerBytes {
-		err = errAnswerTooLarge
+	limit := maxListBytes
+	if call.name != "" {
+		limit = maxObjectBytes
 	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
 	if err != nil {
 		return call.callFailedError(err, true)
 	}
+	if len(text) > limit {
+		return call.malformedAnswerError("the answer is too large")
+	}
 	if err := json.Unmarshal(text, into); err != nil {
 		return call.malformedAnswerError("the answer is not valid JSON")
 	}
--- a/internal/objecthttp/watch.go
+++ b/internal/objecthttp/watch.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -56,6 +57,7 @@
 	if response.StatusCode != http.StatusOK {
 		defer cancel()
 		defer discardBody(response)
+		defer time.AfterFunc(callTimeout, cancel).Stop()
 		return nil, call.statusError(response)
 	}
 	w := &watch{cancel: cancel, events: make(chan objectapi.Event, watchCapacity), ended: make(chan error, 1)}
@@ -107,7 +109,11 @@
 		idle.Reset(watchIdleTimeout)
 	}
 	err := lines.Err()
-	if err == nil {
+	switch {
+	case errors.Is(err, bufio.ErrTooLong):
+		w.ended <- s.call.malformedAnswerError("a line of the watch is too long")
+		return
+	case err == nil:
 		err = io.ErrUnexpectedEOF
 	}
 	w.ended <- s.call.callFailedError(err, false)
