Decode configurations in a task of their own

Cause: the board decoded each version in turn, also those that newer ones had replaced, and took up the server's entry behind them: a task that waits behind a long one. Change: the board passes the newest configuration to a decoder task and goes on; a configuration that is replaced before it is taken up is not decoded. The age of the configuration in force counts from the last update for which nothing was left to decode.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -41,6 +41,7 @@
 	// subscribers are the functions that are called with each new snapshot.
 	subscribers []func(*Snapshot)
 	source      *newsSource
+	decoder     *configDecoder
 	// onStrike is called for each strike (a crash of a backend server attributed to a request) found in the store.
 	onStrike func(quarantine.Strike)
 	// onDataAge is called regularly with the age of the entries of backend servers.
@@ -62,6 +63,10 @@
 	strikes map[string]time.Time
 	// asOf is the time at which the known objects of a kind were surely current in the store.
 	asOf map[objectapi.Kind]time.Time
+	// decoding is the revision of the newest configuration that has been passed to the decoder; zero when its result has arrived.
+	decoding uint64
+	// configAsOf is the time at which the configuration in force was surely the newest one in the store.
+	configAsOf time.Time
 	// lapsed holds the entries that were removed during or just after an outage of the store, with the time from which
 	// they count as gone.
 	lapsed map[string]time.Time
@@ -84,8 +89,9 @@
 }
 
 func newBoard(schema Schema, snapshots *SnapshotPublisher, log *slog.Logger) *board {
+	inbox := task.NewMailbox[any]("board", boardInboxCapacity)
 	return &board{
-		inbox: task.NewMailbox[any]("board", boardInboxCapacity), schema: schema, snapshots: snapshots, log: log,
+		inbox: inbox, decoder: newConfigDecoder(schema, inbox), schema: schema, snapshots: snapshots, log: log,
 		backends: map[string]*fleet.Backend{}, evacuatedZones: map[string]bool{}, instances: map[string]fleet.Instance{},
 		strikes: map[string]time.Time{},
 		cache:   objectCache{}, readBy: map[objectapi.Kind]string{}, asOf: map[objectapi.Kind]time.Time{},
@@ -134,6 +140,7 @@
 	for kind, at := range b.asOf {
 		b.asOf[kind] = at.Add(-missed)
 	}
+	b.configAsOf = b.configAsOf.Add(-missed)
 	b.log.Warn("machine was suspended", "for_ms", missed.Milliseconds())
 }
 
@@ -168,6 +175,8 @@
 		if m.kind == objectapi.Backends {
 			b.retryUnanswered()
 		}
+	case decodedConfig:
+		b.applyDecodedConfig(m)
 	case newsRequest:
 		b.source.handleRequest(now, m)
 	case newsResult:
@@ -226,6 +235,9 @@
 		}
 		b.applyObject(e.Object)
 	}
+	if b.decoding == 0 {
+		b.configAsOf = b.asOf[objectapi.Configuration]
+	}
 	if u.kind == objectapi.Instances {
 		b.checkRegistration()
 		b.source.updatePosition()
@@ -314,26 +326,34 @@
 	b.instances[o.Name] = instance
 }
 
-// applyConfig puts a configuration in force unless a newer one already is.
+// applyConfig passes a configuration to the decoder.
 func (b *board) applyConfig(o objectapi.Object) {
 	if o.Name != configObject {
 		return
 	}
-	began := time.Now()
-	config, err := b.schema.Config(o)
-	decoded := time.Now()
-	if err != nil {
-		b.reportInvalid(o, err)
+	b.decoding = o.Version
+	b.decoder.setNext(o)
+}
+
+// applyDecodedConfig puts a configuration in force unless a newer one already is.
+func (b *board) applyDecodedConfig(m decodedConfig) {
+	if b.decoding == m.object.Version {
+		b.decoding, b.configAsOf = 0, b.asOf[objectapi.Configuration]
+	}
+	if m.err != nil {
+		b.reportInvalid(m.object, m.err)
+		b.publish(false)
 		return
 	}
-	if b.config != nil && config.Version <= b.config.Version {
+	if b.config != nil && m.config.Version <= b.config.Version {
+		b.publish(false)
 		return
 	}
-	b.config, b.routes = config, dispatch.NewTable(config)
-	built := time.Now()
-	b.log.Info("configuration is in force", "version", uint64(config.Version), "revision", o.Version,
-		"routes", len(config.Routes), "bytes", len(o.Value), "decode_ms", decoded.Sub(began).Milliseconds(),
-		"table_ms", built.Sub(decoded).Milliseconds(), "age_ms", built.Sub(b.asOf[objectapi.Configuration]).Milliseconds())
+	b.config, b.routes = m.config, m.table
+	b.log.Info("configuration is in force", "version", uint64(m.config.Version), "revision", m.object.Version,
+		"routes", len(m.config.Routes), "bytes", len(m.object.Value), "decode_ms", m.decodeTime.Milliseconds(),
+		"table_ms", m.tableTime.Milliseconds(), "age_ms", time.Since(b.asOf[objectapi.Configuration]).Milliseconds())
+	b.publish(true)
 }
 
 // applyBackend keeps the newest entry of a server. An entry that cannot be decoded removes the server.
@@ -418,14 +438,14 @@
 func (b *board) publish(changed bool) {
 	if old := b.snapshots.newest.Load(); old != nil && !changed {
 		view := *old.View
-		view.ConfigAsOf, view.BackendsAsOf, view.EvacuatedAsOf = b.asOf[objectapi.Configuration], b.asOf[objectapi.Backends],
+		view.ConfigAsOf, view.BackendsAsOf, view.EvacuatedAsOf = b.configAsOf, b.asOf[objectapi.Backends],
 			b.asOf[objectapi.Evacuations]
 		b.snapshots.newest.Store(&Snapshot{View: &view, Routes: b.routes})
 		return
 	}
 	view := &fleet.View{
 		Config: b.config, Backends: map[string][]*fleet.Backend{}, EvacuatedZones: maps.Clone(b.evacuatedZones),
-		ConfigAsOf: b.asOf[objectapi.Configuration], BackendsAsOf: b.asOf[objectapi.Backends],
+		ConfigAsOf: b.configAsOf, BackendsAsOf: b.asOf[objectapi.Backends],
 		EvacuatedAsOf: b.asOf[objectapi.Evacuations],
 	}
 	for _, entry := range b.backends {
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -175,7 +175,8 @@
 	for _, f := range b.source.feeds {
 		go func() { _ = f.run(ctx) }() // it ends with the context
 	}
-	go func() { _ = b.run(ctx) }() // same
+	go func() { _ = b.run(ctx) }()         // same
+	go func() { _ = b.decoder.run(ctx) }() // same
 	return snapshots
 }
 
@@ -561,10 +562,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		var log bytes.Buffer
 		_, b := newTestBoard(t, newFakeStore())
-		b.schema, b.log = slowSchema{}, slog.New(slog.NewJSONHandler(&log, nil))
+		b.decoder.schema, b.log = slowSchema{}, slog.New(slog.NewJSONHandler(&log, nil))
 		b.asOf[objectapi.Configuration] = time.Now().Add(-time.Second)
 		value := []byte(`{"Version":7}`)
-		b.applyConfig(objectapi.Object{Kind: objectapi.Configuration, Name: configObject, Value: value})
+		b.applyDecodedConfig(b.decoder.decode(objectapi.Object{Kind: objectapi.Configuration, Name: configObject, Value: value}))
 		for _, field := range []string{`"bytes":13`, `"decode_ms":120`, `"table_ms":0`, `"age_ms":1120`} {
 			if !strings.Contains(log.String(), field) {
 				t.Errorf("the line does not contain %s: %s", field, log.String())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -265,6 +265,7 @@
 	g.board.onStrike = func(s quarantine.Strike) { _ = g.director.inbox.Send(tasks.Context(), strikeUpdate{strike: s}) }
 	tasks.Go("strikes", g.writeStrikes)
 	tasks.Go("board", g.board.run)
+	tasks.Go("configuration decoder", g.board.decoder.run)
 	tasks.Go("director", g.director.run)
 	tasks.Go("registrar", g.register)
 	tasks.Go("janitor", newJanitor(g.self.Name, g.board.inbox, g.store, g.log).run)
--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -90,7 +90,8 @@
 			f.log = b.log
 			go func() { _ = f.run(ctx) }() // it ends with the context
 		}
-		go func() { _ = b.run(ctx) }() // same
+		go func() { _ = b.run(ctx) }()         // same
+		go func() { _ = b.decoder.run(ctx) }() // same
 		time.Sleep(time.Second)
 		store.setFailures(map[objectapi.Kind]string{objectapi.Backends: "garbled"})
 		store.put(objectapi.Backends, "i-2", fleet.Backend{ID: "i-2", Service: "intake"})
@@ -280,7 +281,8 @@
 		for _, f := range b.source.feeds {
 			go func() { _ = f.run(ctx) }() // it ends with the context
 		}
-		go func() { _ = b.run(ctx) }() // same
+		go func() { _ = b.run(ctx) }()         // same
+		go func() { _ = b.decoder.run(ctx) }() // same
 		time.Sleep(5 * time.Second)
 		store.put(objectapi.Backends, "i-2", fleet.Backend{ID: "i-2", Service: "intake"})
 		time.Sleep(5 * time.Second)
