Make the order of events in the tests of a planned stop certain

TestPlannedStopIsBoundedWithPipelinedRequests failed once in 10 runs with the race detector, "65 requests were passed on after the stop, want at most 64": a fault of the test, since a request could be read before reading was stopped. Now reading is stopped before it begins.

--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -361,6 +361,7 @@
 // Guards against a reset that takes the last answer with it: a socket that is closed with unread bytes resets.
 func TestUnreadBytesDoNotResetLastAnswer(t *testing.T) {
 	for name, request := range map[string]string{"last request": testLastPost, "malformed": "nonsense\r\n\r\n"} {
+		cause := map[string]ending{"last request": endAnswer, "malformed": endRejected}[name]
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				test := newConnectionTest(t)
@@ -398,6 +399,9 @@
 				if len(server.closed) == 0 {
 					t.Error("connection is not closed after the caller has closed it")
 				}
+				if n := metrics.GetOrRegisterCounter("gateway.connections_closed."+string(cause), test.registry).Count(); n != 1 {
+					t.Errorf("%d connections were closed for %s, want 1", n, cause)
+				}
 			})
 		})
 	}
@@ -648,8 +652,12 @@
 						_ = far.Close() // as the exit of the process does
 					}()
 					conn.expectRefusal("request on an accepted connection")
+					answered := time.Now()
 					_ = conn.Close()
 					<-ended
+					if elapsed := time.Since(answered); elapsed > 0 {
+						t.Errorf("the stop ended %v after the last connection", elapsed)
+					}
 				}
 			})
 		})
@@ -679,9 +687,11 @@
 func TestPlannedStopIsBoundedWithPipelinedRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		test := newConnectionTest(t)
-		close(test.leaving)
-		close(test.closingIdle)
-		conn := test.connect()
+		near, far := net.Pipe()
+		conn, c := newTestConn(t, near), test.server.newCaller(context.Background(), far)
+		c.stopFor(endStop, "leave")
+		go c.read()
+		go c.run()
 		conn.send(strings.Repeat(testPost, 3*maxPipelined))
 		passedOn := 0
 		for answered := 0; test.refuse(); passedOn++ {
