Let the peer of TestEndlessAnswersOfPeer answer only after a call

Trace: the peer of the test sent its bytes as soon as it was connected. When the connection noticed them before it took up the call, it closed, and the link gave the call to another connection (link.reassign): the call had not been sent, so that is allowed, and a second connection is opened. Which comes first was left to the scheduler.

Change: the peer sends after it has read the first bytes of a call. All bounds are as before.

--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -41,8 +41,12 @@
 					near, far := net.Pipe()
 					go func() {
 						defer func() { _ = far.Close() }()
-						go func() { // the call is read and ignored
-							for buffer := make([]byte, 4<<10); ; {
+						buffer := make([]byte, 4<<10)
+						if _, err := far.Read(buffer); err != nil { // bytes before the call would break the connection without it
+							return
+						}
+						go func() { // the rest of the call is read and ignored
+							for {
 								if _, err := far.Read(buffer); err != nil {
 									return
 								}
