Try a hedge again that found no server with room

What callers saw: an idempotent request with hedges, whose first server hangs, got no second copy and ended after its 30 s with "its answer was lost; i/o timeout", although the other server was idle.

Cause: the hedge was attempted once. At that moment the cancelled copies of earlier requests can still hold the slots of the only other server: a cancelled copy gives its grant back only after its connection has noticed the cancellation, or after the connection that it waits for is open. In a traced run (scratch copy, four processes with the test at once):

granted kind 3 atlas-0 [atlas-0 warming inFlight 2 allowance 2, ...] refused hedge [atlas-0 warming inFlight 2 allowance 2, atlas-1 warming inFlight 1 allowance 2] avoid [atlas-1] +0.1 ms discarded hedge=true not-sent context canceled (twice) +0.1 ms released atlas-0 (twice)

In all seven traced refusals the same request for a server was granted 10 ms later.

Change: a hedge that got no server is tried again while the first copy is in flight, after a delay that doubles from the hedge delay up to 100 ms. The budget is spent by a copy that is sent, as before.

--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -24,18 +24,25 @@
 	cancel [2]context.CancelFunc
 }
 
+// maxHedgeRetryDelay is the maximum delay between two attempts to get a server for a hedge.
+const maxHedgeRetryDelay = 100 * time.Millisecond
+
 // runHedged sends a request and, if no answer comes within the hedge delay, a second copy to another server. The
-// first answer wins and the other copy is cancelled.
+// first answer wins and the other copy is cancelled. A hedge that got no server is tried again while the first copy is in
+// flight, because cancelled copies hold their slots for a moment and the first server may never answer.
 func (e *exchange) runHedged(req *call.Request) backend.Result {
 	h := &hedgedRequest{e: e, results: make(chan copyResult, 2)}
 	h.startCopy(e.assignment, req, false)
 	timer := time.NewTimer(e.assignment.hedgeAfter)
 	defer timer.Stop()
+	retry := backoff{first: e.assignment.hedgeAfter, limit: maxHedgeRetryDelay}
 	var failed *backend.Result
 	for {
 		select {
 		case <-timer.C:
-			h.startHedge(req)
+			if !h.startHedge(req) {
+				timer.Reset(retry.next())
+			}
 		case c := <-h.results:
 			h.inFlight--
 			e.recordBrokenCopy(c.copy, c.result)
@@ -60,17 +67,18 @@
 	return last
 }
 
-// startHedge sends the hedge if the budget and a free server of the region allow it.
-func (h *hedgedRequest) startHedge(req *call.Request) {
+// startHedge sends the hedge if the budget and a free server of the region allow it, and reports whether it did.
+func (h *hedgedRequest) startHedge(req *call.Request) bool {
 	acquisition := h.e.newAcquireRequest(hedgeCopy)
 	acquisition.requirements.CrossRegion = false
 	acquisition.requirements.ExpectedWait = time.Until(h.e.policy.Deadline) // accept any other server: the first one may never answer
 	assignment := h.e.service.acquireServer(h.e.ctx, acquisition)
 	if assignment.err != nil {
-		return
+		return false
 	}
 	h.e.avoid = append(h.e.avoid, assignment.grant.Server)
 	h.startCopy(assignment, req, true)
+	return true
 }
 
 func (h *hedgedRequest) startCopy(assignment acquireResult, req *call.Request, hedge bool) {
