Let only a copy of the last request hang in the hedge test

Cause, a fault of the test: the server hung for the next request that arrived after the flag was set. That can be a cancelled copy of an earlier request, which is still on its way when its request has been answered.

Change: only a copy of the last request, known by its path, hangs. Nothing is checked less: the first copy that arrives hangs, the other one must answer, and the one that hangs must be cancelled. The test can no longer pass without a late request.

--- a/internal/node/hedge_test.go
+++ b/internal/node/hedge_test.go
@@ -25,7 +25,7 @@
 // Guards against a slow server that delays an idempotent request without a hedge, and against a copy that keeps
 // running after the other one was answered.
 func TestLateRequestIsHedgedAndLoserIsCancelled(t *testing.T) {
-	var hangNext atomic.Bool
+	var hung atomic.Bool
 	cancelled := make(chan string, 1)
 	doc := &document.Service{
 		Name: "atlas", Owner: "dispatch", Servers: document.Servers{Slots: 6},
@@ -35,7 +35,7 @@
 	for i := range 2 {
 		name := fmt.Sprintf("atlas-%d", i)
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if hangNext.CompareAndSwap(true, false) {
+			if r.URL.Path == "/hang" && hung.CompareAndSwap(false, true) { // one copy of the last request
 				<-r.Context().Done()
 				cancelled <- name
 				return
@@ -66,8 +66,11 @@
 		t.Fatal(err)
 	}
 	for i := range 200 {
-		hangNext.Store(i == 199)
-		answer, err := server.Do(ctx, &call.Request{ID: "id", Service: "atlas", Method: "GET", Path: "/"})
+		path := "/"
+		if i == 199 {
+			path = "/hang"
+		}
+		answer, err := server.Do(ctx, &call.Request{ID: "id", Service: "atlas", Method: "GET", Path: path})
 		if err != nil {
 			t.Fatal(err)
 		}
