--- a/internal/node/hedge.go
+++ b/internal/node/hedge.go
@@ -24,25 +24,34 @@
 	cancel [2]context.CancelFunc
 }
 
+// maxHedgeRetryDelay is the maximum delay between two attempts to get a server for a hedge.
+const maxHedgeRetryDelay = 100 * time.Millisecond
+
 // runHedged sends a request and, if no answer comes within the hedge delay, a second copy to another server. The
-// first answer wins and the other copy is cancelled.
+// first answer wins and the other copy is cancelled. A hedge that got no server is tried again while the first copy is in
+// flight, because cancelled copies hold their slots for a moment and the first server may never answer.
 func (e *exchange) runHedged(req *call.Request) backend.Result {
 	h := &hedgedRequest{e: e, results: make(chan copyResult, 2)}
 	h.startCopy(e.assignment, req, false)
 	timer := time.NewTimer(e.assignment.hedgeAfter)
 	defer timer.Stop()
-	return h.await(req, timer.C)
+	retry := backoff{first: e.assignment.hedgeAfter, limit: maxHedgeRetryDelay}
+	return h.await(req, timer.C, func() { timer.Reset(retry.next()) })
 }
 
-// await returns the result that decides the request. It starts the hedge when that is due.
-func (h *hedgedRequest) await(req *call.Request, due <-chan time.Time) backend.Result {
+// await returns the result that decides the request. It starts the hedge when that is due, and calls tryLater if no server
+// could take it.
+func (h *hedgedRequest) await(req *call.Request, due <-chan time.Time, tryLater func()) backend.Result {
 	e := h.e
 	var failed *backend.Result
 	for {
 		select {
 		case <-due:
-			if len(h.results) == 0 { // this goroutine may run late
-				h.startHedge(req)
+			if len(h.results) > 0 { // this goroutine may run late
+				continue
+			}
+			if !h.startHedge(req) {
+				tryLater()
 			}
 		case c := <-h.results:
 			h.inFlight--
@@ -68,17 +77,18 @@
 	return last
 }
 
-// startHedge sends the hedge if the budget and a free server of the region allow it.
-func (h *hedgedRequest) startHedge(req *call.Request) {
+// startHedge sends the hedge if the budget and a free server of the region allow it, and reports whether it did.
+func (h *hedgedRequest) startHedge(req *call.Request) bool {
 	acquisition := h.e.newAcquireRequest(hedgeCopy)
 	acquisition.requirements.CrossRegion = false
 	acquisition.requirements.ExpectedWait = time.Until(h.e.policy.Deadline) // accept any other server: the first one may never answer
 	assignment := h.e.service.acquireServer(h.e.ctx, acquisition)
 	if assignment.err != nil {
-		return
+		return false
 	}
 	h.e.avoid = append(h.e.avoid, assignment.grant.Server)
 	h.startCopy(assignment, req, true)
+	return true
 }
 
 func (h *hedgedRequest) startCopy(assignment acquireResult, req *call.Request, hedge bool) {
--- a/internal/node/hedgeorder_test.go
+++ b/internal/node/hedgeorder_test.go
@@ -21,7 +21,7 @@
 		h.results <- copyResult{result: backend.Result{Fate: call.Answered, Answer: &call.Answer{Status: 200}}}
 		due := make(chan time.Time, 1)
 		due <- time.Now()
-		if result := h.await(&call.Request{}, due); result.Fate != call.Answered {
+		if result := h.await(&call.Request{}, due, func() { t.Error("the hedge is tried again") }); result.Fate != call.Answered {
 			t.Errorf("fate %s", result.Fate)
 		}
 		if service.inbox.Len() != 0 {
