Close an idle connection of a caller a second after the idle timeout

Callers saw: a connection that closed while their next request was on its way. Cause: the connection was closed at the very end of the time that callers are promised. Evidence, before the change: TestRequestJustBehindIdleTimeoutIsAnswered: connection ended without an answer. Change: idleMargin.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -19,6 +19,9 @@
 	maxPipelined = 64
 	// defaultIdleTimeout is the idle timeout of a connection before a configuration is known.
 	defaultIdleTimeout = 15 * time.Second
+	// idleMargin is how long after the idle timeout a connection is closed. A request that its caller sent just before the
+	// timeout is on its way for up to a second when its packets are lost.
+	idleMargin = time.Second
 	// writeTimeout is the maximum time for one write, in case the caller does not read. It is not the time of a whole answer,
 	// because a long one takes as long as the backend server sends it.
 	writeTimeout = 10 * time.Second
@@ -282,7 +285,7 @@
 	if idle <= 0 {
 		idle = defaultIdleTimeout
 	}
-	return c.idleSince.Add(idle)
+	return c.idleSince.Add(idle + idleMargin)
 }
 
 func (c *caller) handle(m any) {
