--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -46,9 +46,6 @@
 	late bool
 }
 
-// lookTime is the maximum time of a read of bytes that have already arrived.
-const lookTime = 10 * time.Millisecond
-
 // beginExchange forgets what happened to the last exchange.
 func (c *limitedConn) beginExchange() { c.written, c.late = 0, false }
 
@@ -64,7 +61,7 @@
 	n, err := c.Conn.Read(p)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.hasUnread() {
 		c.late = true
-		if err = c.SetReadDeadline(time.Now().Add(lookTime)); err == nil {
+		if err = c.SetReadDeadline(time.Now().Add(tcp.LookTime)); err == nil {
 			n, err = c.Conn.Read(p)
 		}
 	}
--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -13,9 +13,6 @@
 	"fuchsiahub.example/fuchsiahub/internal/tcp"
 )
 
-// lookTime is the maximum time of a read of bytes that have already arrived.
-const lookTime = 10 * time.Millisecond
-
 // callerConnections is what the connections of callers share.
 type callerConnections struct {
 	// open counts the accepted connections that are not closed, and the server while it accepts.
@@ -143,7 +140,7 @@
 		}
 	}
 	unread, known := tcp.HasUnread(c.Conn)
-	return time.Now().Add(lookTime), known && unread
+	return time.Now().Add(tcp.LookTime), known && unread
 }
 
 // endsWait reports whether a request had begun when the wait for it ended, and counts that as the second deadline. The server
--- a/internal/gateway/arrived.go
+++ b/internal/gateway/arrived.go
@@ -9,9 +9,6 @@
 	"fuchsiahub.example/fuchsiahub/internal/tcp"
 )
 
-// lookTime is the maximum time of a read of bytes that have already arrived.
-const lookTime = 10 * time.Millisecond
-
 // arrivedReader reads from a connection. After its deadline it still returns the bytes that have arrived: a read after the
 // deadline fails without looking, and the process may have been late and not the caller.
 type arrivedReader struct {
@@ -38,7 +35,7 @@
 			return n, err
 		}
 		r.limited, r.looked = true, true
-		if err := r.conn.SetReadDeadline(time.Now().Add(lookTime)); err != nil {
+		if err := r.conn.SetReadDeadline(time.Now().Add(tcp.LookTime)); err != nil {
 			return 0, err
 		}
 	}
--- a/internal/tcp/unread.go
+++ b/internal/tcp/unread.go
@@ -4,8 +4,12 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 )
 
+// LookTime is the maximum time of a read of bytes that HasUnread has seen.
+const LookTime = 10 * time.Millisecond
+
 // HasUnread reports whether a read of the connection would return at once, with bytes, the end of the stream or an error.
 // It does not block and ignores deadlines, while a read after its deadline fails without looking. Result known is false for
 // a connection without a file descriptor. For a TLS connection it is that of the bytes below TLS.
