Bound the time for which bytes are read after a deadline

Callers and servers that send without a pause could postpone a deadline up to the limit of the size: 16 KB of a head, one byte each few milliseconds, held a connection for a minute and more where the header timeout is 3 s. Cause: after a deadline, bytes that have arrived are read, and there was no bound for how long.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -235,7 +235,7 @@
 	if err != nil {
 		return c.brokenResult(c.socket.answerError(err)), body{}
 	}
-	result := Result{Fate: call.Answered, Elapsed: time.Since(start), Late: c.socket.late, ClosesConnection: response.Close}
+	result := Result{Fate: call.Answered, Elapsed: time.Since(start), Late: !c.socket.lateSince.IsZero(), ClosesConnection: response.Close}
 	c.codec.Decode(&result, response.StatusCode, response.Header)
 	c.keepAlive = keepAliveTimeout(response.Header)
 	if exchange.MaxBodyBytes > 0 {
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -42,12 +42,12 @@
 	readable int
 	// readFailed is true when a read has failed for a reason other than the limit.
 	readFailed bool
-	// late is true when bytes were read after the deadline.
-	late bool
+	// lateSince is when bytes were first read after the deadline; zero when none were.
+	lateSince time.Time
 }
 
 // beginExchange forgets what happened to the last exchange.
-func (c *limitedConn) beginExchange() { c.written, c.late = 0, false }
+func (c *limitedConn) beginExchange() { c.written, c.lateSince = 0, time.Time{} }
 
 // Read fails when more bytes are wanted than may be read. After the deadline it still returns the bytes that have arrived: the
 // process may have been late and not the server.
@@ -60,7 +60,9 @@
 	}
 	n, err := c.Conn.Read(p)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.hasUnread() {
-		c.late = true
+		if c.lateSince.IsZero() {
+			c.lateSince = time.Now()
+		}
 		if err = c.SetReadDeadline(time.Now().Add(tcp.LookTime)); err == nil {
 			n, err = c.Conn.Read(p)
 		}
@@ -73,6 +75,9 @@
 }
 
 func (c *limitedConn) hasUnread() bool {
+	if !c.lateSince.IsZero() && time.Since(c.lateSince) >= tcp.MaxLateReading {
+		return false
+	}
 	unread, known := tcp.HasUnread(c.Conn)
 	return known && unread
 }
--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -83,6 +83,8 @@
 	closed   atomic.Bool
 	// deadline is the deadline that the server has set for reads; nil for none.
 	deadline atomic.Pointer[time.Time]
+	// lateSince is when a read was first tried after that deadline; nil before.
+	lateSince atomic.Pointer[time.Time]
 }
 
 // noteConnState follows the state of a connection. It is the ConnState of the server.
@@ -139,8 +141,15 @@
 			return *deadline, true
 		}
 	}
+	now := time.Now()
+	switch since := c.lateSince.Load(); {
+	case since == nil:
+		c.lateSince.Store(&now)
+	case now.Sub(*since) >= tcp.MaxLateReading:
+		return time.Time{}, false
+	}
 	unread, known := tcp.HasUnread(c.Conn)
-	return time.Now().Add(tcp.LookTime), known && unread
+	return now.Add(tcp.LookTime), known && unread
 }
 
 // endsWait reports whether a request had begun when the wait for it ended, and counts that as the second deadline. The server
@@ -158,6 +167,7 @@
 		c.begun.Store(true)
 	}
 	c.deadline.Store(&t)
+	c.lateSince.Store(nil)
 	if err := c.Conn.SetReadDeadline(t); err != nil {
 		return err
 	}
--- a/internal/gateway/arrived.go
+++ b/internal/gateway/arrived.go
@@ -15,8 +15,8 @@
 	conn net.Conn
 	// limited is true when a deadline is set.
 	limited bool
-	// looked is true when a read has been tried after the deadline.
-	looked bool
+	// lookedAt is when a read was first tried after the deadline; zero before.
+	lookedAt time.Time
 }
 
 // setDeadline sets the deadline of further reads; zero sets none.
@@ -24,7 +24,7 @@
 	if t.IsZero() && !r.limited {
 		return nil
 	}
-	r.limited, r.looked = !t.IsZero(), false
+	r.limited, r.lookedAt = !t.IsZero(), time.Time{}
 	return r.conn.SetReadDeadline(t)
 }
 
@@ -34,7 +34,10 @@
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !r.mayHaveArrived() {
 			return n, err
 		}
-		r.limited, r.looked = true, true
+		if r.lookedAt.IsZero() {
+			r.lookedAt = time.Now()
+		}
+		r.limited = true
 		if err := r.conn.SetReadDeadline(time.Now().Add(tcp.LookTime)); err != nil {
 			return 0, err
 		}
@@ -44,7 +47,7 @@
 // mayHaveArrived reports whether another read is worth trying after the deadline.
 func (r *arrivedReader) mayHaveArrived() bool {
 	if unread, known := tcp.HasUnread(r.conn); known {
-		return unread
+		return unread && (r.lookedAt.IsZero() || time.Since(r.lookedAt) < tcp.MaxLateReading)
 	}
-	return !r.looked
+	return r.lookedAt.IsZero()
 }
