Withdraw strikes that an answer disproves, and try condemned requests

Cause: a strike was stored for each request that ran on a crashed server. An answer to an equal request cleared the mark at one instance only, neither the object in the store nor the marks of others. While a condemned request is refused, no answer arrives that could clear it; its ten minutes counted from the start of the instance.

Change: an answer withdraws the strikes in the store, and the removal takes them back at the other instances. An answer about the time of the crash contradicts a strike. Marks age from the time of the crash. internal/node runs the same chart, with one trial at a time in a region.

--- a/charts/params.go
+++ b/charts/params.go
@@ -20,6 +20,8 @@
 		"zone_quiet":    3 * time.Second,
 		"zone_return":   10 * time.Second,
 		"strike_expiry": 10 * time.Minute,
+		// Longer than a request that runs alone may take.
+		"trial_limit":   30 * time.Second,
 		"down_time":     1 * time.Second,
 		"audit_pause":   10 * time.Second,
 		// Longer than the dial with which the instance that lost a connection checks the server.
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -62,6 +62,8 @@
 	RunAlone
 	// Refuse means that the requests are refused without being run.
 	Refuse
+	// RunTrial means that the requests are refused, except one that claims the trial that is due and runs alone.
+	RunTrial
 )
 
 // Snapshot is an immutable copy of the state that the handling of requests needs.
@@ -75,6 +77,8 @@
 type Quarantine struct {
 	bound         *chart.Bound[*mark]
 	marks         map[Fingerprint]*mark
+	trials        *trialLog
+	answers       *answerLog
 	recentBreaks  map[Server][]timedBreak
 	lastCrashes   map[Server]Crash
 	incarnations  map[Server]string
@@ -87,8 +91,13 @@
 type mark struct {
 	machine *chart.Machine[*mark]
 	crashes []Crash
-	// newCrash is the crash that the strike event being handled reports.
+	// newCrash is the crash that the strike event being handled reports, and struckAt its time, but not after the event.
 	newCrash Crash
+	struckAt time.Time
+	// lastStruckAt is the latest time of a counted crash.
+	lastStruckAt time.Time
+	// trialAnnounced is true if the newest snapshot says that a trial is due.
+	trialAnnounced bool
 }
 
 type timedBreak struct {
@@ -102,16 +111,21 @@
 	bound, err := chart.Bind(ch, chart.Bindings[*mark]{
 		Guards: map[string]func(*mark) bool{
 			"different_crash": func(m *mark) bool { return !slices.ContainsFunc(m.crashes, m.newCrash.mayBeSame) },
+			"no_crash_left":   func(m *mark) bool { return len(m.crashes) == 0 },
+			"one_crash_left":  func(m *mark) bool { return len(m.crashes) == 1 },
 		},
 		Actions: map[string]func(*mark){
-			"add_strike": func(m *mark) { m.crashes = append(m.crashes, m.newCrash) },
+			"add_strike": func(m *mark) {
+				m.crashes = append(m.crashes, m.newCrash)
+				m.lastStruckAt = later(m.lastStruckAt, m.struckAt)
+			},
 		},
 	})
 	if err != nil {
 		return nil, err
 	}
 	return &Quarantine{
-		bound: bound, marks: map[Fingerprint]*mark{}, recentBreaks: map[Server][]timedBreak{}, lastCrashes: map[Server]Crash{},
+		bound: bound, marks: map[Fingerprint]*mark{}, trials: newTrialLog(), answers: newAnswerLog(), recentBreaks: map[Server][]timedBreak{}, lastCrashes: map[Server]Crash{},
 		incarnations: map[Server]string{}, confirmWithin: confirmWithin,
 	}, nil
 }
@@ -173,37 +187,81 @@
 	return q.addStrikes(now, c, breaks)
 }
 
-// addStrikes adds a strike for the crash to each marked fingerprint of the broken connections.
+// addStrikes adds a strike for the crash to each marked fingerprint of the broken connections, except those whose requests
+// were answered about then.
 func (q *Quarantine) addStrikes(now time.Time, c Crash, breaks []timedBreak) []Strike {
 	var strikes []Strike
 	for _, l := range breaks {
 		s := Strike{Fingerprint: l.Fingerprint, Crash: c, Regions: l.Regions}
-		if _, ok := q.marks[l.Fingerprint]; ok {
-			q.Strike(now, s)
+		if _, ok := q.marks[l.Fingerprint]; ok && q.Strike(now, s) {
 			strikes = append(strikes, s)
 		}
 	}
 	return strikes
 }
 
-// Strike adds a strike that this instance or a peer has detected.
-func (q *Quarantine) Strike(now time.Time, s Strike) {
+// Strike adds a strike that this instance or a peer has detected. It returns false, and adds nothing, if an equal request
+// was answered about the time of the crash or later. The mark ages from the time of the crash, which may be recorded with
+// the clock of another machine.
+func (q *Quarantine) Strike(now time.Time, s Strike) bool {
+	if q.answers.contradicts(s) {
+		return false
+	}
 	if m := q.findOrMark(now, s.Fingerprint); m != nil {
-		m.newCrash = s.Crash
-		fire(now, m, "strike")
+		m.newCrash, m.struckAt = s.Crash, earlier(now, s.Crash.At)
+		fire(m.struckAt, m, "strike")
+		m.machine.Tick(now)
 	}
+	return true
 }
 
-// Clear removes the mark of a fingerprint whose request was answered. It reports whether there were strikes, which peers may
-// have received too.
-func (q *Quarantine) Clear(now time.Time, f Fingerprint) bool {
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// Withdraw takes back a strike that another instance has withdrawn or that has expired in the store.
+func (q *Quarantine) Withdraw(now time.Time, s Strike) {
+	m, ok := q.marks[s.Fingerprint]
+	if !ok {
+		return
+	}
+	m.crashes = slices.DeleteFunc(m.crashes, func(c Crash) bool { return c.mayBeSame(s.Crash) })
+	fire(now, m, "strike_withdrawn")
+	if m.machine.Final() {
+		q.forget(s.Fingerprint)
+	}
+}
+
+// Clear records that a request with the fingerprint was answered, and removes its mark. It returns the strikes that the
+// answer disproves and the number of trials; peers and the store may know them too.
+func (q *Quarantine) Clear(now time.Time, f Fingerprint) (disproved []Strike, trials int) {
+	q.answers.record(now, f)
 	m, ok := q.marks[f]
 	if !ok {
-		return false
+		return nil, 0
+	}
+	for _, c := range m.crashes {
+		disproved = append(disproved, Strike{Fingerprint: f, Crash: c})
 	}
+	trials = q.trials.count(f)
 	fire(now, m, "request_answered")
+	q.forget(f)
+	return disproved, trials
+}
+
+func (q *Quarantine) forget(f Fingerprint) {
 	delete(q.marks, f)
-	return len(m.crashes) > 0
+	q.trials.forget(f)
 }
 
 // Tick handles the timeouts that are due and removes expired marks, broken connections and crashes.
@@ -211,9 +269,10 @@
 	for f, m := range q.marks {
 		m.machine.Tick(now)
 		if m.machine.Final() {
-			delete(q.marks, f)
+			q.forget(f)
 		}
 	}
+	q.trials.expire(now)
 	for s, breaks := range q.recentBreaks {
 		breaks = slices.DeleteFunc(breaks, func(l timedBreak) bool { return now.Sub(l.at) > q.confirmWithin })
 		if q.recentBreaks[s] = breaks; len(breaks) == 0 {
@@ -226,10 +285,13 @@
 // Deadline returns the time of the next timeout, and false if none is set.
 func (q *Quarantine) Deadline() (time.Time, bool) {
 	var next time.Time
-	for _, m := range q.marks {
+	for f, m := range q.marks {
 		if due, ok := m.machine.Deadline(); ok && (next.IsZero() || due.Before(next)) {
 			next = due
 		}
+		if due, ok := q.trialDue(f, m); ok && !m.trialAnnounced && (next.IsZero() || due.Before(next)) {
+			next = due
+		}
 	}
 	for _, breaks := range q.recentBreaks {
 		if due := breaks[0].at.Add(q.confirmWithin + time.Millisecond); next.IsZero() || due.Before(next) {
@@ -240,20 +302,25 @@
 }
 
 // Snapshot returns a copy of the state for the handling of requests.
-func (q *Quarantine) Snapshot() *Snapshot {
+func (q *Quarantine) Snapshot(now time.Time) *Snapshot {
 	s := &Snapshot{Marks: make(map[Fingerprint]Treatment, len(q.marks)), Incarnations: maps.Clone(q.incarnations)}
-	for f := range q.marks {
-		s.Marks[f] = q.TreatmentOf(f)
+	for f, m := range q.marks {
+		s.Marks[f] = q.TreatmentOf(now, f)
+		m.trialAnnounced = s.Marks[f] == RunTrial
 	}
 	return s
 }
 
 // TreatmentOf returns how requests with a fingerprint are handled.
-func (q *Quarantine) TreatmentOf(f Fingerprint) Treatment {
+func (q *Quarantine) TreatmentOf(now time.Time, f Fingerprint) Treatment {
 	m, marked := q.marks[f]
-	switch {
-	case !marked:
+	if !marked {
 		return RunNormally
+	}
+	due, ok := q.trialDue(f, m)
+	switch {
+	case ok && !now.Before(due):
+		return RunTrial
 	case m.machine.In("refused"):
 		return Refuse
 	case m.machine.In("alone"):
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -42,8 +42,10 @@
 	subscribers []func(*Snapshot)
 	source      *newsSource
 	decoder     *configDecoder
-	// onStrike is called for each strike (a crash of a backend server attributed to a request) found in the store.
-	onStrike func(quarantine.Strike)
+	// onStrike is called for each strike (a crash of a backend server attributed to a request) that was found in the store,
+	// or that is withdrawn because it was removed there. onTrial is called for each claim of a trial.
+	onStrike func(s quarantine.Strike, withdrawn bool)
+	onTrial  func(quarantine.Trial)
 	// onDataAge is called regularly with the age of the entries of backend servers.
 	onDataAge func(time.Duration)
 	// onInvalid is called for each revision of an object that is not valid.
@@ -59,8 +61,9 @@
 	backends       map[string]*fleet.Backend
 	evacuatedZones map[string]bool
 	instances      map[string]fleet.Instance
-	// strikes holds the times of the crashes recorded in the store, by object name.
-	strikes map[string]time.Time
+	// strikes holds the strikes recorded in the store, by object name, and trials the times of the trials.
+	strikes map[string]quarantine.Strike
+	trials  map[string]time.Time
 	// asOf is the time at which the known objects of a kind were surely current in the store.
 	asOf map[objectapi.Kind]time.Time
 	// decoding is the revision of the newest configuration that has been passed to the decoder; zero when its result has arrived.
@@ -93,8 +96,8 @@
 	return &board{
 		inbox: inbox, decoder: newConfigDecoder(schema, inbox), schema: schema, snapshots: snapshots, log: log,
 		backends: map[string]*fleet.Backend{}, evacuatedZones: map[string]bool{}, instances: map[string]fleet.Instance{},
-		strikes: map[string]time.Time{},
-		cache:   objectCache{}, readBy: map[objectapi.Kind]string{}, asOf: map[objectapi.Kind]time.Time{},
+		strikes: map[string]quarantine.Strike{}, trials: map[string]time.Time{},
+		cache: objectCache{}, readBy: map[objectapi.Kind]string{}, asOf: map[objectapi.Kind]time.Time{},
 		lapsed:          map[string]time.Time{},
 		unansweredKinds: map[objectapi.Kind]bool{}, invalidRevisions: map[objectKey]uint64{},
 		totalSuspension: suspension.Total, countedSuspension: suspension.Total(),
@@ -302,17 +305,24 @@
 	return age > maxStrikeAge || age < -maxStrikeAhead
 }
 
+// applyStrike applies a strike or the claim of a trial. Expired ones are left to the janitor.
 func (b *board) applyStrike(o objectapi.Object) {
+	if t, isTrial := b.schema.Trial(o); isTrial {
+		b.trials[o.Name] = t.At
+		if !isExpired(time.Now(), t.At) {
+			b.onTrial(t)
+		}
+		return
+	}
 	s, err := b.schema.Strike(o)
 	if err != nil {
 		b.reportInvalid(o, err)
 		return
 	}
-	b.strikes[o.Name] = s.Crash.At
-	if isExpired(time.Now(), s.Crash.At) {
-		return // the janitor will remove it
+	b.strikes[o.Name] = s
+	if !isExpired(time.Now(), s.Crash.At) {
+		b.onStrike(s, false)
 	}
-	b.onStrike(s)
 }
 
 // applyInstance keeps the entry of an instance. An entry that cannot be decoded removes the instance.
@@ -390,7 +400,11 @@
 	case objectapi.Instances:
 		delete(b.instances, name)
 	case objectapi.Strikes:
+		if s, known := b.strikes[name]; known {
+			b.onStrike(s, true)
+		}
 		delete(b.strikes, name)
+		delete(b.trials, name)
 	}
 }
 
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -22,10 +22,13 @@
 	// maxCrashChecks is the maximum number of health checks after a broken connection. One may not be enough, because other
 	// connections of the pool may have broken as well.
 	maxCrashChecks = 4
-	// strikeCapacity is the maximum number of strikes that wait to be written; further ones are known to this instance only.
+	// strikeCapacity is the maximum number of strikes and withdrawals that wait for the store; further ones are known to this
+	// instance only.
 	strikeCapacity = 64
-	// maxStrikeWrites is the maximum number of attempts to write one strike.
+	// maxStrikeWrites is the maximum number of attempts to write or remove one strike.
 	maxStrikeWrites = 4
+	// trialClaimTimeout bounds the wait of a request for the claim of its trial, many times the 4 ms of a call of the store.
+	trialClaimTimeout = 250 * time.Millisecond
 )
 
 // crashDetector is the part of the director that detects requests that crash backend servers. Strikes (crashes attributed to
@@ -33,8 +36,23 @@
 type crashDetector struct {
 	quarantine *quarantine.Quarantine
 	log        *slog.Logger
-	// toWrite queues the strikes that this instance recorded, to be written to the store.
-	toWrite *task.Mailbox[quarantine.Strike]
+	// toStore queues strikes (quarantine.Strike) that this instance recorded, to be written to the store, and withdrawals of
+	// strikes, in the order in which they were made.
+	toStore *task.Mailbox[any]
+}
+
+// strikeWithdrawal removes strikes from the store that an answer disproves, and the claims of the trials up to a number.
+type strikeWithdrawal struct {
+	fingerprint quarantine.Fingerprint
+	strikes     []quarantine.Strike
+	trials      int
+}
+
+// trialClaim is the outcome of the claim of a trial for a request.
+type trialClaim struct {
+	placement placeRequest
+	trial     quarantine.Trial
+	err       error
 }
 
 func newCrashDetector(log *slog.Logger) (*crashDetector, error) {
@@ -46,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &crashDetector{quarantine: q, log: log, toWrite: task.NewMailbox[quarantine.Strike]("strikes", strikeCapacity)}, nil
+	return &crashDetector{quarantine: q, log: log, toStore: task.NewMailbox[any]("strikes", strikeCapacity)}, nil
 }
 
 func serverOf(entry *fleet.Backend) quarantine.Server {
@@ -61,11 +79,31 @@
 	return quarantine.FingerprintOf(nil, &hashed)
 }
 
-// refuses reports whether a request is refused, because equal requests crashed a backend server and then crashed another or
-// broke a connection to it.
-func (c *crashDetector) refuses(now time.Time, f quarantine.Fingerprint) bool {
+// treatmentOf returns how a request is treated, given that equal requests may have crashed backend servers.
+func (c *crashDetector) treatmentOf(now time.Time, f quarantine.Fingerprint) quarantine.Treatment {
 	c.quarantine.Tick(now)
-	return c.quarantine.TreatmentOf(f) == quarantine.Refuse
+	return c.quarantine.TreatmentOf(now, f)
+}
+
+// requestAnswered withdraws the strikes that an answer disproves, also in the store.
+func (c *crashDetector) requestAnswered(now time.Time, f quarantine.Fingerprint) {
+	disproved, trials := c.quarantine.Clear(now, f)
+	if len(disproved)+trials > 0 {
+		c.withdraw(strikeWithdrawal{fingerprint: f, strikes: disproved, trials: trials})
+	}
+}
+
+// strikeRead handles a strike found in the store. One that contradicts the answers of this instance is withdrawn.
+func (c *crashDetector) strikeRead(now time.Time, s quarantine.Strike) {
+	if !c.quarantine.Strike(now, s) {
+		c.withdraw(strikeWithdrawal{fingerprint: s.Fingerprint, strikes: []quarantine.Strike{s}})
+	}
+}
+
+// withdraw logs a withdrawal and queues it for the store.
+func (c *crashDetector) withdraw(w strikeWithdrawal) {
+	c.log.Info("strikes are withdrawn: an equal request was answered", "fingerprint", hex.EncodeToString(w.fingerprint[:]),
+		"strikes", len(w.strikes), "trials", w.trials, "error", c.toStore.Offer(w))
 }
 
 // mayHaveCrashed reports whether a copy ended in a way that a crash of its server can cause.
@@ -97,35 +135,113 @@
 // shareStrikes logs strikes and queues them to be written.
 func (c *crashDetector) shareStrikes(strikes []quarantine.Strike) {
 	for _, s := range strikes {
-		err := c.toWrite.Offer(s)
+		err := c.toStore.Offer(s)
 		c.log.Warn("backend server crashed while a request ran", "backend", s.Crash.Server.Name, "service", s.Crash.Server.Service,
 			"fingerprint", hex.EncodeToString(s.Fingerprint[:]), "error", err)
 	}
 }
 
-// writeStrikes is the body of the task that writes strikes to the store.
-func (g *Gateway) writeStrikes(ctx context.Context) error {
+// storeStrikes is the body of the task that writes strikes to the store and removes those that are withdrawn.
+func (g *Gateway) storeStrikes(ctx context.Context) error {
 	for {
 		select {
-		case s := <-g.director.crashes.toWrite.C():
-			g.writeStrike(ctx, s)
+		case m := <-g.director.crashes.toStore.C():
+			switch m := m.(type) {
+			case quarantine.Strike:
+				g.writeStrike(ctx, m)
+			case strikeWithdrawal:
+				g.removeStrikes(ctx, m)
+			}
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-// writeStrike writes one strike and retries with backoff.
+// writeStrike writes one strike.
 func (g *Gateway) writeStrike(ctx context.Context, s quarantine.Strike) {
 	name, value, err := g.schema.EncodeStrike(s)
-	for try := 0; err == nil && try < maxStrikeWrites; try++ {
-		if err = g.store.Write(ctx, objectapi.Strikes, name, value); err == nil {
-			return
+	if err == nil {
+		err = retryWithBackoff(ctx, func() error { return g.store.Write(ctx, objectapi.Strikes, name, value) })
+	}
+	if err != nil {
+		g.log.Warn("strike was not written to the store; only this instance knows it", "error", err)
+	}
+}
+
+// removeStrikes removes withdrawn strikes and the claims of their trials. The instances that follow the store take them back.
+func (g *Gateway) removeStrikes(ctx context.Context, w strikeWithdrawal) {
+	remove := func(name string, err error) {
+		if err == nil {
+			err = retryWithBackoff(ctx, func() error { return g.store.Remove(ctx, objectapi.Strikes, name) })
 		}
-		task.Pause(ctx, minBackoff<<try)
-		if try+1 < maxStrikeWrites {
-			err = nil
+		if err != nil {
+			g.log.Warn("withdrawn strike was not removed from the store; it lasts until a trial or its expiry", "name", name,
+				"error", err)
 		}
 	}
-	g.log.Warn("strike was not written to the store; only this instance knows it", "error", err)
+	for _, s := range w.strikes {
+		name, _, err := g.schema.EncodeStrike(s)
+		remove(name, err)
+	}
+	for number := range w.trials {
+		name, _, err := g.schema.EncodeTrial(quarantine.Trial{Fingerprint: w.fingerprint, Number: number + 1})
+		remove(name, err)
+	}
+}
+
+// retryWithBackoff calls the store until it succeeds, at most maxStrikeWrites times, and returns the last error.
+func retryWithBackoff(ctx context.Context, call func() error) error {
+	var err error
+	for try := range maxStrikeWrites {
+		if err = call(); err == nil || !task.Pause(ctx, minBackoff<<try) {
+			return err
+		}
+	}
+	return err
+}
+
+// claimTrial claims the trial that is due for a condemned request, so that one instance of the fleet runs it. The placement
+// continues with the outcome. It returns false if the request is to be refused.
+func (d *director) claimTrial(ctx context.Context, now time.Time, m placeRequest) bool {
+	trial, due := d.crashes.quarantine.NextTrial(now, m.fingerprint)
+	if !due || d.claim == nil {
+		return false
+	}
+	d.crashes.quarantine.StartTrial(now, trial)
+	claim, inbox := d.claim, d.inbox
+	go func() {
+		claimCtx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
+		defer cancel()
+		_ = inbox.Send(ctx, trialClaim{placement: m, trial: trial, err: claim(claimCtx, trial)}) // fails only at shutdown
+	}()
+	return true
+}
+
+// handleTrialClaim continues the placement of a request that has claimed a trial, or refuses it if another instance was
+// earlier or the store does not answer.
+func (d *director) handleTrialClaim(ctx context.Context, now time.Time, m trialClaim) {
+	f := m.trial.Fingerprint
+	d.log.Info("trial of a request that is refused since equal ones crashed servers", "request", m.placement.id,
+		"fingerprint", hex.EncodeToString(f[:]), "number", m.trial.Number, "runs", m.err == nil, "error", m.err)
+	if m.err != nil {
+		d.crashes.quarantine.EndTrial(now, f)
+		d.refuseCondemned(now, &m.placement)
+		return
+	}
+	m.placement.onTrial = true
+	d.place(ctx, now, m.placement)
+}
+
+func (d *director) refuseCondemned(now time.Time, m *placeRequest) {
+	m.reply(placeRefusal{reason: reasonCrashes, retryAfter: d.retryAfter(now, m, m.deadline.Sub(now))})
+}
+
+// createClaim creates the object that claims a trial.
+func (g *Gateway) createClaim(ctx context.Context, t quarantine.Trial) error {
+	name, value, err := g.schema.EncodeTrial(t)
+	if err != nil {
+		return err
+	}
+	return g.store.Create(ctx, objectapi.Strikes, name, value)
 }
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -37,6 +37,8 @@
 		triedServers []string
 		// firstCopy is true for the first copy of a request; further copies are charged to the resend budget.
 		firstCopy bool
+		// onTrial is true for a request that runs although equal ones crashed servers.
+		onTrial bool
 		// deadline is when the request expires, targetAt when the latency target of its route is missed.
 		deadline, targetAt time.Time
 		reply              func(any)
@@ -61,8 +63,13 @@
 	}
 	// snapshotUpdate carries a new snapshot of the store.
 	snapshotUpdate struct{ snapshot *Snapshot }
-	// strikeUpdate carries a strike (a crash attributed to a request) that some instance recorded.
-	strikeUpdate struct{ strike quarantine.Strike }
+	// strikeUpdate carries a strike (a crash attributed to a request) that some instance recorded, or has withdrawn.
+	strikeUpdate struct {
+		strike    quarantine.Strike
+		withdrawn bool
+	}
+	// trialUpdate carries a trial that some instance has claimed.
+	trialUpdate struct{ trial quarantine.Trial }
 	// boundsUpdate carries changed bounds of the fleet.
 	boundsUpdate struct{ bounds Bounds }
 )
@@ -76,6 +83,8 @@
 	routeName string
 	// fingerprint is that of the request.
 	fingerprint quarantine.Fingerprint
+	// onTrial is true for a request that runs although equal ones crashed servers.
+	onTrial bool
 	// expected is the predicted time to the answer.
 	expected time.Duration
 	// hedgeAfter is the time after which a second copy of an idempotent request is worthwhile.
@@ -108,8 +117,10 @@
 	tuning      placement.Tuning
 	poolFactory *backend.PoolFactory
 	crashes     *crashDetector
-	log         *slog.Logger
-	counters    *counters
+	// claim claims a trial for this instance; nil claims none.
+	claim    func(context.Context, quarantine.Trial) error
+	log      *slog.Logger
+	counters *counters
 
 	started  time.Time
 	snapshot *Snapshot
@@ -184,7 +195,15 @@
 	case snapshotUpdate:
 		d.applySnapshot(now, m.snapshot)
 	case strikeUpdate:
-		d.crashes.quarantine.Strike(now, m.strike)
+		if m.withdrawn {
+			d.crashes.quarantine.Withdraw(now, m.strike)
+			return
+		}
+		d.crashes.strikeRead(now, m.strike)
+	case trialUpdate:
+		d.crashes.quarantine.StartTrial(now, m.trial)
+	case trialClaim:
+		d.handleTrialClaim(ctx, now, m)
 	case boundsUpdate:
 		d.bounds = m.bounds
 		d.budgets = map[string]*resend.Budget{}
@@ -249,6 +268,9 @@
 	s := m.grant.server
 	s.inFlight--
 	d.noteInvalidAnswer(s, m.result)
+	if m.grant.onTrial && !m.succeeded {
+		d.crashes.quarantine.EndTrial(now, m.grant.fingerprint)
+	}
 	if m.cancelled {
 		return
 	}
@@ -260,7 +282,7 @@
 		d.startCheck(ctx, now, s)
 	case m.succeeded:
 		s.score.Success(now)
-		d.crashes.quarantine.Clear(now, m.grant.fingerprint)
+		d.crashes.requestAnswered(now, m.grant.fingerprint)
 	case !m.result.Fate.SurelyNotRun() || m.result.ConnectionRefused:
 		s.score.Failure(now)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -262,8 +262,12 @@
 		return err
 	}
 	// Sending fails only at shutdown.
-	g.board.onStrike = func(s quarantine.Strike) { _ = g.director.inbox.Send(tasks.Context(), strikeUpdate{strike: s}) }
-	tasks.Go("strikes", g.writeStrikes)
+	g.board.onStrike = func(s quarantine.Strike, withdrawn bool) {
+		_ = g.director.inbox.Send(tasks.Context(), strikeUpdate{strike: s, withdrawn: withdrawn})
+	}
+	g.board.onTrial = func(t quarantine.Trial) { _ = g.director.inbox.Send(tasks.Context(), trialUpdate{trial: t}) }
+	g.director.claim = g.createClaim
+	tasks.Go("strikes", g.storeStrikes)
 	tasks.Go("board", g.board.run)
 	tasks.Go("configuration decoder", g.board.decoder.run)
 	tasks.Go("director", g.director.run)
--- a/internal/gateway/janitor.go
+++ b/internal/gateway/janitor.go
@@ -28,7 +28,7 @@
 	// readsStore is true if this instance reads the store.
 	readsStore bool
 	instances  []fleet.Instance
-	// strikes are the names of expired strikes.
+	// strikes are the names of expired strikes and of expired claims of trials.
 	strikes []string
 }
 
@@ -107,7 +107,12 @@
 	for _, i := range b.instances {
 		entries.instances = append(entries.instances, i)
 	}
-	for name, at := range b.strikes {
+	for name, s := range b.strikes {
+		if isExpired(now, s.Crash.At) {
+			entries.strikes = append(entries.strikes, name)
+		}
+	}
+	for name, at := range b.trials {
 		if isExpired(now, at) {
 			entries.strikes = append(entries.strikes, name)
 		}
--- a/internal/gateway/measured.go
+++ b/internal/gateway/measured.go
@@ -40,6 +40,13 @@
 	return events, revision, err
 }
 
+// Create implements Store.
+func (s measuredStore) Create(ctx context.Context, kind objectapi.Kind, name string, value []byte) error {
+	err := s.store.Create(ctx, kind, name, value)
+	s.count("create", err)
+	return err
+}
+
 // Write implements Store.
 func (s measuredStore) Write(ctx context.Context, kind objectapi.Kind, name string, value []byte) error {
 	err := s.store.Write(ctx, kind, name, value)
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -9,6 +9,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/backend"
 	"fuchsiahub.example/fuchsiahub/internal/decide/coldstart"
 	"fuchsiahub.example/fuchsiahub/internal/decide/placement"
+	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/decide/resend"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 )
@@ -55,8 +56,7 @@
 	return round
 }
 
-// startPlacement starts a placement: it charges the resend budget, refuses quarantined requests, selects servers and
-// checks those whose reports are old.
+// startPlacement starts a placement: it charges the resend budget, refuses quarantined requests and places the others.
 func (d *director) startPlacement(ctx context.Context, now time.Time, m placeRequest) {
 	budget := d.budget(m.service)
 	if m.firstCopy {
@@ -66,10 +66,20 @@
 		m.reply(placeRefusal{reason: reasonBudget, retryAfter: d.retryAfter(now, &m, 0)})
 		return
 	}
-	if d.crashes.refuses(now, m.fingerprint) {
-		m.reply(placeRefusal{reason: reasonCrashes, retryAfter: d.retryAfter(now, &m, m.deadline.Sub(now))})
-		return
+	switch d.crashes.treatmentOf(now, m.fingerprint) {
+	case quarantine.RunTrial:
+		if !d.claimTrial(ctx, now, m) {
+			d.refuseCondemned(now, &m)
+		}
+	case quarantine.Refuse:
+		d.refuseCondemned(now, &m)
+	default:
+		d.place(ctx, now, m)
 	}
+}
+
+// place selects servers for a request and checks those whose reports are old.
+func (d *director) place(ctx context.Context, now time.Time, m placeRequest) {
 	if d.snapshot.Config == nil { // the request was routed by a snapshot that has not arrived here yet
 		m.reply(placeRefusal{reason: reasonUninformed, retryAfter: d.retryAfter(now, &m, 0)})
 		return
@@ -309,8 +319,8 @@
 	s.report.sentSince++
 	s.coldMeter.Record(now)
 	p.reply(&grant{
-		fingerprint: p.fingerprint,
-		server:      s, entry: s.entry, pool: s.pool, grantedAt: now, routeName: p.route.Name, expected: expected,
+		fingerprint: p.fingerprint, onTrial: p.onTrial,
+		server: s, entry: s.entry, pool: s.pool, grantedAt: now, routeName: p.route.Name, expected: expected,
 		hedgeAfter: d.tuning.HedgeAfter(d.placementRequest(now, &p.placeRequest), expected, s.report.reportsLoad),
 		unloaded:   c.Slowdown <= maxUnloadedSlowdown && !c.Cold && c.Running+1 <= c.Slots && c.CheckDelay <= maxUnloadedDelay,
 		reportAge:  now.Sub(s.report.at), checkDelay: c.CheckDelay, consideredServers: len(p.servers),
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -38,6 +38,10 @@
 	// value of its object; equal strikes have the same name.
 	Strike(o objectapi.Object) (quarantine.Strike, error)
 	EncodeStrike(s quarantine.Strike) (string, []byte, error)
+	// Trial decodes the claim of a trial, which is of the same kind as strikes. It returns false if the object is no claim.
+	// EncodeTrial returns the name and the value of its object; equal trials have the same name.
+	Trial(o objectapi.Object) (quarantine.Trial, bool)
+	EncodeTrial(t quarantine.Trial) (string, []byte, error)
 }
 
 // Store is the part of the platform's store that a gateway uses. Errors are those of objectapi.API, and fault.Overloaded
@@ -49,6 +53,8 @@
 	// Changes returns the changes after a revision and the revision from which the next call continues. It waits up to the
 	// given time for the first change.
 	Changes(ctx context.Context, kind objectapi.Kind, after uint64, wait time.Duration) ([]objectapi.Event, uint64, error)
+	// Create creates an object. It fails with fault.Conflict if the object exists.
+	Create(ctx context.Context, kind objectapi.Kind, name string, value []byte) error
 	// Write creates an object or replaces its value.
 	Write(ctx context.Context, kind objectapi.Kind, name string, value []byte) error
 	// Remove deletes an object. It is not an error if the object does not exist.
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/hex"
 	"errors"
 	"log/slog"
 	"slices"
@@ -105,6 +106,13 @@
 		server quarantine.Server
 		trial  trial
 	}
+	// condemnedTrialStart starts the trial that is due for a condemned fingerprint. The reply is false if none is.
+	condemnedTrialStart struct {
+		fingerprint quarantine.Fingerprint
+		reply       chan<- bool
+	}
+	// condemnedTrialEnd ends it without an answer.
+	condemnedTrialEnd struct{ fingerprint quarantine.Fingerprint }
 )
 
 // NewQuarantine returns the quarantine task. Run starts it.
@@ -125,7 +133,7 @@
 	if !q.sharesStrikes {
 		q.options.Secret = []byte(rand.Text())
 	}
-	q.snapshot.Store(state.Snapshot())
+	q.snapshot.Store(state.Snapshot(time.Now()))
 	return q, nil
 }
 
@@ -160,7 +168,7 @@
 // publish makes the current marks visible to requests.
 func (q *Quarantine) publish() {
 	before := q.Status().Refused
-	q.snapshot.Store(q.state.Snapshot())
+	q.snapshot.Store(q.state.Snapshot(time.Now()))
 	if q.options.OnRefusal != nil && q.Status().Refused > before {
 		q.options.OnRefusal()
 	}
@@ -183,6 +191,16 @@
 		m.reply <- q.grantTrial(now, m)
 	case trialEnd:
 		q.endTrial(m)
+	case condemnedTrialStart:
+		t, due := q.state.NextTrial(now, m.fingerprint)
+		if due {
+			q.state.StartTrial(now, t)
+			q.publish()
+		}
+		m.reply <- due
+	case condemnedTrialEnd:
+		q.state.EndTrial(now, m.fingerprint)
+		q.publish()
 	}
 }
 
@@ -230,9 +248,9 @@
 
 // handleAnswer removes the mark of a request that was answered, at this instance and, if it had strikes, at peers.
 func (q *Quarantine) handleAnswer(ctx context.Context, now time.Time, m answerReport) {
-	hadStrikes := q.state.Clear(now, m.fingerprint)
+	disproved, _ := q.state.Clear(now, m.fingerprint)
 	q.publish()
-	if hadStrikes && q.sharesStrikes {
+	if len(disproved) > 0 && q.sharesStrikes {
 		go q.sendToPeers(ctx, m.regions, func() *peerpb.StrikeRequest {
 			return &peerpb.StrikeRequest{Sender: q.sender(), Cleared: [][]byte{m.fingerprint[:]}}
 		})
@@ -325,7 +343,7 @@
 		switch t {
 		case quarantine.RunAlone:
 			status.Alone++
-		case quarantine.Refuse:
+		case quarantine.Refuse, quarantine.RunTrial:
 			status.Refused++
 		}
 	}
@@ -413,6 +431,25 @@
 	_, _ = q.options.Peers.Strike(ctx, arbiter, q.encodeTrial(s, t, true)) // after a failure the trial expires
 }
 
+// startCondemnedTrial starts the trial that is due for a condemned fingerprint. It returns false if none is, or if a trial of
+// the fingerprint is running in the region.
+func (q *Quarantine) startCondemnedTrial(ctx context.Context, f quarantine.Fingerprint) (end func(), granted bool) {
+	endClaim, granted := q.requestTrial(ctx, quarantine.Server{Name: hex.EncodeToString(f[:])}, q.options.Self.Zone)
+	end = func() {
+		endClaim()
+		q.inbox.SendUntil(q.ended, condemnedTrialEnd{fingerprint: f})
+	}
+	if !granted {
+		return end, false
+	}
+	reply := make(chan bool, 1)
+	if !q.inbox.SendUntil(q.ended, condemnedTrialStart{fingerprint: f, reply: reply}) {
+		return end, false
+	}
+	due, err := awaitReply(ctx, q.ended, reply)
+	return end, err == nil && due
+}
+
 func (q *Quarantine) requestLocalTrial(ctx context.Context, s quarantine.Server, t trial) bool {
 	reply := make(chan bool, 1)
 	if !q.inbox.SendUntil(q.ended, trialRequest{server: s, trial: t, reply: reply}) {
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -168,3 +168,73 @@
 		}
 	})
 }
+
+// Guards against a request that is refused for ten minutes although it crashes no server: while all equal requests are refused,
+// no answer could clear the mark. One is let through, alone, and its answer ends the refusal at all instances.
+func TestCondemnedRequestIsTried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{api: newMemoryAPI(), docs: onceDocuments("intake-1", "intake-2", "intake-3")}
+		c.net = &network{handlers: map[string]peer.Handlers{}, gates: map[string]*gate{}, lose: func() bool { return false }}
+		var running, most atomic.Int64
+		c.servers = newFakeServers(func(string, *http.Request, string) serverResponse {
+			most.Store(max(most.Load(), running.Add(1)))
+			time.Sleep(200 * time.Millisecond)
+			running.Add(-1)
+			return serverResponse{status: 200}
+		})
+		live := []member.Instance{
+			{Name: "entry-0", Incarnation: 1, Region: "permian", Zone: "permian-a"},
+			{Name: "entry-1", Incarnation: 1, Region: "permian", Zone: "permian-b"},
+		}
+		var instances []*instance
+		for _, self := range live {
+			i := c.start(t, self)
+			i.view.Store(&member.View{Self: self, Live: live})
+			instances = append(instances, i)
+		}
+		send := func(i *instance) error {
+			_, err := i.server.Do(t.Context(), &call.Request{Service: "intake", Method: "GET", Path: "/lookup/1"})
+			return err
+		}
+		if err := send(instances[0]); err != nil {
+			t.Fatal(err)
+		}
+		f := instances[0].server.quarantine.fingerprint(&call.Request{Service: "intake", Method: "GET", Path: "/lookup/1"})
+		time.Sleep(2 * quarantine.AnswerMemory)
+		for _, i := range instances {
+			done := make(chan struct{})
+			m := peerStrikes{done: done}
+			for _, name := range []string{"intake-1", "intake-2"} {
+				m.strikes = append(m.strikes, quarantine.Strike{Fingerprint: f, Crash: quarantine.Crash{
+					Server: quarantine.Server{Service: "intake", Name: name}, Incarnation: "1", At: time.Now()}})
+			}
+			i.server.quarantine.inbox.SendUntil(i.server.quarantine.ended, m)
+			<-done
+			if err := send(i); !fault.Is(err, fault.Quarantined) {
+				t.Errorf("a request that has just crashed two servers is not refused: %v", err)
+			}
+		}
+		time.Sleep(quarantine.TrialDelay)
+		most.Store(0)
+		var senders sync.WaitGroup
+		var answered atomic.Int64
+		for n := range 6 {
+			senders.Go(func() {
+				if send(instances[n%2]) == nil {
+					answered.Add(1)
+				}
+			})
+		}
+		senders.Wait()
+		if answered.Load() == 0 || most.Load() != 1 {
+			t.Errorf("%d requests were answered during the trial, at most %d ran at a time", answered.Load(), most.Load())
+		}
+		time.Sleep(time.Second)
+		for _, i := range instances {
+			if err := send(i); err != nil {
+				t.Errorf("the request is refused after the answer: %v", err)
+			}
+			i.shutDown()
+		}
+	})
+}
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -66,7 +66,7 @@
 			"quarantined":               func(e *exchange) bool { return e.treatment() == quarantine.Refuse },
 			"quarantined_after_loss":    func(e *exchange) bool { return e.mayHaveRun && e.treatment() == quarantine.Refuse },
 			"quarantined_without_loss":  func(e *exchange) bool { return !e.mayHaveRun && e.treatment() == quarantine.Refuse },
-			"requires_isolation":        func(e *exchange) bool { return e.treatment() == quarantine.RunAlone },
+			"requires_isolation":        (*exchange).requiresIsolation,
 		},
 		Actions: map[string]func(*exchange){
 			"record_claim":              (*exchange).recordClaim,
--- a/internal/node/requestquarantine.go
+++ b/internal/node/requestquarantine.go
@@ -28,10 +28,31 @@
 	return t
 }
 
+// requiresIsolation reports whether the request may run only alone on a server.
+func (e *exchange) requiresIsolation() bool {
+	t := e.treatment()
+	return t == quarantine.RunAlone || t == quarantine.RunTrial
+}
+
 // requestTrial is the entry action of "isolating".
 func (e *exchange) requestTrial() {
+	if e.treatment() == quarantine.RunTrial {
+		end, granted := e.quarantine.startCondemnedTrial(e.ctx, e.fingerprint())
+		e.releaseTrial = end
+		if !granted {
+			e.endTrial()
+			e.nextEvent = "trial_refused"
+			return
+		}
+	}
+	endCondemned := e.releaseTrial
 	end, granted := e.quarantine.requestTrial(e.ctx, e.server(), e.assignment.grant.Zone)
-	e.releaseTrial = end
+	e.releaseTrial = func() {
+		end()
+		if endCondemned != nil {
+			endCondemned()
+		}
+	}
 	if granted {
 		e.nextEvent = "trial_granted"
 		return
