Test an estimated service time by which requests are refused

Cause: the first answer after the start set the typical service time of the route. A request whose expected time is above its limit is refused, and a refused request gives no sample that could correct the estimate. The same held for a request whose deadline is shorter than the estimate.

Change: the assumption before the first sample counts like one sample. When an estimate without a sample for a second would cause a refusal, one request a second goes to a server with room to spare; an answer quicker than the estimate halves the difference.

internal/node grants a free slot without an estimate and is not affected.

--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -17,11 +17,6 @@
 const (
 	// directorInboxCapacity is the inbox capacity of the director.
 	directorInboxCapacity = 1024
-	// workWeight is the weight of a new sample in the moving average of a route's service time.
-	workWeight = 0.05
-	// noLoadQuantile is the quantile of the service times that counts as typical where servers do not report load. It lies
-	// below the share of requests that meet a machine at its normal speed.
-	noLoadQuantile = 0.4
 )
 
 // Messages to the director.
@@ -80,7 +75,7 @@
 	entry     *fleet.Backend
 	pool      *backend.Pool
 	grantedAt time.Time
-	routeName string
+	route     *fleet.Route
 	// fingerprint is that of the request.
 	fingerprint quarantine.Fingerprint
 	// onTrial is true for a request that runs although equal ones crashed servers.
@@ -92,6 +87,8 @@
 	// unloaded is true when the server was warm, not slowed down and had a free slot, so that the time of the copy measures
 	// the work of the request.
 	unloaded bool
+	// testsServiceTime is true for a request that would have been refused by the estimated service time of its route.
+	testsServiceTime bool
 	// reportAge is the age of the load report on which the choice was based.
 	reportAge time.Duration
 	// checkDelay is the delay of the health check of a server that does not report load.
@@ -126,8 +123,8 @@
 	snapshot *Snapshot
 	servers  map[string]*server
 	pending  []*pendingPlacement
-	// typicalWork is the typical service time of the requests of each route, by its name.
-	typicalWork map[string]time.Duration
+	// serviceTimes holds the estimated service times of the requests of each route, by its name.
+	serviceTimes map[string]*placement.ServiceTime
 	// budgets holds the resend budget of each service.
 	budgets map[string]*resend.Budget
 	// poolContext is the context in which the connection pools run. It ends with the task.
@@ -141,7 +138,7 @@
 		timing: settings.Timing, tuning: placement.DefaultTuning(),
 		poolFactory: poolFactory, crashes: crashes, log: log, counters: counters, started: time.Now(),
 		snapshot: &Snapshot{View: &fleet.View{}}, servers: map[string]*server{},
-		typicalWork: map[string]time.Duration{}, budgets: map[string]*resend.Budget{},
+		serviceTimes: map[string]*placement.ServiceTime{}, budgets: map[string]*resend.Budget{},
 	}
 }
 
@@ -289,11 +286,40 @@
 	if m.result.LoadKnown {
 		s.updateLoad(now, m.result)
 	}
-	if m.succeeded && m.grant.unloaded {
-		d.updateTypicalWork(m.grant.routeName, m.result.Elapsed-s.roundTrip, s.report.reportsLoad)
+	if m.succeeded {
+		d.recordServiceTime(now, m.grant, m.result.Elapsed-s.roundTrip)
 	}
 }
 
+// recordServiceTime updates the estimated service time of a route with the time of a copy.
+func (d *director) recordServiceTime(now time.Time, g *grant, work time.Duration) {
+	estimate := d.serviceTime(g.route)
+	if g.testsServiceTime {
+		estimate.RecordTrial(work)
+	} else if g.unloaded {
+		estimate.Record(now, work, g.server.report.reportsLoad)
+	}
+}
+
+// serviceTime returns the estimated service time of a route.
+func (d *director) serviceTime(r *fleet.Route) *placement.ServiceTime {
+	s := d.serviceTimes[r.Name]
+	if s == nil {
+		s = &placement.ServiceTime{}
+		d.serviceTimes[r.Name] = s
+	}
+	s.Assumed = time.Duration(assumedWorkFraction * float64(latencyTarget(r))) // a new configuration may have changed it
+	return s
+}
+
+// latencyTarget returns the latency target of a route, or the assumed one if the operator sets none.
+func latencyTarget(r *fleet.Route) time.Duration {
+	if r.LatencyTarget == 0 {
+		return assumedLatencyTarget
+	}
+	return r.LatencyTarget
+}
+
 // noteInvalidAnswer counts and logs an answer whose bytes were no answer.
 func (d *director) noteInvalidAnswer(s *server, r backend.Result) {
 	if backend.IsInvalidAnswer(r.Err) {
@@ -301,20 +327,3 @@
 		d.log.Warn("answer of a backend server is invalid", "backend", s.entry.ID, "service", s.entry.Service, "error", r.Err)
 	}
 }
-
-// updateTypicalWork updates the typical service time of a route with the time of a copy on an unloaded server.
-// loadReported is true for a server that reports load. A server that does not may have been slow unnoticed, so for it the
-// typical time is a quantile that slow answers hardly move.
-func (d *director) updateTypicalWork(route string, work time.Duration, loadReported bool) {
-	old := d.typicalWork[route]
-	switch {
-	case old == 0:
-		d.typicalWork[route] = work
-	case loadReported:
-		d.typicalWork[route] = old + time.Duration(workWeight*float64(work-old))
-	case work < old:
-		d.typicalWork[route] = old - time.Duration(workWeight*(1-noLoadQuantile)*float64(old))
-	default:
-		d.typicalWork[route] = old + time.Duration(workWeight*noLoadQuantile*float64(old))
-	}
-}
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -11,7 +11,6 @@
 	"fuchsiahub.example/fuchsiahub/internal/decide/placement"
 	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/decide/resend"
-	"fuchsiahub.example/fuchsiahub/internal/fleet"
 )
 
 const (
@@ -38,7 +37,9 @@
 	decideBy time.Time
 	// otherRegions is true when servers of other regions are considered as well.
 	otherRegions bool
-	servers      []*server
+	// testsServiceTime is true for a request that would be refused by the estimated service time of its route.
+	testsServiceTime bool
+	servers          []*server
 }
 
 // checkRound returns the state of the health checks of the placement.
@@ -249,29 +250,40 @@
 		p.decideBy = p.startedAt.Add(d.timing.MaxReportWait)
 		return false
 	}
+	if d.testServiceTime(now, p, request, servers, candidates) {
+		return true
+	}
 	return d.refuse(now, p, request, choice)
 }
 
+// testServiceTime grants a server to a request that would be refused because of the estimated service time of its route, if
+// that estimate is due for a test. It returns false if the request is to be refused.
+func (d *director) testServiceTime(now time.Time, p *pendingPlacement, request placement.Request, servers []*server,
+	candidates []placement.Candidate) bool {
+	estimate := d.serviceTime(p.route)
+	if !estimate.TrialDue(now) {
+		return false
+	}
+	choice := d.tuning.ChooseTrial(request, estimate, candidates)
+	if choice.Index < 0 {
+		return false
+	}
+	estimate.StartTrial(now)
+	d.log.Info("request tests the estimated service time of its route", "request", p.id, "route", p.route.Name,
+		"estimate_ms", estimate.Value().Milliseconds(), "assumed_ms", estimate.Assumed.Milliseconds())
+	p.testsServiceTime = true
+	d.grant(now, p, servers[choice.Index], candidates[choice.Index], choice.Expected)
+	return true
+}
+
 // placementRequest returns the expected service time and the time limits of the request.
 func (d *director) placementRequest(now time.Time, m *placeRequest) placement.Request {
 	return placement.Request{
-		ServiceTime: d.expectedWork(m.route), TimeToDeadline: m.deadline.Sub(now), TimeToTarget: m.targetAt.Sub(now),
+		ServiceTime: d.serviceTime(m.route).Value(), TimeToDeadline: m.deadline.Sub(now), TimeToTarget: m.targetAt.Sub(now),
 		LowPriority: d.snapshot.Routes != nil && d.snapshot.Routes.HasMoreUrgent(m.route, m.service),
 	}
 }
 
-// expectedWork returns the expected service time of a request of the route on an unloaded server.
-func (d *director) expectedWork(r *fleet.Route) time.Duration {
-	if work, ok := d.typicalWork[r.Name]; ok {
-		return work
-	}
-	target := r.LatencyTarget
-	if target == 0 {
-		target = assumedLatencyTarget
-	}
-	return time.Duration(assumedWorkFraction * float64(target))
-}
-
 // candidates returns the servers that have reported and may take the request now, with their states for the decision.
 func (d *director) candidates(now time.Time, p *pendingPlacement) ([]*server, []placement.Candidate) {
 	var servers []*server
@@ -319,8 +331,8 @@
 	s.report.sentSince++
 	s.coldMeter.Record(now)
 	p.reply(&grant{
-		fingerprint: p.fingerprint, onTrial: p.onTrial,
-		server: s, entry: s.entry, pool: s.pool, grantedAt: now, routeName: p.route.Name, expected: expected,
+		fingerprint: p.fingerprint, onTrial: p.onTrial, testsServiceTime: p.testsServiceTime,
+		server: s, entry: s.entry, pool: s.pool, grantedAt: now, route: p.route, expected: expected,
 		hedgeAfter: d.tuning.HedgeAfter(d.placementRequest(now, &p.placeRequest), expected, s.report.reportsLoad),
 		unloaded:   c.Slowdown <= maxUnloadedSlowdown && !c.Cold && c.Running+1 <= c.Slots && c.CheckDelay <= maxUnloadedDelay,
 		reportAge:  now.Sub(s.report.at), checkDelay: c.CheckDelay, consideredServers: len(p.servers),
