Give a route without a latency target the assumed one

Callers saw: requests of a route without a target were always refused where the service has more urgent routes.

Cause: without a target a request counted as late when it arrived, and one of lower priority is refused when it is late.

Evidence: TestRouteWithoutLatencyTargetIsNotLate failed before with a target 0 s after the arrival.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -387,7 +387,7 @@
 	m := placeRequest{
 		id: f.request.ID, route: route, fingerprint: f.fingerprint, service: dispatch.PickService(route, f.serviceDraw),
 		triedServers: f.triedServers, firstCopy: f.copiesSent == 0, deadline: f.deadline,
-		targetAt: f.receivedAt.Add(route.LatencyTarget), reply: func(m any) { f.events <- m },
+		targetAt: f.receivedAt.Add(latencyTarget(route)), reply: func(m any) { f.events <- m },
 	}
 	if err := f.director.Offer(m); err != nil {
 		f.events <- placeRefusal{reason: reasonBusy, retryAfter: shortRetryAfter}
--- a/internal/gateway/servicetime_test.go
+++ b/internal/gateway/servicetime_test.go
@@ -122,3 +122,22 @@
 		})
 	}
 }
+
+// Guards against a route without a latency target that is always refused where the service has more urgent requests: without
+// a target, each request counted as late when it arrived.
+func TestRouteWithoutLatencyTargetIsNotLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newConnectionTest(t)
+		f := lateForward(t, test, &fleet.Route{Name: "r", Host: "h", Prefix: "/", Shares: []fleet.ServiceShare{{Service: "s", Weight: 1}}}, 0)
+		f.placing = false
+		f.requestServer()
+		for {
+			if m, ok := (<-f.director.C()).(placeRequest); ok {
+				if late := f.receivedAt.Add(assumedLatencyTarget); !m.targetAt.Equal(late) {
+					t.Errorf("the target is %s after the arrival, want %s", m.targetAt.Sub(f.receivedAt), assumedLatencyTarget)
+				}
+				return
+			}
+		}
+	})
+}
