Wait for the answered copy in the test of routes without a target

Cause: the test failed once in the whole package with "0 messages wait for the task": its fixture slept for no time, so the copy had not always ended. Change: it sleeps for a millisecond of the bubble, after which all tasks wait.

--- a/internal/gateway/servicetime_test.go
+++ b/internal/gateway/servicetime_test.go
@@ -128,7 +128,7 @@
 func TestRouteWithoutLatencyTargetIsNotLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		test := newConnectionTest(t)
-		f := lateForward(t, test, &fleet.Route{Name: "r", Host: "h", Prefix: "/", Shares: []fleet.ServiceShare{{Service: "s", Weight: 1}}}, 0)
+		f := lateForward(t, test, &fleet.Route{Name: "r", Host: "h", Prefix: "/", Shares: []fleet.ServiceShare{{Service: "s", Weight: 1}}}, time.Millisecond)
 		f.placing = false
 		f.requestServer()
 		for {
