Check a server again at whose address another one answered

Callers saw: a server that answered one health check under another id got no requests from that instance until its entry changed.

Cause: such a server was not considered any more, so no check was sent that could show the opposite. A server without an answer is checked again.

Change: both count as doubtful: considered last, checked again after 150 ms, and sent no request until a check succeeds.

Evidence: TestServerWithOtherIdentityIsCheckedAgain failed before: the server was not checked again.

--- a/internal/gateway/director_test.go
+++ b/internal/gateway/director_test.go
@@ -84,6 +84,40 @@
 	}
 }
 
+// Guards against a server that gets no requests for good after one health check was answered under the id of another server,
+// for example by one that had its address for a moment: no check was sent that could show the opposite.
+func TestServerWithOtherIdentityIsCheckedAgain(t *testing.T) {
+	d := newDirector(fleet.Instance{Name: "edge-1", Place: fleet.Place{Zone: "a", Region: "east"}},
+		&Settings{Bounds: Bounds{ResendWindow: time.Second}}, nil, nil, slog.New(slog.DiscardHandler),
+		newCounters(metrics.NewRegistry()))
+	now := time.Unix(1000, 0)
+	entry := &fleet.Backend{ID: "i-1", Service: "s", Slots: 3, Place: d.self.Place}
+	s := &server{entry: entry, roundTrip: assumedRTTZone, score: outlier.NewScore()}
+	d.servers[entry.Incarnation()] = s
+	d.snapshot = &Snapshot{View: &fleet.View{Config: &fleet.Config{}, Backends: map[string][]*fleet.Backend{"s": {entry}}}}
+	m := placeRequest{service: "s", route: &fleet.Route{}}
+	check := func(now time.Time, id string) {
+		s.checkInFlight, s.checkSentAt = true, now
+		d.applyCheck(t.Context(), now, checkResult{server: s, result: backend.Result{Fate: call.Answered, ServerID: id,
+			Answer: &call.Answer{Status: 200}, LoadKnown: true, Slots: 3, Slowdown: 1}})
+	}
+	takes := func(now time.Time) bool {
+		servers, _ := d.candidates(now, &pendingPlacement{placeRequest: m, servers: []*server{s}})
+		return len(servers) == 1
+	}
+	check(now, "i-2")
+	later := now.Add(recheckInterval)
+	if takes(now) || takes(later) || len(d.selectServers(now, &m, false, 3)) != 0 {
+		t.Error("the server is used although another one answers at its address")
+	}
+	if len(d.selectServers(later, &m, false, 3)) != 1 || s.isFresh(later) {
+		t.Error("the server is not checked again")
+	}
+	if check(later, "i-1"); !takes(later) {
+		t.Error("the server is not used after it answered under its own id")
+	}
+}
+
 // Guards against a process that ends because a request arrives while the director knows backend servers and no
 // configuration: the request was routed by a snapshot that the director has not received yet.
 func TestRequestBeforeConfigurationIsRefused(t *testing.T) {
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -134,8 +134,8 @@
 	}
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	slices.SortStableFunc(list, func(a, b *server) int {
-		if a.unresponsive != b.unresponsive {
-			return compareFlag(a.unresponsive) // unresponsive servers are checked again only if not enough others are left
+		if a.isDoubtful() != b.isDoubtful() {
+			return compareFlag(a.isDoubtful()) // doubtful servers are checked again only if not enough others are left
 		}
 		return int(a.distance) - int(b.distance)
 	})
@@ -151,15 +151,15 @@
 	return -1
 }
 
-// isEligible reports whether the request may be sent to the server, by the snapshot of the store and the server's last
-// health check.
+// isEligible reports whether the server may be considered for the request, by the snapshot of the store and the server's last
+// health check. A doubtful server is considered again when it is due for another check.
 func (d *director) isEligible(now time.Time, s *server, m *placeRequest) bool {
 	switch {
-	case s.entry.Draining, s.wrongIdentity, d.snapshot.EvacuatedZones[s.entry.Place.Zone],
+	case s.entry.Draining, d.snapshot.EvacuatedZones[s.entry.Place.Zone],
 		!m.route.AllowsRegion(s.entry.Place.Region), slices.Contains(m.triedServers, s.entry.ID):
 		return false
-	case s.unresponsive:
-		return now.Sub(s.checkSentAt) >= recheckInterval // due for another check
+	case s.isDoubtful():
+		return now.Sub(s.checkSentAt) >= recheckInterval
 	}
 	return true
 }
@@ -289,7 +289,7 @@
 	var servers []*server
 	var candidates []placement.Candidate
 	for _, s := range p.servers {
-		if s.unresponsive || s.report.at.IsZero() || !d.isEligible(now, s, &p.placeRequest) ||
+		if s.isDoubtful() || s.report.at.IsZero() || !d.isEligible(now, s, &p.placeRequest) ||
 			d.servers[s.entry.Incarnation()] != s {
 			continue
 		}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -31,7 +31,7 @@
 	// fullHold is how long a server that rejected a health check for lack of capacity gets no requests: several
 	// times the wait of a placement.
 	fullHold = 150 * time.Millisecond
-	// recheckInterval is the minimum time between two checks of an unresponsive server.
+	// recheckInterval is the minimum time between two checks of a doubtful server.
 	recheckInterval = 150 * time.Millisecond
 	// maxReportAge is the age above which a report is ignored.
 	maxReportAge = 2 * time.Second
@@ -120,9 +120,13 @@
 	if !s.report.reportsLoad && s.report.sentSince > 0 {
 		return false // the slot that the check found free is taken
 	}
-	return !s.report.at.IsZero() && !s.unresponsive && now.Sub(s.report.at) <= limit
+	return !s.report.at.IsZero() && !s.isDoubtful() && now.Sub(s.report.at) <= limit
 }
 
+// isDoubtful reports whether the last health check got no answer, or that of another server. Requests are not sent to such a
+// server until a check succeeds.
+func (s *server) isDoubtful() bool { return s.unresponsive || s.wrongIdentity }
+
 // isFull reports whether the server recently rejected a health check for lack of capacity.
 func (s *server) isFull(now time.Time) bool { return s.report.full && now.Sub(s.report.at) <= fullHold }
 
