Let a feed take its assignment during a call or a wait

Cause: an instance that started while the store was silent read it, stopped reading when a peer outranked it, and began to read again 0.8 s later. Its feed of configurations was still in the call that had begun during the silence, with a wait of 8 s, and its connection never answered. An assignment was only taken between two steps. The feed of servers answered, and since its failures no longer counted, nothing interrupted the other feeds. All instances followed, since the news on servers were recent.

Change: an assignment interrupts the call or wait of the feed, and the first call after an activation asks for an answer at once. The cause of an interrupt is logged at debug level.

Evidence: TestFeedTakesAssignmentDuringCallOrWait forces the order; before the change the configuration was not in force after 2 s in the cases listed below.

Failed before: silent for 0.1, 0.7 and 4 s, refuses for 0.7 and 4 s.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -200,7 +200,7 @@
 	// A call of another feed that began during the outage may hang.
 	for other, f := range b.source.feeds {
 		if other != kind {
-			f.interruptCall()
+			f.interruptCall("store answers again")
 		}
 	}
 }
@@ -209,7 +209,7 @@
 // feed.
 func (b *board) retryUnanswered() {
 	for kind := range b.unansweredKinds {
-		b.source.feeds[kind].interruptCall()
+		b.source.feeds[kind].interruptCall("store answers another feed")
 	}
 }
 
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -99,8 +99,8 @@
 	machine *chart.Machine[*feed]
 	// assignments holds the newest assignment until the feed takes it.
 	assignments chan assignment
-	// interrupt signals that the store answers another feed again, so that a pending call, which may never be answered, is
-	// interrupted.
+	// interrupt ends a pending call or wait: there is a new assignment, or the store answers another feed and may never answer
+	// the pending call.
 	interrupt chan struct{}
 
 	// step is the next call or wait. It returns the chart event with which it ended.
@@ -117,8 +117,8 @@
 	unreadable int
 	// disproved is a revision after which changes were read and that the store has not reached.
 	disproved uint64
-	// interrupted is true if the last call was cancelled to retry at once.
-	interrupted bool
+	// noWait is true if the next call asks for an answer at once: the last one was interrupted, or reading begins.
+	noWait bool
 }
 
 func newFeed(kind objectapi.Kind, period time.Duration, name string, store Store, board *task.Mailbox[any],
@@ -167,21 +167,25 @@
 	}
 }
 
-// setAssignment replaces the pending assignment. Only the board calls it.
+// setAssignment replaces the pending assignment and interrupts what the feed is doing. Otherwise a call that began while the
+// store was silent would outlast several assignments, and the feed would read nothing until it times out. Only the board
+// calls it.
 func (f *feed) setAssignment(a assignment) {
 	select {
 	case <-f.assignments:
 	default:
 	}
 	f.assignments <- a
+	f.interruptCall("assignment")
 }
 
 // applyAssignment applies an assignment and returns the chart event for it.
 func (f *feed) applyAssignment(a assignment) string {
 	if !a.active {
-		f.failures, f.unreadable, f.interrupted = 0, 0, false // earlier failures do not matter when the feed reads again
+		f.failures, f.unreadable, f.noWait = 0, 0, false // earlier failures do not matter when the feed reads again
 		return "deactivate"
 	}
+	f.noWait = true // a peer's update that was known before may be old
 	f.revision = max(f.revision, a.revision)
 	return "activate"
 }
@@ -219,15 +223,15 @@
 		return "failed"
 	}
 	wait := f.pace.wait
-	if f.failures > 0 || f.interrupted {
-		wait = 0 // an answer at once shows that the store is back
+	if f.failures > 0 || f.noWait {
+		wait = 0 // an answer at once shows what the store holds now
 	}
 	f.callStart, f.suspendedAtCall = time.Now(), f.totalSuspension()
 	call, done := f.interruptible(ctx)
 	events, revision, err := f.store.Changes(call, f.kind, f.revision, wait)
-	f.interrupted = err != nil && call.Err() != nil
+	f.noWait = err != nil && call.Err() != nil
 	done()
-	if f.interrupted {
+	if f.noWait {
 		return "changed" // the next call begins at once
 	}
 	if err != nil {
@@ -264,10 +268,11 @@
 	return call, cancel
 }
 
-// interruptCall interrupts a call or a backoff. It never blocks.
-func (f *feed) interruptCall() {
+// interruptCall interrupts a call or a backoff. It never blocks. The cause is logged.
+func (f *feed) interruptCall(cause string) {
 	select {
 	case f.interrupt <- struct{}{}:
+		f.log.Debug("call or wait of a feed is interrupted", "cause", cause)
 	default:
 	}
 }
--- /dev/null
+++ b/internal/gateway/feed_test.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fleet"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+// feedTest is an instance that reads a store, in a synctest bubble. The store holds version 1 of the configuration.
+type feedTest struct {
+	t         *testing.T
+	store     *fakeStore
+	board     *board
+	snapshots *SnapshotPublisher
+}
+
+func newFeedTest(t *testing.T) *feedTest {
+	store := newFakeStore()
+	store.put(objectapi.Configuration, configObject, fleet.Config{Version: 1})
+	snapshots, b := newTestBoard(t, store)
+	return &feedTest{t: t, store: store, board: b, snapshots: snapshots}
+}
+
+// start starts the tasks of the instance.
+func (f *feedTest) start(ctx context.Context) {
+	for _, feed := range f.board.source.feeds {
+		go func() { _ = feed.run(ctx) }()
+	}
+	go func() { _ = f.board.run(ctx) }()
+	go func() { _ = f.board.decoder.run(ctx) }()
+}
+
+// list returns the objects of a kind, as a peer would pass them on.
+func (f *feedTest) list(kind objectapi.Kind) kindUpdate {
+	f.t.Helper()
+	objects, revision, err := f.store.List(f.t.Context(), kind)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	u := kindUpdate{kind: kind, complete: true, revision: revision, asOf: time.Now(), reader: "edge-2"}
+	for _, o := range objects {
+		u.events = append(u.events, objectapi.Event{Object: o})
+	}
+	return u
+}
+
+// expectChangesInTime changes the configuration and the evacuated zones, and expects both in force within the 2 s that the
+// platform allows.
+func (f *feedTest) expectChangesInTime() {
+	f.t.Helper()
+	f.store.put(objectapi.Configuration, configObject, fleet.Config{Version: 2})
+	f.store.put(objectapi.Evacuations, "a", struct{}{})
+	time.Sleep(2 * time.Second)
+	f.expectChanges()
+}
+
+func (f *feedTest) expectChanges() {
+	f.t.Helper()
+	s := f.snapshots.Newest()
+	if s.Config == nil || s.Config.Version != 2 || !s.EvacuatedZones["a"] {
+		f.t.Errorf("the snapshot is %+v", s.View)
+	}
+}
+
+// Guards against a feed that does not take its assignment because it sits in a call or a wait that began while the store was
+// silent: the instance stopped reading and began again, but its feed of configurations read nothing for 8 s, and all instances
+// followed it, since its news on servers were recent (Pecos, trouble-3).
+func TestFeedTakesAssignmentDuringCallOrWait(t *testing.T) {
+	for _, failure := range []string{"silent", "refuses"} {
+		for _, silence := range []time.Duration{100 * time.Millisecond, 700 * time.Millisecond, 4 * time.Second} {
+			t.Run(fmt.Sprint(failure, " for ", silence), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					f := newFeedTest(t)
+					go func() { _ = f.board.decoder.run(ctx) }()
+					rare := []objectapi.Kind{objectapi.Configuration, objectapi.Evacuations}
+					for _, kind := range rare {
+						feed := f.board.source.feeds[kind]
+						f.board.applyUpdate(time.Now(), f.list(kind))
+						go func() { _ = feed.run(ctx) }()
+					}
+					go func() {
+						for ctx.Err() == nil {
+							select {
+							case m := <-f.board.inbox.C():
+								f.board.handle(time.Now(), m)
+							case <-ctx.Done():
+							}
+						}
+					}()
+					f.store.setFailures(map[objectapi.Kind]string{objectapi.Configuration: failure, objectapi.Evacuations: failure})
+					assign := func(active bool) {
+						for _, kind := range rare {
+							f.board.source.feeds[kind].setAssignment(assignment{active: active, revision: f.store.revision.Load()})
+						}
+					}
+					assign(true)
+					time.Sleep(silence)
+					assign(false)
+					time.Sleep(time.Millisecond)
+					f.store.setFailures(nil)
+					assign(true)
+					time.Sleep(time.Millisecond)
+					f.expectChangesInTime()
+				})
+			})
+		}
+	}
+}
