Notice changes of the store that a waiting call has not heard of

Cause: calls for changes of the configuration and of evacuations wait 8 s, and silence of such a call counted as no change. A 410 for one kind made only that kind list its objects again, although the store has one history. The answers for backend servers, five in four seconds, showed the revision of the whole store and were not used for other kinds.

Change: a 410 makes all feeds list their objects again. Each answer for servers is compared with the revisions of known changes: if it has a revision that no known change explains, the configuration and the evacuations are listed 0.2 s later; if all are explained, both are known to be as recent as that answer. A list that repeats known objects keeps the log of changes, so that peers get only what is new.

Evidence: TestUnknownRevisionPutsRareKindsInDoubt fails without the comparison, TestLostHistoryPutsOtherKindsInDoubt without the reaction to a 410. TestKnownRevisionsKeepRareKindsCurrent bounds the calls: two a second.

The fake store of the tests creates an object atomically now: in one of three runs of the package two instances claimed the same trial, as its check and its write were two steps.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -79,6 +79,12 @@
 	totalSuspension func() time.Duration
 	// countedSuspension is the total that has been taken into account.
 	countedSuspension time.Duration
+	// historyLostAt is when the store was last found to have dropped its history.
+	historyLostAt time.Time
+	// revisions holds up to which revision of the store each kind is known.
+	revisions *news.Revisions
+	// missedChanges holds the kinds whose changes are suspected to have been missed.
+	missedChanges map[objectapi.Kind]missedChange
 	// unansweredKinds holds the kinds whose feeds got no answer to their last call.
 	unansweredKinds map[objectapi.Kind]bool
 	// invalidRevisions holds the highest revision of an invalid object, by kind and name, so that each is logged once.
@@ -96,6 +102,7 @@
 	return &board{
 		inbox: inbox, decoder: newConfigDecoder(schema, inbox), schema: schema, snapshots: snapshots, log: log,
 		backends: map[string]*fleet.Backend{}, evacuatedZones: map[string]bool{}, instances: map[string]fleet.Instance{},
+		revisions: news.NewRevisions(), missedChanges: map[objectapi.Kind]missedChange{},
 		strikes: map[string]quarantine.Strike{}, trials: map[string]time.Time{},
 		cache: objectCache{}, readBy: map[objectapi.Kind]string{}, asOf: map[objectapi.Kind]time.Time{},
 		lapsed:          map[string]time.Time{},
@@ -111,6 +118,7 @@
 		b.applySuspension()
 		now := time.Now()
 		b.onDataAge(b.source.dataAge(now))
+		b.listMissedChanges(now)
 		b.source.checkSource(ctx, now)
 		timer := time.NewTimer(min(b.nextLapse(), ageCheckInterval))
 		select {
@@ -170,10 +178,13 @@
 		b.unansweredKinds[m.kind] = true
 	case storeReturnEvent:
 		b.handleStoreReturn(m.kind)
+	case historyLostEvent:
+		b.handleLostHistory(now, m.kind)
 	case kindUpdate:
 		delete(b.unansweredKinds, m.kind)
 		b.adjustForSuspension(&m)
 		b.applyUpdate(now, m)
+		b.recordRevisions(now, &m)
 		m.reply <- b.cache.ofKind(m.kind).revision
 		if m.kind == objectapi.Backends {
 			b.retryUnanswered()
@@ -205,6 +216,23 @@
 	}
 }
 
+// lostHistoryInterval is the time within which lost histories of several kinds count as one event.
+const lostHistoryInterval = 500 * time.Millisecond
+
+// handleLostHistory makes the other feeds list their objects again. A store that has dropped the history of one kind has
+// dropped that of the others, and a call that waits for their changes may not hear of those made meanwhile.
+func (b *board) handleLostHistory(now time.Time, kind objectapi.Kind) {
+	if now.Sub(b.historyLostAt) < lostHistoryInterval {
+		return
+	}
+	b.historyLostAt = now
+	for other, f := range b.source.feeds {
+		if other != kind && b.source.machine.In("reading") {
+			f.listAgain("store dropped its history")
+		}
+	}
+}
+
 // retryUnanswered makes the feeds whose last call got no answer retry at once, since the store has just answered another
 // feed.
 func (b *board) retryUnanswered() {
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -77,6 +77,10 @@
 	// they are answered.
 	failures atomic.Pointer[map[objectapi.Kind]string]
 	calls    atomic.Int64
+	// dropped holds the kinds whose changes are not told to calls that wait for changes.
+	dropped atomic.Pointer[map[objectapi.Kind]bool]
+	// shownRevision, if it is not zero, is the revision in the answers to calls for changes.
+	shownRevision atomic.Uint64
 }
 
 func newFakeStore() *fakeStore {
@@ -89,6 +93,18 @@
 
 func (s *fakeStore) setFailures(kinds map[objectapi.Kind]string) { s.failures.Store(&kinds) }
 
+// dropChanges makes calls for changes of some kinds answer as if there were none.
+func (s *fakeStore) dropChanges(kinds ...objectapi.Kind) {
+	dropped := map[objectapi.Kind]bool{}
+	for _, kind := range kinds {
+		dropped[kind] = true
+	}
+	s.dropped.Store(&dropped)
+}
+
+// hideRevision keeps the revision in the answers to calls for changes as it is now.
+func (s *fakeStore) hideRevision() { s.shownRevision.Store(s.revision.Load()) }
+
 func (s *fakeStore) change(e objectapi.Event) {
 	events := <-s.events
 	e.Object.Version = s.revision.Add(1)
@@ -158,11 +174,17 @@
 		s.events <- events
 		var changes []objectapi.Event
 		for _, e := range events {
+			if dropped := s.dropped.Load(); dropped != nil && (*dropped)[kind] {
+				continue
+			}
 			if e.Object.Kind == kind && e.Object.Version > after {
 				changes = append(changes, e)
 			}
 		}
 		if len(changes) > 0 || !time.Now().Before(end) {
+			if shown := s.shownRevision.Load(); shown > 0 {
+				return changes, shown, nil
+			}
 			return changes, s.revision.Load(), nil
 		}
 		if !task.Pause(ctx, 4*time.Millisecond) {
@@ -172,14 +194,22 @@
 }
 
 func (s *fakeStore) Create(ctx context.Context, kind objectapi.Kind, name string, value []byte) error {
-	objects, _, err := s.List(ctx, kind)
-	if err != nil {
+	if err := s.fail(ctx, kind, 0); err != nil {
 		return err
 	}
-	if slices.ContainsFunc(objects, func(o objectapi.Object) bool { return o.Name == name }) {
+	events := <-s.events
+	exists := false
+	for _, e := range events {
+		if e.Object.Kind == kind && e.Object.Name == name {
+			exists = !e.Deleted
+		}
+	}
+	if exists {
+		s.events <- events
 		return fault.New(fault.Conflict, "", "object exists")
 	}
-	s.put(kind, name, json.RawMessage(value))
+	s.events <- append(events, objectapi.Event{Object: objectapi.Object{Kind: kind, Name: name,
+		Version: s.revision.Add(1), Value: value}})
 	return nil
 }
 
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -82,6 +82,9 @@
 	storeReturnEvent struct{ kind objectapi.Kind }
 )
 
+// historyLostEvent reports to the board that the store no longer holds the changes of a kind since the last call.
+type historyLostEvent struct{ kind objectapi.Kind }
+
 // assignment instructs a feed whether to read the store, and from which revision.
 type assignment struct {
 	active   bool
@@ -102,6 +105,8 @@
 	// interrupt ends a pending call or wait: there is a new assignment, or the store answers another feed and may never answer
 	// the pending call.
 	interrupt chan struct{}
+	// doubt signals that changes may have been missed, so that all objects are listed again.
+	doubt chan struct{}
 
 	// step is the next call or wait. It returns the chart event with which it ended.
 	step     func(ctx context.Context) string
@@ -141,7 +146,8 @@
 	}
 	f := &feed{
 		kind: kind, pace: paceOf(kind, period), name: name, store: store, board: board, log: log.With("kind", string(kind)),
-		assignments: make(chan assignment, 1), interrupt: make(chan struct{}, 1), totalSuspension: suspension.Total,
+		assignments: make(chan assignment, 1), interrupt: make(chan struct{}, 1), doubt: make(chan struct{}, 1),
+		totalSuspension: suspension.Total,
 	}
 	f.machine = bound.New(time.Now(), f)
 	return f, nil
@@ -154,6 +160,8 @@
 		select {
 		case a := <-f.assignments:
 			f.fire(f.applyAssignment(a)) // the board has already received the result of the step
+		case <-f.doubt:
+			f.fire("too_old")
 		default:
 			f.fire(event)
 		}
@@ -277,6 +285,16 @@
 	}
 }
 
+// listAgain makes the feed list all objects, since changes may have been missed. It never blocks.
+func (f *feed) listAgain(cause string) {
+	select {
+	case f.doubt <- struct{}{}:
+		f.log.Info("changes may have been missed; all objects are listed again", "cause", cause)
+	default:
+	}
+	f.interruptCall(cause)
+}
+
 // reportUpdate reports an update to the board and continues from the revision that the board then knows.
 func (f *feed) reportUpdate(ctx context.Context, u kindUpdate, event string) string {
 	if f.failures > 0 {
@@ -303,6 +321,7 @@
 	}
 	if fault.Is(err, fault.TooOld) {
 		f.log.Info("store no longer holds the changes since the last call; all objects are listed again", "revision", f.revision)
+		_ = f.board.Send(ctx, historyLostEvent{kind: f.kind}) // fails only when the context is done
 		return "too_old"
 	}
 	if fault.Is(err, fault.Invalid) {
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -113,3 +113,68 @@
 		}
 	}
 }
+
+// Guards against changes that are never noticed because the store dropped its history while they were made, and the calls for
+// changes do not tell of it (review/1): a call for another kind does.
+func TestLostHistoryPutsOtherKindsInDoubt(t *testing.T) {
+	for _, told := range []objectapi.Kind{objectapi.Backends, objectapi.Configuration} {
+		t.Run(string(told), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				f := newFeedTest(t)
+				f.start(ctx)
+				time.Sleep(time.Second)
+				f.store.dropChanges(followedKinds...)
+				f.store.hideRevision()
+				f.store.put(objectapi.Configuration, configObject, fleet.Config{Version: 2})
+				f.store.put(objectapi.Evacuations, "a", struct{}{})
+				f.store.put(objectapi.Backends, "i-1", fleet.Backend{Service: "s"})
+				time.Sleep(300 * time.Millisecond)
+				f.store.setFailures(map[objectapi.Kind]string{told: "forgot"})
+				time.Sleep(paceOf(told, f.board.source.limits.Period).wait + 1700*time.Millisecond)
+				f.expectChanges()
+				if n := len(f.snapshots.Newest().Backends["s"]); n != 1 {
+					t.Errorf("%d servers are known, want 1", n)
+				}
+			})
+		})
+	}
+}
+
+// Guards against changes that are not noticed for the wait of a call because its answer was lost: the answers for another kind
+// show that the store has changed.
+func TestUnknownRevisionPutsRareKindsInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFeedTest(t)
+		f.start(ctx)
+		time.Sleep(time.Second)
+		f.store.dropChanges(objectapi.Configuration, objectapi.Evacuations)
+		f.expectChangesInTime()
+	})
+}
+
+// Guards against rare kinds that are listed again and again although all changes of the store are known, and against an age of
+// the configuration that grows although nothing has changed.
+func TestKnownRevisionsKeepRareKindsCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFeedTest(t)
+		f.start(ctx)
+		time.Sleep(time.Second)
+		calls := f.store.calls.Load()
+		for n := range 20 {
+			f.store.put(objectapi.Backends, fmt.Sprint("i-", n), fleet.Backend{Service: "s"})
+			time.Sleep(time.Second)
+			if age := time.Since(f.snapshots.Newest().ConfigAsOf); age > time.Second {
+				t.Errorf("the configuration is %s old", age)
+			}
+		}
+		if made := f.store.calls.Load() - calls; made > 40 { // two calls a second
+			t.Errorf("%d calls in 20 s", made)
+		}
+	})
+}
--- a/internal/gateway/objectcache.go
+++ b/internal/gateway/objectcache.go
@@ -82,8 +82,15 @@
 			changes = append(changes, objectapi.Event{Object: old, Deleted: true})
 		}
 	}
-	c.objects, c.revision = listed, u.revision
-	c.log, c.loggedSince = nil, u.revision
+	c.objects = listed
+	if c.revision == 0 {
+		c.log, c.loggedSince = nil, u.revision
+	}
+	for _, e := range changes {
+		c.log = append(c.log, loggedChange{revision: u.revision, event: e})
+	}
+	c.revision = u.revision
+	c.trimLog()
 	return changes, true
 }
 
