Read the store when a peer passes on an old configuration

Cause: an instance followed a peer by the age of its news of servers alone.

Change: news of a peer is enough only if the configuration and the evacuations that are known are at most a second older than the limit for servers. A reader that follows all changes keeps their age below a second.

Evidence: TestPeerWithOldConfigurationIsNotEnough fails without the limit.

--- a/internal/decide/news/news.go
+++ b/internal/decide/news/news.go
@@ -31,6 +31,9 @@
 	RankStep time.Duration
 	// MaxLimit is the maximum limit of any rank.
 	MaxLimit time.Duration
+	// RareLimit is the age of the configuration and of evacuations above which news of a peer is not enough, although its
+	// news of servers is recent.
+	RareLimit time.Duration
 }
 
 const (
@@ -43,6 +46,8 @@
 	rankStep     = 60 * time.Millisecond
 	// readReserve is the part of the drain time that is left for one read after the maximum limit.
 	readReserve = 300 * time.Millisecond
+	// rareSlack is how much older than MaxLimit rare kinds may be: a missed change is noticed and read again in this time.
+	rareSlack = time.Second
 	// defaultDrain is the default drain time.
 	defaultDrain = 2 * time.Second
 )
@@ -53,9 +58,10 @@
 		drain = defaultDrain
 	}
 	period := time.Duration(periodFraction * float64(drain))
+	maxLimit := max(drain-readReserve, period+limitSlack)
 	return AgeLimits{
 		Period: period, AskNext: period + askNextSlack, BaseLimit: period + limitSlack, RankStep: rankStep,
-		MaxLimit: max(drain-readReserve, period+limitSlack),
+		MaxLimit: maxLimit, RareLimit: maxLimit + rareSlack,
 	}
 }
 
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
 )
 
 // feedTest is an instance that reads a store, in a synctest bubble. The store holds version 1 of the configuration.
@@ -178,3 +181,33 @@
 		}
 	})
 }
+
+// Guards against an instance that follows a peer whose news of servers is recent and whose configuration is old.
+func TestPeerWithOldConfigurationIsNotEnough(t *testing.T) {
+	for _, c := range []struct {
+		configAge time.Duration
+		want      string
+	}{{time.Second, "following"}, {5 * time.Second, "reading"}} {
+		f := newFeedTest(t)
+		b := f.board
+		now := time.Now()
+		news := func(now time.Time) {
+			reply := &peerpb.NewsReply{}
+			for kind, age := range map[objectapi.Kind]time.Duration{objectapi.Configuration: c.configAge, objectapi.Backends: 0} {
+				reply.Kinds = append(reply.Kinds, &peerpb.KindNews{Kind: string(kind), Whole: true, Revision: 7, Reader: "edge-2",
+					AgeMs: uint32(age.Milliseconds())})
+			}
+			slices.SortFunc(reply.Kinds, func(x, y *peerpb.KindNews) int { return strings.Compare(y.Kind, x.Kind) })
+			b.source.handleResult(now, newsResult{address: "peer", sentAt: now, reply: reply})
+		}
+		news(now)
+		b.source.checkSource(t.Context(), now)
+		if state := b.source.machine.State(); state != c.want {
+			t.Errorf("with a configuration that is %s old the source is %s, want %s", c.configAge, state, c.want)
+		}
+		news(now.Add(100 * time.Millisecond))
+		if state := b.source.machine.State(); state != c.want {
+			t.Errorf("with a configuration that is %s old the source changes to %s", c.configAge, state)
+		}
+	}
+}
--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -154,6 +154,17 @@
 	return now.Sub(asOf)
 }
 
+// rareAge returns the age of the oldest rare kind that is known.
+func (s *newsSource) rareAge(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, kind := range rareKinds {
+		if asOf := s.board.asOf[kind]; !asOf.IsZero() {
+			oldest = max(oldest, now.Sub(asOf))
+		}
+	}
+	return oldest
+}
+
 // updatePosition computes the position of this instance after a change of the list of instances.
 func (s *newsSource) updatePosition() {
 	instances := make([]fleet.Instance, 0, len(s.board.instances))
@@ -171,7 +182,7 @@
 		if len(s.seeds) == 0 || s.isSeed || now.Sub(s.started) >= s.seedTimeout {
 			s.fire("stale")
 		}
-	case age > s.limits.LimitOf(s.position.Rank):
+	case age > s.limits.LimitOf(s.position.Rank), s.rareAge(now) > s.limits.RareLimit:
 		s.fire("stale")
 	}
 	for _, address := range s.peersToAsk(now) {
@@ -327,9 +338,9 @@
 }
 
 // considerUpdate decides whether an update from a peer makes reading the store unnecessary. Updates that this instance
-// itself read and that came back through a peer do not.
+// itself read and that came back through a peer do not, nor do recent news of servers with an old configuration.
 func (s *newsSource) considerUpdate(now time.Time, u *kindUpdate) {
-	if now.Sub(u.asOf) > s.limits.LimitOf(s.position.Rank) || u.reader == s.self.Name {
+	if now.Sub(u.asOf) > s.limits.LimitOf(s.position.Rank) || s.rareAge(now) > s.limits.RareLimit || u.reader == s.self.Name {
 		return
 	}
 	if s.board.storeUnavailable() || s.position.StopsReadingFor(u.reader) {
