Pass on to peers that rare kinds are unchanged up to a revision

Cause: peers compared the revisions at which a kind had been read.

Change: a kind whose changes are all known advances to the revision of the store, and an update that begins anywhere in the range in which the objects are the same is applied.

The line on a new source of news has the age of rare kinds.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -183,8 +183,9 @@
 	case kindUpdate:
 		delete(b.unansweredKinds, m.kind)
 		b.adjustForSuspension(&m)
-		b.applyUpdate(now, m)
-		b.recordRevisions(now, &m)
+		if b.applyUpdate(now, m) {
+			b.recordRevisions(now, &m)
+		}
 		m.reply <- b.cache.ofKind(m.kind).revision
 		if m.kind == objectapi.Backends {
 			b.retryUnanswered()
@@ -244,16 +245,16 @@
 // storeUnavailable reports whether the store is not answering this instance.
 func (b *board) storeUnavailable() bool { return b.unansweredKinds[objectapi.Backends] }
 
-// applyUpdate applies an update of one kind unless a newer state is known.
-func (b *board) applyUpdate(now time.Time, u kindUpdate) {
+// applyUpdate applies an update of one kind. It returns false if a newer state is known.
+func (b *board) applyUpdate(now time.Time, u kindUpdate) bool {
 	b.dropUnnamed(&u)
 	cached := b.cache.ofKind(u.kind)
-	if u.disproved > 0 && u.disproved == cached.revision {
+	if u.disproved > 0 && cached.unchangedSince <= u.disproved && u.disproved <= cached.revision {
 		cached.revision = 0 // any list is newer than a state that never was in the store
 	}
 	changes, ok := cached.apply(&u)
 	if !ok {
-		return
+		return false
 	}
 	if b.asOf[u.kind].Before(u.asOf) {
 		b.detectStoreReturn(now, &u)
@@ -274,6 +275,7 @@
 		b.source.updatePosition()
 	}
 	b.publish(len(changes) > 0)
+	return true
 }
 
 // errUnnamed is the error for an object whose name cannot be read.
--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -108,7 +108,7 @@
 		},
 		Observe: func(s *newsSource, from, event, to string) {
 			s.board.log.Info("source of news changed", "from", from, "event", event, "to", to, "rank", s.position.Rank,
-				"age_ms", s.dataAge(time.Now()).Milliseconds())
+				"age_ms", s.dataAge(time.Now()).Milliseconds(), "rare_age_ms", s.rareAge(time.Now()).Milliseconds())
 		},
 	})
 	if err != nil {
--- a/internal/gateway/objectcache.go
+++ b/internal/gateway/objectcache.go
@@ -14,7 +14,9 @@
 // kindCache caches the objects of one kind at one revision of the store.
 type kindCache struct {
 	revision uint64
-	objects  map[string]objectapi.Object
+	// unchangedSince is the earliest revision from which on the objects are known to be the same up to revision.
+	unchangedSince uint64
+	objects        map[string]objectapi.Object
 	// log holds the changes after revision loggedSince, in order.
 	log         []loggedChange
 	loggedSince uint64
@@ -42,13 +44,16 @@
 	return cached
 }
 
+// advance records that the objects are the same at a later revision.
+func (c *kindCache) advance(revision uint64) { c.revision = max(c.revision, revision) }
+
 // apply applies an update and returns the changes in it. It returns false if the update is older than the known revision or
-// does not continue from it.
+// does not continue from a revision with the same objects.
 func (c *kindCache) apply(u *kindUpdate) ([]objectapi.Event, bool) {
 	if u.complete {
 		return c.replace(u)
 	}
-	if u.baseRevision != c.revision || u.revision < c.revision || c.revision == 0 {
+	if u.baseRevision < c.unchangedSince || u.baseRevision > c.revision || u.revision < c.revision || c.revision == 0 {
 		return nil, false
 	}
 	for _, e := range u.events {
@@ -60,6 +65,9 @@
 		c.log = append(c.log, loggedChange{revision: u.revision, event: e})
 	}
 	c.revision = u.revision
+	if len(u.events) > 0 {
+		c.unchangedSince = u.revision
+	}
 	c.trimLog()
 	return u.events, true
 }
@@ -86,6 +94,9 @@
 	if c.revision == 0 {
 		c.log, c.loggedSince = nil, u.revision
 	}
+	if c.revision == 0 || len(changes) > 0 {
+		c.unchangedSince = u.revision
+	}
 	for _, e := range changes {
 		c.log = append(c.log, loggedChange{revision: u.revision, event: e})
 	}
--- a/internal/gateway/revisions.go
+++ b/internal/gateway/revisions.go
@@ -44,7 +44,8 @@
 			continue
 		}
 		delete(b.missedChanges, kind)
-		if b.asOf[kind].Before(u.asOf) && b.cache.ofKind(kind).revision > 0 {
+		b.cache.ofKind(kind).advance(u.revision)
+		if b.asOf[kind].Before(u.asOf) {
 			b.asOf[kind], b.readBy[kind] = u.asOf, u.reader
 			refreshed = true
 		}
