Keep a pending call over an order to stop reading

Change: only an order to read interrupts the call or wait, and the next call waits for changes as before. Kinds and changes that a peer passed on count as known, so an instance that begins to read need not list them. A feed that is told to stop and to read on during one step goes on with the result of the step; before, a feed in its backoff waited once more.

--- a/internal/decide/news/revisions.go
+++ b/internal/decide/news/revisions.go
@@ -26,8 +26,12 @@
 	r.explained[revision] = true
 }
 
-// Known records that all changes of a kind up to a revision are known.
-func (r *Revisions) Known(kind string, revision uint64) { r.known[kind] = max(r.known[kind], revision) }
+// Known records that all changes of a kind up to a revision are known. Zero means that the kind is not known.
+func (r *Revisions) Known(kind string, revision uint64) {
+	if revision > 0 {
+		r.known[kind] = max(r.known[kind], revision)
+	}
+}
 
 // Covers reports whether all changes of a kind up to a revision of the store are known: the kind has been read there, or each
 // revision since is a known change.
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -261,6 +261,7 @@
 		b.asOf[u.kind], b.readBy[u.kind] = u.asOf, u.reader
 	}
 	for _, e := range changes {
+		b.revisions.Explain(e.Object.Version)
 		if e.Deleted {
 			b.removeObject(now, u.kind, e.Object.Name)
 			continue
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -122,7 +122,7 @@
 	unreadable int
 	// disproved is a revision after which changes were read and that the store has not reached.
 	disproved uint64
-	// noWait is true if the next call asks for an answer at once: the last one was interrupted, or reading begins.
+	// noWait is true if the next call asks for an answer at once, since the last one was interrupted.
 	noWait bool
 }
 
@@ -159,7 +159,11 @@
 		event := f.step(ctx)
 		select {
 		case a := <-f.assignments:
-			f.fire(f.applyAssignment(a)) // the board has already received the result of the step
+			order := f.applyAssignment(a)
+			if order == "activate" && f.machine.In("active") {
+				order = event // the feed reads on; it may have been told to stop in the meantime
+			}
+			f.fire(order) // the board has already received the result of the step
 		case <-f.doubt:
 			f.fire("too_old")
 		default:
@@ -175,16 +179,18 @@
 	}
 }
 
-// setAssignment replaces the pending assignment and interrupts what the feed is doing. Otherwise a call that began while the
-// store was silent would outlast several assignments, and the feed would read nothing until it times out. Only the board
-// calls it.
+// setAssignment replaces the pending assignment. An order to read interrupts what the feed is doing: a call that began while
+// the store was silent may have outlasted an order to stop, and the feed would read nothing until it times out. Only the
+// board calls it.
 func (f *feed) setAssignment(a assignment) {
 	select {
 	case <-f.assignments:
 	default:
 	}
 	f.assignments <- a
-	f.interruptCall("assignment")
+	if a.active {
+		f.interruptCall("assignment")
+	}
 }
 
 // applyAssignment applies an assignment and returns the chart event for it.
@@ -193,7 +199,6 @@
 		f.failures, f.unreadable, f.noWait = 0, 0, false // earlier failures do not matter when the feed reads again
 		return "deactivate"
 	}
-	f.noWait = true // a peer's update that was known before may be old
 	f.revision = max(f.revision, a.revision)
 	return "activate"
 }
@@ -202,6 +207,10 @@
 func (f *feed) awaitAssignment(ctx context.Context) string {
 	select {
 	case a := <-f.assignments:
+		select {
+		case <-f.interrupt: // there is nothing to interrupt
+		default:
+		}
 		return f.applyAssignment(a)
 	case <-ctx.Done():
 		return "deactivate"
--- a/internal/gateway/revisions.go
+++ b/internal/gateway/revisions.go
@@ -30,12 +30,9 @@
 
 // recordRevisions records what an answer of the store shows about all kinds.
 func (b *board) recordRevisions(now time.Time, u *kindUpdate) {
-	for _, e := range u.events {
-		b.revisions.Explain(e.Object.Version)
-	}
-	b.revisions.Known(string(u.kind), b.cache.ofKind(u.kind).revision)
 	refreshed := false
 	for _, kind := range rareKinds {
+		b.revisions.Known(string(kind), b.cache.ofKind(kind).revision)
 		if !b.revisions.Covers(string(kind), u.revision) {
 			// Changes of servers up to this revision may not be known yet, unless this is the feed of servers.
 			if _, suspected := b.missedChanges[kind]; !suspected && u.kind == objectapi.Backends {
@@ -44,7 +41,7 @@
 			continue
 		}
 		delete(b.missedChanges, kind)
-		b.cache.ofKind(kind).advance(u.revision)
+		b.cache.ofKind(kind).advance(u.revision) // the kind is known, since it is covered
 		if b.asOf[kind].Before(u.asOf) {
 			b.asOf[kind], b.readBy[kind] = u.asOf, u.reader
 			refreshed = true
