Pass on during a planned stop only what can end before it

Callers saw (report of an operator of a system like ours, also possible here): in a planned stop, in calm, requests that came late in the grace were taken and passed on; at its end they were cut without an answer, among them ones that may not be repeated.

Cause: a request that was read while the instance stopped got the deadline of its caller, 10 s without one, and was passed on as at any other time, up to the last moment. The end of the process then closed its connection.

Change: the stop announces when the process ends at the latest.

--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -36,6 +36,7 @@
 	t                    *testing.T
 	server               *callerServer
 	director             *task.Mailbox[any]
+	stop                 *plannedStop
 	leaving, closingIdle chan struct{}
 	registry             metrics.Registry
 }
@@ -59,9 +60,10 @@
 	snapshots := &SnapshotPublisher{}
 	snapshots.newest.Store(&Snapshot{Routes: dispatch.NewTable(config), View: &fleet.View{Config: config,
 		Backends: map[string][]*fleet.Backend{"intake": {{ID: "w-1"}}}}})
-	test := &connectionTest{t: t, director: task.NewMailbox[any]("director", 2*raceRepeats), leaving: make(chan struct{}),
+	stop := &plannedStop{leaving: make(chan struct{}), ends: time.Now().Add(time.Hour)}
+	test := &connectionTest{t: t, director: task.NewMailbox[any]("director", 2*raceRepeats), stop: stop, leaving: stop.leaving,
 		closingIdle: make(chan struct{}), registry: metrics.NewRegistry()}
-	requests, err := newForwarder(snapshots, test.director, fakeDialect{}, slog.New(slog.DiscardHandler),
+	requests, err := newForwarder(snapshots, test.director, fakeDialect{}, stop, slog.New(slog.DiscardHandler),
 		newCounters(test.registry))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -34,6 +34,8 @@
 		firstCopy bool
 		// onTrial is true for a request that runs although equal ones crashed servers.
 		onTrial bool
+		// stopping is true if the deadline is that of the stop of this instance.
+		stopping bool
 		// deadline is when the request expires, targetAt when the latency target of its route is missed.
 		deadline, targetAt time.Time
 		reply              func(any)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -44,12 +44,13 @@
 	snapshots *SnapshotPublisher
 	director  *task.Mailbox[any]
 	dialect   Dialect
+	stop      *plannedStop
 	bound     *chart.Bound[*forward]
 	log       *slog.Logger
 	counters  *counters
 }
 
-func newForwarder(snapshots *SnapshotPublisher, director *task.Mailbox[any], dialect Dialect, log *slog.Logger,
+func newForwarder(snapshots *SnapshotPublisher, director *task.Mailbox[any], dialect Dialect, stop *plannedStop, log *slog.Logger,
 	counters *counters) (*forwarder, error) {
 	ch, err := charts.Load("forward", nil)
 	if err != nil {
@@ -80,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &forwarder{snapshots: snapshots, director: director, dialect: dialect, bound: bound, log: log, counters: counters}, nil
+	return &forwarder{snapshots: snapshots, director: director, dialect: dialect, stop: stop, bound: bound, log: log, counters: counters}, nil
 }
 
 // forward is the task of one request of a caller. It is the context of charts/forward.toml.
@@ -222,6 +223,12 @@
 	if route.Timeout > 0 && route.Timeout < f.callerTimeout {
 		f.deadline = f.receivedAt.Add(route.Timeout)
 	}
+	if limit, stopping := f.stop.limit(); stopping {
+		f.deadline = earliest(f.deadline, limit)
+		if !time.Now().Before(f.deadline) {
+			return f.refuseEarly(reasonStopping, shortRetryAfter), false
+		}
+	}
 	return reply{}, true
 }
 
@@ -384,9 +391,10 @@
 		return
 	}
 	f.route = route
+	sendLimit := f.stop.sendLimit(time.Now(), f.deadline)
 	m := placeRequest{
-		id: f.request.ID, route: route, fingerprint: f.fingerprint, service: dispatch.PickService(route, f.serviceDraw),
-		triedServers: f.triedServers, firstCopy: f.copiesSent == 0, deadline: f.deadline,
+		id: f.request.ID, stopping: sendLimit.Before(f.deadline), route: route, fingerprint: f.fingerprint, service: dispatch.PickService(route, f.serviceDraw),
+		triedServers: f.triedServers, firstCopy: f.copiesSent == 0, deadline: sendLimit,
 		targetAt: f.receivedAt.Add(latencyTarget(route)), reply: func(m any) { f.events <- m },
 	}
 	if err := f.director.Offer(m); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,13 +68,16 @@
 	inbox     *task.Mailbox[any]
 	self      fleet.Instance
 
-	// leaving is closed when caller connections should end after their next answer, closingIdle when idle ones should end
-	// at once, and processEnding when all should because the drain time has elapsed.
-	leaving, closingIdle, processEnding chan struct{}
-	listener                            net.Listener
+	// stop is announced when caller connections should end after their next answer. closingIdle is closed when idle ones
+	// should end at once, and processEnding when all should because the drain time has elapsed.
+	stop                       *plannedStop
+	closingIdle, processEnding chan struct{}
+	// announceTime and drainTime are the delays of the chart.
+	announceTime, drainTime time.Duration
+	listener                net.Listener
 	// registrationDue signals the registrar to write the entry of the instance.
 	registrationDue chan struct{}
-	// ready is closed when the snapshot is complete enough to serve. The readiness check reads it together with leaving.
+	// ready is closed when the snapshot is complete enough to serve. The readiness check reads it together with the stop.
 	ready chan struct{}
 	// openConnections is the number of open caller connections.
 	openConnections int
@@ -100,8 +103,8 @@
 	g := &Gateway{
 		settings: settings, schema: schema, store: measuredStore{store: store, registry: set.Registry()},
 		dialect: dialect, log: log, metrics: set, counters: newCounters(set.Registry()), snapshots: &SnapshotPublisher{},
-		inbox:   task.NewMailbox[any]("gateway", gatewayInboxCapacity),
-		leaving: make(chan struct{}), closingIdle: make(chan struct{}), processEnding: make(chan struct{}), ready: make(chan struct{}),
+		inbox: task.NewMailbox[any]("gateway", gatewayInboxCapacity),
+		stop:  &plannedStop{leaving: make(chan struct{})}, closingIdle: make(chan struct{}), processEnding: make(chan struct{}), ready: make(chan struct{}),
 		registrationDue: make(chan struct{}, 1),
 		self: fleet.Instance{Name: settings.Name, Address: settings.PeerAddress, Place: settings.Place,
 			CPUShare: settings.CPUShare, Incarnation: uint64(time.Now().UnixNano())},
@@ -124,11 +127,11 @@
 	g.board.onDataAge = func(age time.Duration) { g.counters.newsAge.Update(age.Milliseconds()) }
 	g.board.onInvalid = func() { g.counters.invalidObjects.Inc(1) }
 	g.director = newDirector(g.self, &g.settings, poolFactory, crashes, g.log, g.counters)
-	requests, err := newForwarder(g.snapshots, g.director.inbox, g.dialect, g.log, g.counters)
+	requests, err := newForwarder(g.snapshots, g.director.inbox, g.dialect, g.stop, g.log, g.counters)
 	if err != nil {
 		return err
 	}
-	g.callers, err = newCallerServer(requests, g.dialect, g.snapshots, g.leaving, g.closingIdle, g.processEnding)
+	g.callers, err = newCallerServer(requests, g.dialect, g.snapshots, g.stop.leaving, g.closingIdle, g.processEnding)
 	if err != nil {
 		return err
 	}
@@ -138,9 +141,9 @@
 // bind creates the state machine of the gateway, with the delays from the settings.
 func (g *Gateway) bind() error {
 	grace := g.settings.Bounds.Grace
-	announce := min(g.settings.Timing.Announce, grace/2)
-	ch, err := charts.Load("gateway", charts.Params{"announce_time": announce,
-		"drain_time": max(grace-announce-graceReserve, graceReserve)})
+	g.announceTime = min(g.settings.Timing.Announce, grace/2)
+	g.drainTime = max(grace-g.announceTime-graceReserve, graceReserve)
+	ch, err := charts.Load("gateway", charts.Params{"announce_time": g.announceTime, "drain_time": g.drainTime})
 	if err != nil {
 		return err
 	}
@@ -160,8 +163,12 @@
 }
 
 func (g *Gateway) markLeaving() {
-	if !isClosed(g.leaving) {
-		close(g.leaving)
+	if !isClosed(g.stop.leaving) {
+		left := g.drainTime
+		if g.machine.In("leaving") {
+			left += g.announceTime
+		}
+		g.stop.begin(time.Now().Add(left))
 		g.log.Info("instance is leaving", "open_connections", g.openConnections)
 	}
 }
@@ -467,7 +474,7 @@
 func (g *Gateway) readinessHandler() http.Handler {
 	router := chi.NewRouter()
 	router.Get(g.settings.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
-		if !isClosed(g.ready) || isClosed(g.leaving) {
+		if !isClosed(g.ready) || isClosed(g.stop.leaving) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -261,7 +261,7 @@
 func (d *director) testServiceTime(now time.Time, p *pendingPlacement, request placement.Request, servers []*server,
 	candidates []placement.Candidate) bool {
 	estimate := d.serviceTime(p.route)
-	if !estimate.TrialDue(now) {
+	if p.stopping || !estimate.TrialDue(now) {
 		return false
 	}
 	choice := d.tuning.ChooseTrial(request, estimate, candidates)
@@ -353,6 +353,9 @@
 		reason = reasonNoServer
 	case slices.ContainsFunc(p.servers, func(s *server) bool { return s.isFull(now) }):
 		reason = reasonNoRoom
+	case choice.Expected > request.TimeToDeadline && p.stopping:
+		p.reply(placeRefusal{reason: reasonStopping, retryAfter: shortRetryAfter, consideredServers: len(p.servers)})
+		return true
 	case choice.Expected > request.TimeToDeadline:
 		reason = reasonLate
 	case choice.Expected > 0:
--- a/internal/gateway/reason.go
+++ b/internal/gateway/reason.go
@@ -17,5 +17,6 @@
 	reasonNoServer     = reason{"no-server", "no backend server is known that may run the request"}
 	reasonNoRoom       = reason{"no-room", "no backend server has room"}
 	reasonLate         = reason{"late", "no backend server is expected to finish in time"}
+	reasonStopping     = reason{"stopping", "the instance stops before the request is expected to end"}
 	reasonYields       = reason{"yields", "the answer would be late and more urgent requests need the room"}
 )
