Bound the requests of a planned stop in the product's own mode too

Cause: as in the gateway, a request that was taken while an instance stopped got the deadline of its route, and was passed on up to the last moment of the stop. drain.limit then ended the process with the request in hand.

Change: the status of the lifecycle has the time at which the process ends at the latest.

TestStopAnnouncesItsEnd checks the announced time against the end of the stop.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -188,7 +188,8 @@
 	if err != nil {
 		return err
 	}
-	d.requestServer, err = node.NewServer(d.directory, d.location(), node.WithClaims(d.claims), node.WithQuarantine(d.quarantine))
+	d.requestServer, err = node.NewServer(d.directory, d.location(), node.WithClaims(d.claims), node.WithQuarantine(d.quarantine),
+		node.WithStop(func() time.Time { return d.lifecycle.Status().StopsBy }))
 	return err
 }
 
--- a/internal/node/do.go
+++ b/internal/node/do.go
@@ -18,6 +18,8 @@
 	// claims and quarantine are nil if the instance runs without them.
 	claims     *Claims
 	quarantine *Quarantine
+	// stopsBy returns when the process ends at the latest; nil if it is not known.
+	stopsBy func() time.Time
 }
 
 // Option configures an optional part of a Server.
@@ -74,8 +76,14 @@
 	if err != nil {
 		return nil, err
 	}
+	if limit := s.stopLimit(); !limit.IsZero() && limit.Before(policy.Deadline) {
+		if !time.Now().Before(limit) {
+			return nil, errNoTimeToStop()
+		}
+		policy.Deadline = limit
+	}
 	ctx, cancel := context.WithDeadline(ctx, policy.Deadline)
-	e := &exchange{ctx: ctx, service: entry.Task, claims: s.claims, quarantine: s.quarantine, metrics: entry.Metrics, req: req, policy: policy}
+	e := &exchange{ctx: ctx, stopLimit: s.stopLimit, service: entry.Task, claims: s.claims, quarantine: s.quarantine, metrics: entry.Metrics, req: req, policy: policy}
 	answer, err := runToCompletion(s.requests, e)
 	entry.Metrics.Resent(int64(e.resends))
 	if answer != nil && answer.Stream != nil {
--- a/internal/node/hedgeorder_test.go
+++ b/internal/node/hedgeorder_test.go
@@ -16,7 +16,7 @@
 	for range 64 {
 		service := &Service{inbox: task.NewMailbox[any]("service", 1), ended: make(chan struct{})}
 		close(service.ended)
-		h := &hedgedRequest{e: &exchange{ctx: t.Context(), service: service, req: &call.Request{},
+		h := &hedgedRequest{e: &exchange{ctx: t.Context(), stopLimit: func() time.Time { return time.Time{} }, service: service, req: &call.Request{},
 			policy: route.Policy{Route: &document.Route{}}}, results: make(chan copyResult, 2), inFlight: 1}
 		h.results <- copyResult{result: backend.Result{Fate: call.Answered, Answer: &call.Answer{Status: 200}}}
 		due := make(chan time.Time, 1)
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -50,6 +50,8 @@
 	Ready bool `json:"ready"`
 	// Reason explains in one sentence why the instance is or is not ready.
 	Reason string `json:"reason"`
+	// StopsBy is when the process ends at the latest; zero while no stop has begun.
+	StopsBy time.Time `json:"-"`
 }
 
 // Lifecycle is the task that runs the start and the graceful stop of an instance. It is the context of
@@ -65,7 +67,9 @@
 	cancelStages context.CancelFunc
 	// unfinishedStages holds the names of the stages that are unfinished, in order.
 	unfinishedStages []string
-	err              error
+	// stopsBy is when the process ends at the latest; zero while no stop has begun.
+	stopsBy time.Time
+	err     error
 }
 
 // Messages to the lifecycle task.
@@ -102,7 +106,7 @@
 	}
 	bound, err := chart.Bind(ch, chart.Bindings[*Lifecycle]{Actions: map[string]func(*Lifecycle){
 		"report_serving":         func(l *Lifecycle) { l.options.PublishState(member.Serving) },
-		"report_draining":        func(l *Lifecycle) { l.options.PublishState(member.Draining) },
+		"report_draining":        (*Lifecycle).reportDraining,
 		"start_stages":           (*Lifecycle).startStages,
 		"cancel_stages":          func(l *Lifecycle) { l.cancelStages() },
 		"report_unfinished_work": (*Lifecycle).reportUnfinishedWork,
@@ -191,6 +195,19 @@
 	}
 }
 
+// reportDraining publishes that the instance stops, and records when it ends at the latest.
+func (l *Lifecycle) reportDraining() {
+	l.options.PublishState(member.Draining)
+	if !l.stopsBy.IsZero() {
+		return
+	}
+	left := l.options.StopLimit
+	if l.machine.In("draining") {
+		left -= l.options.AnnounceTime // the announcement is left out
+	}
+	l.stopsBy = time.Now().Add(left)
+}
+
 // startStages runs the stages one after the other in their own goroutine.
 func (l *Lifecycle) startStages() {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -232,7 +249,7 @@
 
 // publish updates the status from the states of the machines.
 func (l *Lifecycle) publish() {
-	s := &LifecycleStatus{State: l.machine.State(), Zone: l.zoneMachine.State()}
+	s := &LifecycleStatus{State: l.machine.State(), Zone: l.zoneMachine.State(), StopsBy: l.stopsBy}
 	out := l.zoneMachine.In("leaving") || l.zoneMachine.In("out")
 	s.Ready = l.machine.In("serving") && !out
 	s.Reason = lifecycleReasons[s.State]
--- a/internal/node/lifecycle_test.go
+++ b/internal/node/lifecycle_test.go
@@ -47,6 +47,27 @@
 
 func fleetOut(zones ...string) *document.Fleet { return &document.Fleet{ZonesOut: zones} }
 
+// Guards against a stop whose end the requests that arrive meanwhile do not know, so that they are cut off.
+func TestStopAnnouncesItsEnd(t *testing.T) {
+	for _, announced := range []bool{true, false} { // an instance that was never ready announces nothing
+		synctest.Test(t, func(t *testing.T) {
+			l := startLifecycle(t, node.Stage{Name: "never ends", Run: func(ctx context.Context) error { <-ctx.Done(); return nil }})
+			if announced {
+				l.Configured()
+			}
+			if s := l.statusAt(time.Second); !s.StopsBy.IsZero() {
+				t.Errorf("the end of a stop is announced before it begins: %+v", s)
+			}
+			l.Stop()
+			by := l.statusAt(time.Second).StopsBy
+			<-l.ended
+			if now := time.Now(); !by.Equal(now) {
+				t.Errorf("the stop ended %s after its announced end", now.Sub(by))
+			}
+		})
+	}
+}
+
 // Guards against an instance that is ready without a configuration, while its availability zone is taken out, or while it
 // stops, and against a stop that drains before the platform's balancer has noticed it.
 func TestReadinessFollowsLifecycle(t *testing.T) {
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -19,6 +19,8 @@
 // exchange is the state of one request of a caller. It is the context of charts/request.toml and is owned by the
 // caller's goroutine. The entry action of a state does the state's work and stores the event to fire next.
 type exchange struct {
+	// stopLimit returns when a planned stop cuts the request off, and zero if none has begun.
+	stopLimit  func() time.Time
 	ctx        context.Context
 	service    *Service
 	claims     *Claims
@@ -154,7 +156,7 @@
 
 func (e *exchange) newAcquireRequest(kind copyKind) acquireRequest {
 	return acquireRequest{
-		copy: kind, policy: e.policy, tenant: e.req.Tenant, deadline: e.policy.Deadline,
+		stopLimit: e.stopLimit(), copy: kind, policy: e.policy, tenant: e.req.Tenant, deadline: e.policy.Deadline,
 		requirements: balance.Requirements{Regions: e.policy.Regions, CrossRegion: e.policy.Route.CrossRegion, Avoid: e.avoid},
 	}
 }
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -57,6 +57,8 @@
 		requirements balance.Requirements
 		reply        chan<- acquireResult
 		deadline     time.Time
+		// stopLimit is when the request is cut off by a planned stop; zero if none has begun.
+		stopLimit time.Time
 	}
 	withdrawRequest struct{ ticket admit.Ticket }
 	releaseRequest  struct {
--- a/internal/node/servicequeue.go
+++ b/internal/node/servicequeue.go
@@ -65,6 +65,10 @@
 func (s *Service) acquire(now time.Time, m acquireRequest) {
 	s.lastTicket++
 	m.ticket <- s.lastTicket
+	if err := s.checkTimeToStop(now, m); err != nil {
+		m.reply <- acquireResult{err: err}
+		return
+	}
 	budget := s.budgets.budget(m.copy)
 	if budget != nil && !budget.Spend() {
 		m.reply <- acquireResult{err: fault.New(fault.Overloaded, "send the request again later",
