Use an entry of a server that seems outdated and stays in the store

Cause (suspected in the review, by reading): the entries of a server whose clock was set back between two starts under one id were ignored until it left, also the one that says that it drains: by its own account each was older than the known one, and nothing could show the opposite.

Change: such an entry waits for 5 s, longer than three heartbeats. The process that wrote the newer entry writes again in that time, which drops the older one; an entry that nothing replaces is used.

Evidence: TestOutdatedEntryThatStaysIsUsed fails without it; a late write that is replaced is still ignored (TestOlderVersionsAreIgnored and the same test).

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -24,6 +24,9 @@
 	// lapseGrace is how long the entries of backend servers that lapsed while the store was unavailable may take to be
 	// registered again.
 	lapseGrace = 2 * time.Second
+	// outdatedGrace is how long an entry that seems to be outdated may stay in the store until it is used. It is longer than
+	// three heartbeats, within which the process that wrote the newer one writes again.
+	outdatedGrace = 5 * time.Second
 	// maxStrikeAge is the age, by wall-clock time, up to which a crash counts. It matches charts/quarantine.toml.
 	maxStrikeAge = 10 * time.Minute
 	// maxStrikeAhead is how far in the future the time of a crash may be, far above the difference of two clocks.
@@ -73,6 +76,9 @@
 	// lapsed holds the entries that were removed during or just after an outage of the store, with the time from which
 	// they count as gone.
 	lapsed map[string]time.Time
+	// outdated holds entries that are older by the server's own account than the known ones, with the time from which they are
+	// used all the same.
+	outdated map[string]outdatedEntry
 	// storeReturnedAt is when the store last came back after an outage.
 	storeReturnedAt time.Time
 	// totalSuspension returns how long the machine has been suspended in total.
@@ -91,6 +97,12 @@
 	invalidRevisions map[objectKey]uint64
 }
 
+// outdatedEntry is an entry of a backend server that seems to be older than the known one.
+type outdatedEntry struct {
+	entry *fleet.Backend
+	useAt time.Time
+}
+
 // objectKey identifies an object of the store.
 type objectKey struct {
 	kind objectapi.Kind
@@ -106,6 +118,7 @@
 		strikes: map[string]quarantine.Strike{}, trials: map[string]time.Time{},
 		cache: objectCache{}, readBy: map[objectapi.Kind]string{}, asOf: map[objectapi.Kind]time.Time{},
 		lapsed:          map[string]time.Time{},
+		outdated:        map[string]outdatedEntry{},
 		unansweredKinds: map[objectapi.Kind]bool{}, invalidRevisions: map[objectKey]uint64{},
 		totalSuspension: suspension.Total, countedSuspension: suspension.Total(),
 		onInvalid: func() {},
@@ -132,6 +145,7 @@
 		}
 		timer.Stop()
 		b.dropLapsed(time.Now())
+		b.useOutdated(time.Now())
 	}
 }
 
@@ -163,12 +177,15 @@
 // idleWait is the timer duration of a task that has nothing scheduled.
 const idleWait = time.Hour
 
-// nextLapse returns the time until the next lapsed entry counts as gone.
+// nextLapse returns the time until the next lapsed entry counts as gone or the next outdated one is used.
 func (b *board) nextLapse() time.Duration {
 	wait := idleWait
 	for _, at := range b.lapsed {
 		wait = min(wait, time.Until(at))
 	}
+	for _, o := range b.outdated {
+		wait = min(wait, time.Until(o.useAt))
+	}
 	return max(wait, 0)
 }
 
@@ -403,14 +420,17 @@
 	if err != nil {
 		b.reportInvalid(o, err)
 		delete(b.backends, o.Name)
+		delete(b.outdated, o.Name)
 		return
 	}
 	old := b.backends[o.Name]
 	if old != nil && (entry.StartedAtMs < old.StartedAtMs || entry.StartedAtMs == old.StartedAtMs && entry.Sequence < old.Sequence) {
-		b.log.Info("outdated entry of a backend server is ignored", "backend", o.Name, "born", entry.StartedAtMs,
+		b.outdated[o.Name] = outdatedEntry{entry: entry, useAt: time.Now().Add(outdatedGrace)}
+		b.log.Info("outdated entry of a backend server is ignored for now", "backend", o.Name, "born", entry.StartedAtMs,
 			"sequence", entry.Sequence)
 		return
 	}
+	delete(b.outdated, o.Name)
 	if old == nil || old.StartedAtMs != entry.StartedAtMs || old.Draining != entry.Draining {
 		b.log.Info("backend server is registered", "backend", o.Name, "service", entry.Service, "zone", entry.Place.Zone,
 			"draining", entry.Draining, "cold_ms", entry.ColdFor.Milliseconds(), "revision", o.Version)
@@ -419,6 +439,22 @@
 	b.backends[o.Name] = entry
 }
 
+// useOutdated puts entries in force that seemed to be outdated and that nothing has replaced: the clock of the server was set
+// back between two starts, or its count began anew.
+func (b *board) useOutdated(now time.Time) {
+	for name, o := range b.outdated {
+		if now.Before(o.useAt) {
+			continue
+		}
+		delete(b.outdated, name)
+		delete(b.lapsed, name)
+		b.backends[name] = o.entry
+		b.log.Warn("entry of a backend server seemed to be outdated and stays; it is used", "backend", name, "born", o.entry.StartedAtMs,
+			"sequence", o.entry.Sequence, "draining", o.entry.Draining)
+		b.publish(true)
+	}
+}
+
 // removeObject applies the deletion of an object.
 func (b *board) removeObject(now time.Time, kind objectapi.Kind, name string) {
 	delete(b.invalidRevisions, objectKey{kind: kind, name: name})
@@ -442,6 +478,7 @@
 // removeBackend removes a server and reports whether it did. A server whose entry may only have lapsed during an outage of
 // the store is kept until the grace time is over.
 func (b *board) removeBackend(now time.Time, name string) bool {
+	delete(b.outdated, name)
 	entry := b.backends[name]
 	if entry == nil {
 		return false
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -426,6 +426,38 @@
 	})
 }
 
+// Guards against a server whose entries are ignored until it leaves, also the one that says that it drains, because its clock
+// was set back between two starts. The process that wrote the newer entry would have written again.
+func TestOutdatedEntryThatStaysIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		store := newFakeStore()
+		snapshots := startBoard(t, ctx, store)
+		entry := func(started int64, draining bool) {
+			store.put(objectapi.Backends, "i-1", fleet.Backend{Service: "s", StartedAtMs: started, Sequence: 4, Draining: draining})
+			time.Sleep(2 * time.Second)
+		}
+		started := func() int64 { return snapshots.Newest().Backends["s"][0].StartedAtMs }
+		entry(20, false)
+		entry(10, true)
+		entry(20, false)
+		time.Sleep(2 * outdatedGrace)
+		if started() != 20 || snapshots.Newest().Backends["s"][0].Draining {
+			t.Errorf("an outdated entry that was replaced is used: %+v", snapshots.Newest().Backends["s"][0])
+		}
+		entry(10, false)
+		entry(10, true)
+		if started() != 20 {
+			t.Error("an outdated entry is used at once")
+		}
+		time.Sleep(outdatedGrace)
+		if s := snapshots.Newest().Backends["s"][0]; s.StartedAtMs != 10 || !s.Draining {
+			t.Errorf("an entry that stays in the store is ignored: %+v", s)
+		}
+	})
+}
+
 // Guards against entries of removed instances and expired strikes that remain in the store: the former reduce the shares of
 // cold servers, and both are read at each start.
 func TestStaleEntriesAreRemoved(t *testing.T) {
