List all documents again when the history of one kind is lost

A change that a watch had not heard of stayed out of force until a peer showed a newer version or the watch was reopened after a minute.

Change: a watch that fails as too old makes the watchers of the other kinds of documents list them again.

Evidence: TestLostHistoryOfOneKindPutsOthersInDoubt fails without it.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -66,7 +66,11 @@
 	status  atomic.Pointer[ConfigStatus]
 	ended   chan struct{}
 
-	sources  *sources
+	sources *sources
+	// watchers holds the watcher of each kind. historyLostAt is when the object API was last found to have dropped its history.
+	watchers      map[objectapi.Kind]*watcher
+	historyLostAt time.Time
+
 	fetching bool
 	version  member.ConfigVersion
 	// dirty is true if a document or its status has changed since the last publish.
@@ -117,7 +121,7 @@
 	}
 	c := &Config{
 		options: options, set: set, inbox: task.NewMailbox[any]("configuration", configCapacity), ended: make(chan struct{}),
-		sources: newSources(), dirty: true, fetches: metrics.GetOrRegisterCounter(MetricConfigFetches, options.Metrics),
+		sources: newSources(), watchers: map[objectapi.Kind]*watcher{}, dirty: true, fetches: metrics.GetOrRegisterCounter(MetricConfigFetches, options.Metrics),
 		counters: map[config.Verdict]metrics.Counter{
 			config.Applied:     metrics.GetOrRegisterCounter(MetricConfigApplied, options.Metrics),
 			config.Deleted:     metrics.GetOrRegisterCounter(MetricConfigApplied, options.Metrics),
@@ -162,6 +166,7 @@
 	watchers := task.NewGroup(ctx)
 	for _, kind := range configKinds {
 		w := newWatcher(c.options.API, kind, c.inbox, c.options.Log)
+		c.watchers[kind] = w
 		watchers.Go("watch "+string(kind), func(ctx context.Context) error { w.run(ctx); return nil })
 	}
 	for ctx.Err() == nil {
@@ -180,6 +185,23 @@
 	return watchers.Wait()
 }
 
+// lostHistoryInterval is the time within which lost histories of several kinds count as one event.
+const lostHistoryInterval = 500 * time.Millisecond
+
+// handleLostHistory makes the watchers of the other kinds list their objects again: an object API that has dropped the history
+// of one kind may have dropped changes of others that their watches have not heard of.
+func (c *Config) handleLostHistory(now time.Time, kind objectapi.Kind) {
+	if now.Sub(c.historyLostAt) < lostHistoryInterval {
+		return
+	}
+	c.historyLostAt = now
+	for other, w := range c.watchers {
+		if other != kind {
+			w.listAgain()
+		}
+	}
+}
+
 func (c *Config) handle(ctx context.Context, m any) {
 	switch m := m.(type) {
 	case listResult:
@@ -190,6 +212,9 @@
 		c.sources.setReadable(m.kind)
 	case unreadableEvent:
 		c.sources.setUnreadable(m.kind, m.err)
+		if fault.Is(m.err, fault.TooOld) {
+			c.handleLostHistory(time.Now(), m.kind)
+		}
 	case peerVersion:
 		c.handlePeerVersion(ctx, m)
 	case fetchResult:
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -42,8 +42,11 @@
 	}
 )
 
-// errNoEvent ends a watch that received no event for watchTimeout.
-var errNoEvent = errors.New("watch received no event")
+// errNoEvent ends a watch that received no event for watchTimeout, errDoubtful one that may have missed a change.
+var (
+	errNoEvent  = errors.New("watch received no event")
+	errDoubtful = errors.New("watch may have missed a change")
+)
 
 // watcher is the task that follows the objects of one kind: it lists them, watches the changes after the list, resumes a
 // broken watch, and lists again if the object API no longer keeps the version at which to resume or an answer cannot be
@@ -59,10 +62,21 @@
 	// canResume is true if the watch can start after that version without a list.
 	canResume bool
 	retry     backoff
+	// doubt signals that the watch may have missed a change.
+	doubt chan struct{}
 }
 
 func newWatcher(api objectapi.API, kind objectapi.Kind, inbox *task.Mailbox[any], log *slog.Logger) *watcher {
-	return &watcher{api: api, kind: kind, inbox: inbox, log: log, retry: backoff{first: watchRetryFirst, limit: watchRetryLimit}}
+	return &watcher{api: api, kind: kind, inbox: inbox, log: log, retry: backoff{first: watchRetryFirst, limit: watchRetryLimit},
+		doubt: make(chan struct{}, 1)}
+}
+
+// listAgain makes the watcher list the objects, since the watch may have missed a change. It never blocks.
+func (w *watcher) listAgain() {
+	select {
+	case w.doubt <- struct{}{}:
+	default:
+	}
 }
 
 // run is the body of the watcher task. It ends with the context. Only a watch that received an event or stayed open for
@@ -115,6 +129,10 @@
 		if errors.Is(err, errNoEvent) {
 			return nil
 		}
+		if errors.Is(err, errDoubtful) {
+			w.canResume = false
+			return nil
+		}
 		if err != nil {
 			return err
 		}
@@ -124,12 +142,31 @@
 	}
 }
 
-// nextEvent returns the next event, or errNoEvent after watchTimeout.
+// nextEvent returns the next event, errNoEvent after watchTimeout, or errDoubtful when the watch may have missed a change.
 func (w *watcher) nextEvent(ctx context.Context, watch objectapi.Watch) (objectapi.Event, error) {
-	ctx, cancel := context.WithTimeoutCause(ctx, watchTimeout, errNoEvent)
-	defer cancel()
+	ctx, stop := context.WithTimeoutCause(ctx, watchTimeout, errNoEvent)
+	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	doubtful := make(chan bool, 1)
+	go func() {
+		select {
+		case <-w.doubt:
+			cancel(errDoubtful)
+			doubtful <- true
+		case <-ctx.Done():
+			doubtful <- false
+		}
+	}()
 	event, err := watch.Next(ctx)
-	if err != nil && context.Cause(ctx) == errNoEvent {
+	expired := context.Cause(ctx) == errNoEvent
+	cancel(nil)
+	switch {
+	case <-doubtful && err == nil:
+		w.listAgain() // after this event
+	case err != nil && context.Cause(ctx) == errDoubtful:
+		return event, errDoubtful
+	case err != nil && expired:
 		return event, errNoEvent
 	}
 	return event, err
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -9,6 +9,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
+	"fuchsiahub.example/fuchsiahub/internal/decide/member"
+	"fuchsiahub.example/fuchsiahub/internal/document"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 	"fuchsiahub.example/fuchsiahub/internal/task"
@@ -65,3 +69,60 @@
 		}
 	})
 }
+
+// forgetfulAPI is an object API that drops its history after a second: a watch of services fails, and those of other kinds hear
+// nothing.
+type forgetfulAPI struct {
+	objectapi.API
+	lists chan objectapi.Kind
+}
+
+func (a forgetfulAPI) List(_ context.Context, kind objectapi.Kind) ([]objectapi.Object, uint64, error) {
+	a.lists <- kind
+	return nil, 4, nil
+}
+
+func (forgetfulAPI) Watch(_ context.Context, kind objectapi.Kind, _ uint64) (objectapi.Watch, error) {
+	return forgetfulWatch{kind: kind}, nil
+}
+
+type forgetfulWatch struct{ kind objectapi.Kind }
+
+func (w forgetfulWatch) Next(ctx context.Context) (objectapi.Event, error) {
+	if w.kind == objectapi.Services && task.Pause(ctx, time.Second) {
+		return objectapi.Event{}, fault.New(fault.TooOld, "", "forgotten")
+	}
+	<-ctx.Done()
+	return objectapi.Event{}, ctx.Err()
+}
+
+func (forgetfulWatch) Close() error { return nil }
+
+// Guards against documents that stay old for a minute because the object API dropped its history while they changed, and only
+// the watch of another kind heard of it.
+func TestLostHistoryOfOneKindPutsOthersInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		api := forgetfulAPI{lists: make(chan objectapi.Kind, 64)}
+		c, err := NewConfig(ConfigOptions{API: api, Metrics: metrics.NewRegistry(), Log: slog.New(slog.DiscardHandler),
+			Apply: func(context.Context, *Documents) error { return nil }, PublishVersion: func(member.ConfigVersion) {},
+			ApplyFleet: func(*document.Fleet) {}, OnReady: func() {}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { _ = c.Run(ctx); close(ended) }()
+		time.Sleep(1500 * time.Millisecond)
+		cancel()
+		<-ended
+		lists := map[objectapi.Kind]int{}
+		for len(api.lists) > 0 {
+			lists[<-api.lists]++
+		}
+		for _, kind := range configKinds {
+			if lists[kind] != 2 {
+				t.Errorf("%s are listed %d times, want 2", kind, lists[kind])
+			}
+		}
+	})
+}
