--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -222,7 +222,7 @@
 // earlier or the store does not answer.
 func (d *director) handleTrialClaim(ctx context.Context, now time.Time, m trialClaim) {
 	f := m.trial.Fingerprint
-	d.log.Info("trial of a request that is refused since equal ones crashed servers", "request", m.placement.id,
+	d.log.Info("trial of a request whose equals crashed backend servers", "request", m.placement.id,
 		"fingerprint", hex.EncodeToString(f[:]), "number", m.trial.Number, "runs", m.err == nil, "error", m.err)
 	if m.err != nil {
 		d.crashes.quarantine.EndTrial(now, f)
