Bound the memory that the bodies of requests take together

Cause: a body was read into a buffer that grew by copying, and nothing bounded the bodies of all requests together. The settings' memory was not read.

A body of known length is read into one buffer of its size. The garbage collector has 80 % of the memory as its limit.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -57,9 +57,15 @@
 // so it is lower than Go's default of 100 (docs/measurements.md).
 const gcPercent = 50
 
+// memoryLimitShare is the share of the memory of the process above which the garbage collector runs more often.
+const memoryLimitShare = 0.8
+
 // runGateway runs the gateway until the context ends, then stops it gracefully.
 func runGateway(ctx context.Context, path string, s gateway.Settings, out io.Writer, level slog.Level) error {
 	debug.SetGCPercent(gcPercent)
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Memory)))
+	}
 	hangUp := make(chan os.Signal, 1)
 	signal.Notify(hangUp, syscall.SIGHUP) // the default action of SIGHUP terminates the process
 	defer signal.Stop(hangUp)
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -170,7 +170,7 @@
 		case <-c.ctx.Done():
 		}
 	}
-	r := newRequestReader(c.conn, c.limits, c.dialect, c.stopOrder, send)
+	r := newRequestReader(c.conn, c.limits, c.dialect, c.stopOrder, send, c.requests.bodies, c.ctx)
 	for c.ctx.Err() == nil {
 		m, last, err := r.next()
 		if err != nil {
@@ -331,14 +331,18 @@
 	q := pendingRequest{id: c.incoming.request.ID, receivedAt: c.incoming.receivedAt, method: c.incoming.method,
 		http10: c.incoming.http10, reply: make(chan reply, 1)}
 	c.queue = append(c.queue, q)
-	f := c.requests.newForward(c.ctx, c.incoming)
-	go func() { q.reply <- f.run() }()
+	f, lease := c.requests.newForward(c.ctx, c.incoming), c.incoming.lease
+	go func() {
+		r := f.run()
+		lease.release()
+		q.reply <- r
+	}()
 }
 
 // reject queues the error answer to a request that cannot be read. The connection ends after it.
 func (c *caller) reject() {
 	q := pendingRequest{receivedAt: time.Now(), method: http.MethodGet, rejected: true, reply: make(chan reply, 1)}
-	q.reply <- localReply(c.dialect, "", c.rejection.status, c.rejection.err, 0)
+	q.reply <- localReply(c.dialect, "", c.rejection.status, c.rejection.err, c.rejection.retryAfter)
 	c.queue = append(c.queue, q)
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -45,13 +45,14 @@
 	director  *task.Mailbox[any]
 	dialect   Dialect
 	stop      *plannedStop
+	bodies    *bodyBudget
 	bound     *chart.Bound[*forward]
 	log       *slog.Logger
 	counters  *counters
 }
 
-func newForwarder(snapshots *SnapshotPublisher, director *task.Mailbox[any], dialect Dialect, stop *plannedStop, log *slog.Logger,
-	counters *counters) (*forwarder, error) {
+func newForwarder(snapshots *SnapshotPublisher, director *task.Mailbox[any], dialect Dialect, stop *plannedStop,
+	bodies *bodyBudget, log *slog.Logger, counters *counters) (*forwarder, error) {
 	ch, err := charts.Load("forward", nil)
 	if err != nil {
 		return nil, err
@@ -81,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &forwarder{snapshots: snapshots, director: director, dialect: dialect, stop: stop, bound: bound, log: log, counters: counters}, nil
+	return &forwarder{snapshots: snapshots, director: director, dialect: dialect, stop: stop, bodies: bodies, bound: bound, log: log, counters: counters}, nil
 }
 
 // forward is the task of one request of a caller. It is the context of charts/forward.toml.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,7 +127,7 @@
 	g.board.onDataAge = func(age time.Duration) { g.counters.newsAge.Update(age.Milliseconds()) }
 	g.board.onInvalid = func() { g.counters.invalidObjects.Inc(1) }
 	g.director = newDirector(g.self, &g.settings, poolFactory, crashes, g.log, g.counters)
-	requests, err := newForwarder(g.snapshots, g.director.inbox, g.dialect, g.stop, g.log, g.counters)
+	requests, err := newForwarder(g.snapshots, g.director.inbox, g.dialect, g.stop, newBodyBudget(g.settings.Memory), g.log, g.counters)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -159,7 +159,7 @@
 		caller, conn := net.Pipe()
 		go func() { _, _ = caller.Write([]byte(text)) }() // the reader ends with the test
 		limits := func() fleet.Limits { return fleet.Limits{HeaderBytes: limit, BodyBytes: int64(limit)} }
-		r := newRequestReader(conn, limits, fixedInfo{}, t.Context(), func(any) {})
+		r := newRequestReader(conn, limits, fixedInfo{}, t.Context(), func(any) {}, newBodyBudget(0), t.Context())
 		m, _, err := r.next()
 		if request, ok := m.(*incomingRequest); !ok || string(request.request.Body) != body {
 			t.Errorf("limit %d: %T, %v", limit, m, err)
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -41,6 +41,8 @@
 	// callerTimeout is the timeout sent by the caller; zero if it sent none.
 	callerTimeout time.Duration
 	method        string
+	// lease is the memory that the body takes.
+	lease *bodyLease
 	// last is true if no further request is read from the connection, because the caller asked for its end or reading was
 	// stopped.
 	last bool
@@ -52,6 +54,8 @@
 type rejection struct {
 	status int
 	err    *fault.Error
+	// retryAfter is when the request may be sent again; zero if it must be changed first.
+	retryAfter time.Duration
 }
 
 // continueExpected reports that the caller waits for 100 Continue before it sends the body.
@@ -73,13 +77,16 @@
 	readSinceStop int
 	// notify reports an event before the request is complete.
 	notify func(any)
+	// bodies bounds the memory of the bodies, which are released at the latest when the lifetime of the connection ends.
+	bodies   *bodyBudget
+	lifetime context.Context
 }
 
 func newRequestReader(conn net.Conn, limits func() fleet.Limits, dialect Dialect, stopOrder context.Context,
-	notify func(any)) *requestReader {
+	notify func(any), bodies *bodyBudget, lifetime context.Context) *requestReader {
 	source := &arrivedReader{conn: conn}
 	return &requestReader{source: source, buffer: bufio.NewReaderSize(source, readBuffer), limits: limits, dialect: dialect,
-		stopOrder: stopOrder, notify: notify}
+		stopOrder: stopOrder, notify: notify, bodies: bodies, lifetime: lifetime}
 }
 
 var errMalformed = errors.New("malformed head")
@@ -165,13 +172,13 @@
 func rejectionOf(err error) (any, error) {
 	switch {
 	case errors.Is(err, errMalformed):
-		return rejection{http.StatusBadRequest, fault.New(fault.BadRequest, "send HTTP/1.1 with one clear length",
+		return rejection{status: http.StatusBadRequest, err: fault.New(fault.BadRequest, "send HTTP/1.1 with one clear length",
 			"request cannot be read")}, nil
 	case errors.Is(err, bufio.ErrBufferFull):
-		return rejection{http.StatusRequestHeaderFieldsTooLarge,
-			fault.New(fault.TooLarge, "send a shorter header", "header is too long")}, nil
+		return rejection{status: http.StatusRequestHeaderFieldsTooLarge,
+			err: fault.New(fault.TooLarge, "send a shorter header", "header is too long")}, nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return rejection{http.StatusRequestTimeout, fault.New(fault.BadRequest, "send the request in time",
+		return rejection{status: http.StatusRequestTimeout, err: fault.New(fault.BadRequest, "send the request in time",
 			"request did not arrive in time")}, nil
 	}
 	return nil, err
@@ -258,7 +265,7 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	tooLarge := rejection{http.StatusRequestEntityTooLarge, fault.New(fault.TooLarge, "send a shorter body", "body is too long")}
+	tooLarge := rejection{status: http.StatusRequestEntityTooLarge, err: fault.New(fault.TooLarge, "send a shorter body", "body is too long")}
 	if request.ContentLength > limit {
 		return tooLarge, nil
 	}
@@ -272,8 +279,18 @@
 		return nil, err
 	}
 	limit = min(limit, math.MaxInt64-1)
-	body, err := io.ReadAll(io.LimitReader(request.Body, limit+1))
+	if request.ContentLength == 0 {
+		return r.translate(request, nil), nil
+	}
+	lease := r.bodies.newLease(r.lifetime)
+	body, err := lease.readBody(request.Body, request.ContentLength, limit)
+	if err != nil || int64(len(body)) > limit {
+		lease.release()
+	}
 	switch {
+	case errors.Is(err, errNoMemory):
+		return rejection{status: http.StatusServiceUnavailable, err: fault.New(fault.Overloaded, "send the request again later",
+			"bodies of other requests take the memory"), retryAfter: shortRetryAfter}, nil
 	case err != nil && errors.Is(err, io.ErrUnexpectedEOF):
 		return nil, err
 	case err != nil:
@@ -285,7 +302,9 @@
 	case int64(len(body)) > limit:
 		return tooLarge, nil
 	}
-	return r.translate(request, body), nil
+	in := r.translate(request, body)
+	in.lease = lease
+	return in, nil
 }
 
 // translate converts a parsed request to the form in which it is sent on, and decodes the metadata of the caller.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -17,6 +17,8 @@
 	Place fleet.Place
 	// CPUShare is the fraction of a processor core that the instance has, times the speed of the core.
 	CPUShare float64
+	// Memory is the memory of the process, in bytes. One that exceeds it is killed; zero sets no limit.
+	Memory int64
 	// MaxFiles is the maximum number of file descriptors; zero sets no limit.
 	MaxFiles int
 	// CallerAddress is the address for requests, ReadinessAddress that for readiness checks of the platform's balancer.
