Keep the resend budgets over a reload of the settings

Cause: each reload replaced the budgets by empty ones.

Change: a budget takes new limits and keeps its counts; in a window of another length, the resends count as if they were made just now.

Evidence: TestReloadKeepsResendBudget failed before; TestLimitsChangeKeepsResends covers changed limits.

--- a/internal/decide/resend/budget.go
+++ b/internal/decide/resend/budget.go
@@ -37,6 +37,15 @@
 // NewBudget returns a budget with all counts at zero.
 func NewBudget(limits Limits) *Budget { return &Budget{limits: limits} }
 
+// SetLimits replaces the limits. The resends that were counted still count, in a new window as if they were made just now.
+func (b *Budget) SetLimits(limits Limits) {
+	if limits.Window != b.limits.Window {
+		resends := sum(b.resends)
+		b.requests, b.resends = [buckets + 1]int{}, [buckets + 1]int{resends}
+	}
+	b.limits = limits
+}
+
 // CountRequest counts a request of a caller.
 func (b *Budget) CountRequest(now time.Time) {
 	b.advance(now)
--- a/internal/decide/resend/budget_test.go
+++ b/internal/decide/resend/budget_test.go
@@ -65,3 +65,38 @@
 		t.Errorf("one of 15 instances may resend %d times without requests, want 3", taken)
 	}
 }
+
+// Guards against a change of the limits that renews the budget.
+func TestLimitsChangeKeepsResends(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limits := Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+	b := NewBudget(limits)
+	take := func() (taken int) {
+		for b.Take(now, 1) {
+			taken++
+		}
+		return taken
+	}
+	if taken := take(); taken != 40 {
+		t.Fatalf("%d resends, want 40", taken)
+	}
+	b.SetLimits(limits)
+	now = now.Add(5 * time.Second)
+	if taken := take(); taken != 0 {
+		t.Errorf("%d resends after the same limits were set", taken)
+	}
+	limits.Window = 5 * time.Second
+	b.SetLimits(limits)
+	if taken := take(); taken != 0 {
+		t.Errorf("%d resends after the window was changed", taken)
+	}
+	limits.Slack = 100
+	b.SetLimits(limits)
+	if taken := take(); taken != 40 {
+		t.Errorf("%d resends after the slack was raised by 50, want 40", taken)
+	}
+	now = now.Add(10 * time.Second)
+	if taken := take(); taken != 80 {
+		t.Errorf("%d resends after the window has passed, want 80", taken)
+	}
+}
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -205,7 +205,9 @@
 		d.handleTrialClaim(ctx, now, m)
 	case boundsUpdate:
 		d.bounds = m.bounds
-		d.budgets = map[string]*resend.Budget{}
+		for _, budget := range d.budgets {
+			budget.SetLimits(d.resendLimits())
+		}
 	}
 }
 
--- a/internal/gateway/director_test.go
+++ b/internal/gateway/director_test.go
@@ -118,6 +118,21 @@
 	}
 }
 
+// Guards against a reload of the settings that renews the resend budgets.
+func TestReloadKeepsResendBudget(t *testing.T) {
+	bounds := Bounds{ResendRatio: 0.2, ResendSlack: 50, ResendWindow: 10 * time.Second}
+	d := newDirector(fleet.Instance{}, &Settings{Bounds: bounds}, nil, nil, slog.New(slog.DiscardHandler),
+		newCounters(metrics.NewRegistry()))
+	now := time.Unix(1000, 0)
+	for d.takeResend(now, d.budget("s"), "s") {
+		continue
+	}
+	d.handle(t.Context(), now, boundsUpdate{bounds: bounds})
+	if d.takeResend(now.Add(time.Second), d.budget("s"), "s") {
+		t.Error("a reload renews the budget")
+	}
+}
+
 // Guards against a process that ends because a request arrives while the director knows backend servers and no
 // configuration: the request was routed by a snapshot that the director has not received yet.
 func TestRequestBeforeConfigurationIsRefused(t *testing.T) {
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -101,10 +101,14 @@
 	return taken
 }
 
+func (d *director) resendLimits() resend.Limits {
+	return resend.Limits{Ratio: d.bounds.ResendRatio, Slack: d.bounds.ResendSlack, Window: d.bounds.ResendWindow}
+}
+
 func (d *director) budget(service string) *resend.Budget {
 	b := d.budgets[service]
 	if b == nil {
-		b = resend.NewBudget(resend.Limits{Ratio: d.bounds.ResendRatio, Slack: d.bounds.ResendSlack, Window: d.bounds.ResendWindow})
+		b = resend.NewBudget(d.resendLimits())
 		d.budgets[service] = b
 	}
 	return b
