Check a warm server before it could have got too many requests while cold

Cause: only health checks show that a server is cold, but an answer to any request made its report recent, and a server with a recent report was not checked.

Change: an instance sends at most as many requests after a health check as it may send a cold server; then the server is checked before the next one. The cold time in an entry counts until a health check says otherwise.

--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -233,6 +233,9 @@
 func (d *director) updateServer(now time.Time, entry *fleet.Backend) {
 	s := d.servers[entry.Incarnation()]
 	if s != nil && s.entry.Address == entry.Address {
+		if until := now.Add(entry.ColdFor); entry.Revision != s.entry.Revision && entry.ColdFor > 0 && until.After(s.report.coldUntil) {
+			s.report.coldUntil = until // until the next health check
+		}
 		s.entry = entry
 		return
 	}
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -43,13 +43,13 @@
 }
 
 // checkRound returns the state of the health checks of the placement.
-func (p *pendingPlacement) checkRound(now time.Time) placement.CheckRound {
+func (p *pendingPlacement) checkRound(now time.Time, mayHaveBecomeCold func(time.Time, *server) bool) placement.CheckRound {
 	round := placement.CheckRound{Waited: now.Sub(p.checksSentAt)}
 	for _, s := range p.servers {
 		if s.checkInFlight {
 			round.Outstanding++
 		}
-		if s.isFresh(now) && !s.isFull(now) {
+		if s.isFresh(now) && !s.isFull(now) && !mayHaveBecomeCold(now, s) {
 			round.FreshReports++
 		}
 		round.NoLoad = round.NoLoad || !s.report.reportsLoad
@@ -171,7 +171,7 @@
 // checkServers sends health checks to the servers whose reports are old.
 func (d *director) checkServers(ctx context.Context, now time.Time, servers []*server) {
 	for _, s := range servers {
-		if !s.isFresh(now) {
+		if !s.isFresh(now) || d.mayHaveBecomeCold(now, s) {
 			d.startCheck(ctx, now, s)
 		}
 	}
@@ -182,7 +182,7 @@
 	if s.checkInFlight {
 		return
 	}
-	s.checkInFlight, s.checkSentAt = true, now
+	s.checkInFlight, s.checkSentAt, s.sentDuringCheck = true, now, 0
 	d.counters.checks.Inc(1)
 	s.sendCheck(ctx, s.checkTimeout(d.timing.CheckTimeout), d.snapshot.Config.Services[s.entry.Service], func(r backend.Result) {
 		_ = d.inbox.Send(ctx, checkResult{server: s, result: r}) // fails only when the context is done
@@ -234,7 +234,7 @@
 // are considered only if no server of the own region is expected to meet the latency target.
 func (d *director) decide(ctx context.Context, now time.Time, p *pendingPlacement) bool {
 	request := d.placementRequest(now, &p.placeRequest)
-	round := p.checkRound(now)
+	round := p.checkRound(now, d.mayHaveBecomeCold)
 	if remaining := round.Remaining(p.reportWait, request); remaining > 0 {
 		p.decideBy = now.Add(remaining)
 		return false
@@ -300,7 +300,7 @@
 		if s.isFull(now) {
 			continue
 		}
-		if s.isCold(now) && !s.coldMeter.HasCapacity(now, d.coldShare(now, s)) {
+		if s.isCold(now) && !s.coldMeter.HasCapacity(now, d.coldShare(now, s)) || d.mayHaveBecomeCold(now, s) {
 			continue
 		}
 		servers = append(servers, s)
@@ -309,6 +309,15 @@
 	return servers, candidates
 }
 
+// mayHaveBecomeCold reports whether a server has been sent as many requests since its last health check as it may get from this
+// instance while it is cold. An answer to a request does not show whether the server is cold.
+func (d *director) mayHaveBecomeCold(now time.Time, s *server) bool {
+	if s.sentSinceCheck == 0 || d.snapshot.Config == nil || d.snapshot.Config.Services[s.entry.Service].ColdPerSecond <= 0 {
+		return false
+	}
+	return s.sentSinceCheck >= max(d.coldShare(now, s), 1)
+}
+
 // coldShare returns the number of requests per second that this instance may send to a cold server.
 func (d *director) coldShare(now time.Time, s *server) int {
 	service := d.snapshot.Config.Services[s.entry.Service]
@@ -331,9 +340,7 @@
 
 // grant assigns the chosen server to the copy and answers the placement.
 func (d *director) grant(now time.Time, p *pendingPlacement, s *server, c placement.Candidate, expected time.Duration) {
-	s.inFlight++
-	s.report.sentSince++
-	s.coldMeter.Record(now)
+	s.noteSent(now)
 	p.reply(&grant{
 		fingerprint: p.fingerprint, onTrial: p.onTrial, testsServiceTime: p.testsServiceTime,
 		server: s, entry: s.entry, pool: s.pool, grantedAt: now, route: p.route, expected: expected,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -58,6 +58,9 @@
 	checkSentAt time.Time
 	// overdueAt is when a copy last exceeded its expected time.
 	overdueAt time.Time
+	// sentSinceCheck counts the requests that were sent after the last answered health check was sent, sentDuringCheck those
+	// sent after the one in flight. Only health checks show that a server has become cold.
+	sentSinceCheck, sentDuringCheck int
 	// unresponsive is true if the last health check got no answer.
 	unresponsive bool
 	// crashChecksLeft is the number of health checks that may still be sent after a broken connection to determine whether
@@ -127,6 +130,15 @@
 // server until a check succeeds.
 func (s *server) isDoubtful() bool { return s.unresponsive || s.wrongIdentity }
 
+// noteSent counts a request that is sent to the server.
+func (s *server) noteSent(now time.Time) {
+	s.inFlight++
+	s.report.sentSince++
+	s.sentSinceCheck++
+	s.sentDuringCheck++
+	s.coldMeter.Record(now)
+}
+
 // isFull reports whether the server recently rejected a health check for lack of capacity.
 func (s *server) isFull(now time.Time) bool { return s.report.full && now.Sub(s.report.at) <= fullHold }
 
@@ -202,6 +214,7 @@
 	if s.unresponsive {
 		return
 	}
+	s.sentSinceCheck = s.sentDuringCheck
 	s.wrongIdentity = r.ServerID != "" && r.ServerID != s.entry.ID
 	s.report.healthy = r.Answer.Status < http.StatusMultipleChoices
 	s.report.full = r.Fate == call.DeclaredNotRun
