Answer the requests behind a long answer that is broken off

Cause: pipelined requests are passed on at once, an answer above 64 KiB is written while it arrives, and only the end of the connection shows that a part of an answer is not the whole.

A request that arrives during a stream is passed on after it.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -104,6 +104,8 @@
 	continuePending bool
 	// begunAt is when the first byte of the request that is being read arrived; zero when none is being read.
 	begunAt time.Time
+	// postponed is a request that is taken up when the long answer before it is written.
+	postponed *incomingRequest
 	// unwritten is the request whose answer could not be written completely.
 	unwritten *pendingRequest
 	// stopCause is the cause for which reading stops.
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -111,6 +111,11 @@
 		h.unanswered++
 		h.add(q.id, q.receivedAt)
 	}
+	if in := c.postponed; in != nil {
+		c.noteRead(in)
+		h.notTakenUp++
+		h.add(in.request.ID, in.receivedAt)
+	}
 	for {
 		select {
 		case m := <-c.readEvents:
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -412,3 +412,71 @@
 		}
 	})
 }
+
+// Guards against pipelined requests that sound servers run and that get no answer because the server of a long answer before
+// them breaks it off: only the end of the connection could show a caller that a part of an answer is not the whole.
+func TestRequestsBehindBrokenStreamAreAnswered(t *testing.T) {
+	for name, framing := range map[string]string{
+		"length":  fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(longBody)),
+		"chunked": chunkedAnswer,
+	} {
+		t.Run(name, func(t *testing.T) {
+			requests := 0
+			withStream(t, func(c net.Conn) {
+				requests++
+				if requests == 1 {
+					text := longBody[:len(longBody)/2]
+					if name == "chunked" {
+						text = chunk(longBody)[:len(longBody)/2]
+					}
+					_, _ = io.WriteString(c, framing+text)
+					_ = c.Close()
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}, func(s *streamTest) {
+				go func() {
+					_, _ = io.WriteString(s.caller, strings.Repeat("GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n", 3))
+				}()
+				for n, want := range []int{http.StatusBadGateway, http.StatusOK, http.StatusOK} {
+					r, err := http.ReadResponse(s.reader, nil)
+					if err != nil {
+						t.Fatalf("request %d has no answer: %v", n+1, err)
+					}
+					if _, err := io.ReadAll(r.Body); err != nil || r.StatusCode != want {
+						t.Errorf("request %d: status %d, want %d, %v", n+1, r.StatusCode, want, err)
+					}
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that is passed on while a long answer before it is being written, and lost if that is broken off.
+func TestRequestDuringStreamIsPassedOnAfterIt(t *testing.T) {
+	requests := 0
+	withStream(t, func(c net.Conn) {
+		requests++
+		if requests == 1 {
+			_, _ = io.WriteString(c, chunkedAnswer+chunk(longBody))
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}, func(s *streamTest) {
+		_, text, err := s.getWhile("/long/x", func() {
+			go func() { _, _ = io.WriteString(s.caller, "GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n") }()
+			time.Sleep(500 * time.Millisecond)
+			if n := s.counters.requests.Count(); n != 1 {
+				t.Errorf("%d requests are passed on while a long answer is written", n)
+			}
+		})
+		if err != nil || text != longBody {
+			t.Errorf("%d bytes, %v", len(text), err)
+		}
+		if r, err := http.ReadResponse(s.reader, nil); err != nil || r.StatusCode != http.StatusOK {
+			t.Errorf("the request behind the long answer: %v, %v", r, err)
+		}
+	})
+}
