--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -321,6 +321,18 @@
 // coldShare returns the number of requests per second that this instance may send to a cold server.
 func (d *director) coldShare(now time.Time, s *server) int {
 	service := d.snapshot.Config.Services[s.entry.Service]
+	bound := coldstart.Bound(service.ColdPerSecond, d.bounds.ColdOvershoot, d.bounds.ColdSlack)
+	if s.share.snapshot != d.snapshot || s.share.bound != bound {
+		s.share = coldShare{snapshot: d.snapshot, bound: bound, value: d.computeColdShare(s, bound)}
+	}
+	if now.Sub(d.started) < coldstart.DiscoveryTime {
+		return coldstart.StartupShare(bound, s.share.value)
+	}
+	return s.share.value
+}
+
+// computeColdShare divides the bound among the instances of the server's region.
+func (d *director) computeColdShare(s *server, bound float64) int {
 	names := []string{d.self.Name}
 	for _, i := range d.snapshot.Instances {
 		if i.Place.Region == s.entry.Place.Region && i.Name != d.self.Name {
@@ -330,12 +342,7 @@
 	if s.distance == placement.OtherRegion {
 		names = names[1:]
 	}
-	bound := coldstart.Bound(service.ColdPerSecond, d.bounds.ColdOvershoot, d.bounds.ColdSlack)
-	share := coldstart.Share(bound, s.entry.ID, d.self.Name, names)
-	if now.Sub(d.started) < coldstart.DiscoveryTime {
-		return coldstart.StartupShare(bound, share)
-	}
-	return share
+	return coldstart.Share(bound, s.entry.ID, d.self.Name, names)
 }
 
 // grant assigns the chosen server to the copy and answers the placement.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -76,10 +76,19 @@
 	typicalSlowdown float64
 	// score is the success rate of recent copies.
 	score outlier.Score
+	// share is this instance's share of the requests to the server while it is cold.
+	share coldShare
 	// coldMeter counts the requests sent to the server while it is cold.
 	coldMeter coldstart.Meter
 }
 
+// coldShare is a share of the requests to a cold server, which holds for a snapshot and a bound.
+type coldShare struct {
+	snapshot *Snapshot
+	bound    float64
+	value    int
+}
+
 // report is the load that a server reported, in an answer or a health check.
 type report struct {
 	at                      time.Time
