Forget what is known of a kind when its revision never was in the store

When an answer with a revision that the store never reached is disproved, the objects are listed again, but the kind still counted as covered up to that revision, so that no missed change of it would have been noticed.

Change: the revision is forgotten with the objects. A test bounds the calls after such an answer; it fails if the suspicion outlives the next answer.

--- a/internal/decide/news/revisions.go
+++ b/internal/decide/news/revisions.go
@@ -33,6 +33,9 @@
 	}
 }
 
+// Forget withdraws what is known of a kind.
+func (r *Revisions) Forget(kind string) { delete(r.known, kind) }
+
 // Covers reports whether all changes of a kind up to a revision of the store are known: the kind has been read there, or each
 // revision since is a known change.
 func (r *Revisions) Covers(kind string, revision uint64) bool {
--- a/internal/decide/news/revisions_test.go
+++ b/internal/decide/news/revisions_test.go
@@ -35,4 +35,9 @@
 	if !r.Covers("config", 10019) {
 		t.Error("a kind is not covered after it was read again")
 	}
+	r.Forget("config")
+	r.Known("config", 0)
+	if r.Covers("config", 1) {
+		t.Error("a kind that was forgotten is covered")
+	}
 }
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -268,6 +268,7 @@
 	cached := b.cache.ofKind(u.kind)
 	if u.disproved > 0 && cached.unchangedSince <= u.disproved && u.disproved <= cached.revision {
 		cached.revision = 0 // any list is newer than a state that never was in the store
+		b.revisions.Forget(string(u.kind))
 	}
 	changes, ok := cached.apply(&u)
 	if !ok {
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -211,3 +211,24 @@
 		}
 	}
 }
+
+// Guards against rare kinds that are listed every second because of a revision that the store never reaches.
+func TestUnreachableRevisionIsSettledByList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFeedTest(t)
+		f.start(ctx)
+		time.Sleep(time.Second)
+		f.store.shownRevision.Store(1 << 40)
+		time.Sleep(time.Second)
+		f.store.shownRevision.Store(0)
+		time.Sleep(2 * time.Second)
+		calls := f.store.calls.Load()
+		time.Sleep(20 * time.Second)
+		if made := f.store.calls.Load() - calls; made > 40 { // two calls a second
+			t.Errorf("%d calls in 20 s", made)
+		}
+		f.expectChangesInTime()
+	})
+}
