--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -220,10 +220,15 @@
 		f := newFeedTest(t)
 		f.start(ctx)
 		time.Sleep(time.Second)
-		f.store.shownRevision.Store(1 << 40)
-		time.Sleep(time.Second)
-		f.store.shownRevision.Store(0)
-		time.Sleep(2 * time.Second)
+		u := f.list(objectapi.Backends)
+		u.revision = 1 << 40
+		reply := make(chan uint64, 1)
+		u.reply = reply
+		if err := f.board.inbox.Send(ctx, u); err != nil {
+			t.Fatal(err)
+		}
+		<-reply
+		time.Sleep(3 * time.Second)
 		calls := f.store.calls.Load()
 		time.Sleep(20 * time.Second)
 		if made := f.store.calls.Load() - calls; made > 40 { // two calls a second
