Let the test of a stop under load begin with an instance that records claims

Cause: the test failed now and then with "not-run" for each request, on any code. An instance is ready before the owners of all claims have settled, and refuses once-only requests until then, in one run for all of 9,996 requests in 3 s. The refusals are right: nothing ran. The test counts on answers, so its start was wrong and not its checks.

Change: it waits until a once-only request is answered, and each caller counts as started with its first answer instead of its first outcome. The checks are the same: six answers or more, none unknown, an exit without an error.

--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -15,6 +15,7 @@
 	"runtime/pprof"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -253,6 +254,8 @@
 	s := startSite(t)
 	fleet := startFleet(t, s, "1s")
 	stopping := fleet[0]
+	// An instance is ready before the owners of all claims have settled; it refuses once-only requests until then.
+	await(t, "a once-only request is answered", func() bool { return send(http.DefaultClient, stopping.addresses.Callers, "first") == answered })
 	const callers = 6
 	results := make(chan string, 10_000)
 	ended := make(chan struct{}, callers)
@@ -260,12 +263,15 @@
 	for c := range callers {
 		go func() {
 			defer func() { ended <- struct{}{} }()
+			reportAnswered := sync.OnceFunc(func() { firstAnswered <- struct{}{} })
+			defer reportAnswered() // a caller without an answer must not keep the test waiting
 			client := &http.Client{Transport: &http.Transport{}}
 			defer client.CloseIdleConnections()
 			for i := 0; i < cap(results)/callers && stopping.ready(); i++ {
-				results <- send(client, stopping.addresses.Callers, fmt.Sprintf("stop-%d-%d", c, i))
-				if i == 0 {
-					firstAnswered <- struct{}{}
+				outcome := send(client, stopping.addresses.Callers, fmt.Sprintf("stop-%d-%d", c, i))
+				results <- outcome
+				if outcome == answered {
+					reportAnswered()
 				}
 			}
 		}()
