Use up no trial of a condemned request while the store is silent

A trial counted when it was claimed, also if the store did not answer; after six claims no further one was made until the marks expired.

Change: a trial counts when this instance or another one has claimed it. One claim is made in two seconds.

Evidence: TestTrialsAreNotUsedUpWhileStoreIsSilent failed before: no trial after the store was back.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/hex"
 	"log/slog"
+	"maps"
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/charts"
 	"fuchsiahub.example/fuchsiahub/internal/backend"
 	"fuchsiahub.example/fuchsiahub/internal/call"
 	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
+	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 	"fuchsiahub.example/fuchsiahub/internal/task"
@@ -29,6 +31,8 @@
 	maxStrikeWrites = 4
 	// trialClaimTimeout bounds the wait of a request for the claim of its trial, many times the 4 ms of a call of the store.
 	trialClaimTimeout = 250 * time.Millisecond
+	// trialClaimInterval is the minimum time between two claims for one fingerprint, for example while the store is silent.
+	trialClaimInterval = 2 * time.Second
 )
 
 // crashDetector is the part of the director that detects requests that crash backend servers. Strikes (crashes attributed to
@@ -205,10 +209,11 @@
 // continues with the outcome. It returns false if the request is to be refused.
 func (d *director) claimTrial(ctx context.Context, now time.Time, m placeRequest) bool {
 	trial, due := d.crashes.quarantine.NextTrial(now, m.fingerprint)
-	if !due || d.claim == nil {
+	maps.DeleteFunc(d.claimedAt, func(_ quarantine.Fingerprint, at time.Time) bool { return now.Sub(at) >= trialClaimInterval })
+	if _, claimed := d.claimedAt[m.fingerprint]; !due || claimed || d.claim == nil {
 		return false
 	}
-	d.crashes.quarantine.StartTrial(now, trial)
+	d.claimedAt[m.fingerprint] = now
 	claim, inbox := d.claim, d.inbox
 	go func() {
 		claimCtx, cancel := context.WithTimeout(ctx, trialClaimTimeout)
@@ -224,8 +229,10 @@
 	f := m.trial.Fingerprint
 	d.log.Info("trial of a request whose equals crashed backend servers", "request", m.placement.id,
 		"fingerprint", hex.EncodeToString(f[:]), "number", m.trial.Number, "runs", m.err == nil, "error", m.err)
+	if m.err == nil || fault.Is(m.err, fault.Conflict) {
+		d.crashes.quarantine.StartTrial(now, m.trial) // here or at another instance
+	}
 	if m.err != nil {
-		d.crashes.quarantine.EndTrial(now, f)
 		d.refuseCondemned(now, &m.placement)
 		return
 	}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -158,6 +158,35 @@
 	})
 }
 
+// Guards against trials that are used up while the store does not answer, so that a condemned request is refused for long after.
+func TestTrialsAreNotUsedUpWhileStoreIsSilent(t *testing.T) {
+	for _, failure := range []string{"silent", "refuses"} {
+		synctest.Test(t, func(t *testing.T) {
+			store := newFakeStore()
+			f := quarantine.Fingerprint{1}
+			putStrikes(store, f, time.Now().Add(-time.Minute))
+			q := newQuarantineTest(t, store)
+			time.Sleep(100 * time.Millisecond)
+			store.setFailures(map[objectapi.Kind]string{objectapi.Strikes: failure})
+			calls := store.calls.Load()
+			for range 60 {
+				if q.place(f) != nil {
+					t.Error("a trial runs without a claim")
+				}
+				time.Sleep(250 * time.Millisecond)
+			}
+			if made := store.calls.Load() - calls; made > 40 { // two calls a second
+				t.Errorf("%d calls in 20 s", made)
+			}
+			store.setFailures(nil)
+			time.Sleep(trialClaimInterval)
+			if q.place(f) == nil {
+				t.Error("no request is let through as a trial after the store is back")
+			}
+		})
+	}
+}
+
 // Guards against a trial that another crash does not end: the request crashes each server that runs it.
 func TestTrialThatCrashesServerConfirmsStrikes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -117,7 +117,10 @@
 	poolFactory *backend.PoolFactory
 	crashes     *crashDetector
 	// claim claims a trial for this instance; nil claims none.
-	claim    func(context.Context, quarantine.Trial) error
+	claim func(context.Context, quarantine.Trial) error
+	// claimedAt is when a trial was last claimed for a fingerprint.
+	claimedAt map[quarantine.Fingerprint]time.Time
+
 	log      *slog.Logger
 	counters *counters
 
@@ -140,6 +143,7 @@
 		timing: settings.Timing, tuning: placement.DefaultTuning(),
 		poolFactory: poolFactory, crashes: crashes, log: log, counters: counters, started: time.Now(),
 		snapshot: &Snapshot{View: &fleet.View{}}, servers: map[string]*server{},
+		claimedAt:    map[quarantine.Fingerprint]time.Time{},
 		serviceTimes: map[string]*placement.ServiceTime{}, budgets: map[string]*resend.Budget{},
 	}
 }
