--- a/charts/params.go
+++ b/charts/params.go
@@ -21,9 +21,9 @@
 		"zone_return":   10 * time.Second,
 		"strike_expiry": 10 * time.Minute,
 		// Longer than a request that runs alone may take.
-		"trial_limit":   30 * time.Second,
-		"down_time":     1 * time.Second,
-		"audit_pause":   10 * time.Second,
+		"trial_limit": 30 * time.Second,
+		"down_time":   1 * time.Second,
+		"audit_pause": 10 * time.Second,
 		// Longer than the dial with which the instance that lost a connection checks the server.
 		"examine": 2 * time.Second,
 		// A broken connection counts as a crash only if the server refuses another connection, or reports a restart,
