Fix the order of the requests in the test of broken answers

Its three requests run concurrently over one connection to the server, and the second could get the broken answer, whose stream then held the connection until the deadline while the first waited for it.

Change: the second and third are sent when the server has the first.

--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -422,9 +422,12 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			requests := 0
+			var begun, allSent chan struct{}
 			withStream(t, func(c net.Conn) {
 				requests++
 				if requests == 1 {
+					close(begun)
+					<-allSent
 					text := longBody[:len(longBody)/2]
 					if name == "chunked" {
 						text = chunk(longBody)[:len(longBody)/2]
@@ -435,9 +438,17 @@
 				}
 				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 			}, func(s *streamTest) {
-				go func() {
-					_, _ = io.WriteString(s.caller, strings.Repeat("GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n", 3))
-				}()
+				begun, allSent = make(chan struct{}), make(chan struct{})
+				send := func(count int) {
+					if _, err := io.WriteString(s.caller, strings.Repeat("GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n", count)); err != nil {
+						t.Fatal(err)
+					}
+					synctest.Wait()
+				}
+				send(1)
+				<-begun
+				send(2)
+				close(allSent)
 				for n, want := range []int{http.StatusBadGateway, http.StatusOK, http.StatusOK} {
 					r, err := http.ReadResponse(s.reader, nil)
 					if err != nil {
