Accept the connections that wait when a planned stop closes the listener

Cause: the kernel resets connections that were opened and not accepted when the listener is closed, with the requests that have been sent on them. On a busy machine many wait.

Change: the stop ends the wait for connections by a deadline; the accepting goroutine takes those that wait and then closes the listener.

--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -20,6 +20,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/decide/dispatch"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/task"
+	"fuchsiahub.example/fuchsiahub/internal/tcp"
 )
 
 const (
@@ -677,6 +678,39 @@
 	}
 }
 
+// Guards against a planned stop that resets connections which were opened and not accepted when the listener is closed, with the
+// requests that have been sent on them (soak of kept connections, seed 6 beside load).
+func TestPlannedStopAcceptsWaitingConnections(t *testing.T) {
+	listener, err := tcp.Listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const count = 20
+	for range count {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+	}
+	g := &Gateway{listener: listener, closingIdle: make(chan struct{}), inbox: task.NewMailbox[any]("gateway", 2*count)}
+	g.closeIdle()
+	g.accept(t.Context()) // it runs late
+	accepted := 0
+	for g.inbox.Len() > 0 {
+		if m, ok := (<-g.inbox.C()).(acceptEvent); ok {
+			accepted++
+			_ = m.conn.Close()
+		}
+	}
+	if accepted != count {
+		t.Errorf("%d of %d waiting connections are accepted", accepted, count)
+	}
+	if _, err := net.Dial("tcp", listener.Addr().String()); err == nil {
+		t.Error("the listener is not closed")
+	}
+}
+
 // Guards against a planned stop that drops requests which were read together with an earlier one.
 func TestPlannedStopAnswersBufferedRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -173,8 +174,11 @@
 	}
 }
 
+// closeIdle ends the wait for connections; those that have been opened are still accepted.
 func (g *Gateway) closeIdle() {
-	_ = g.listener.Close() // the error of a second close can be ignored
+	if limited, ok := g.listener.(interface{ SetDeadline(time.Time) error }); !ok || limited.SetDeadline(time.Unix(1, 0)) != nil {
+		_ = g.listener.Close() // the accepting goroutine notices
+	}
 	close(g.closingIdle)
 }
 
@@ -406,16 +410,23 @@
 	_ = g.board.inbox.Send(ctx, boundsUpdate{bounds: s.Bounds})    // same
 }
 
-// accept passes connections to the gateway task until the listener is closed.
+// accept passes connections to the gateway task until the listener is closed or idle connections are.
 func (g *Gateway) accept(ctx context.Context) {
 	defer func() { _ = g.inbox.Send(ctx, acceptEnd{}) }() // fails only at the end of the process
+	pass := func(conn net.Conn) {
+		if g.inbox.Send(ctx, acceptEvent{conn: conn}) != nil {
+			_ = conn.Close() // the process is ending
+		}
+	}
 	for {
 		conn, err := g.listener.Accept()
 		switch {
 		case err == nil:
-			if g.inbox.Send(ctx, acceptEvent{conn: conn}) != nil {
-				_ = conn.Close() // the process is ending
-			}
+			pass(conn)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			tcp.AcceptRest(g.listener, pass)
+			_ = g.listener.Close() // nobody else uses it
+			return
 		case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
 			return
 		default:
