--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -43,15 +43,35 @@
 	}
 }
 
-// callerListener accepts connections that are not closed as idle once a request has begun.
+// callerListener accepts connections that are not closed as idle once a request has begun. It is used by one goroutine. When
+// its deadline has passed it is closed, after the connections that have been opened were accepted.
 type callerListener struct {
 	net.Listener
 	connections *callerConnections
+	// rest holds connections that were opened before the listener was closed.
+	rest []net.Conn
+}
+
+// limitedListener is a listener whose deadline is that of another one, on which it is built.
+type limitedListener struct {
+	net.Listener
+	base net.Listener
+}
+
+// SetDeadline sets the deadline of Accept.
+func (l limitedListener) SetDeadline(t time.Time) error { return setDeadline(l.base, t) }
+
+// setDeadline sets the deadline of Accept, if the listener has one.
+func setDeadline(listener net.Listener, t time.Time) error {
+	if limited, ok := listener.(interface{ SetDeadline(time.Time) error }); ok {
+		return limited.SetDeadline(t)
+	}
+	return errors.ErrUnsupported
 }
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.next()
 	if err != nil {
 		return nil, err
 	}
@@ -62,6 +82,23 @@
 	return c, nil
 }
 
+// next returns the next connection.
+func (l *callerListener) next() (net.Conn, error) {
+	if len(l.rest) == 0 {
+		conn, err := l.Listener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+		tcp.AcceptRest(l.Listener, func(conn net.Conn) { l.rest = append(l.rest, conn) })
+		if err := l.Close(); err != nil || len(l.rest) == 0 {
+			return nil, net.ErrClosed
+		}
+	}
+	conn := l.rest[0]
+	l.rest = l.rest[1:]
+	return conn, nil
+}
+
 // callerConn is a connection of a caller. The server of net/http takes it for idle until the head of a request is complete,
 // and its Shutdown drops requests that it has just read. So the stop of a connection only ends a read that waits for the
 // first byte of a request; the goroutine that reads then closes the connection, or serves the request that has begun. The
--- a/internal/daemon/drain_test.go
+++ b/internal/daemon/drain_test.go
@@ -425,3 +425,39 @@
 		}
 	})
 }
+
+// Guards against connections that are reset by a stop, because they were opened and not accepted yet.
+func TestStopAcceptsWaitingConnections(t *testing.T) {
+	for _, built := range []bool{false, true} { // TLS builds a listener on another one
+		base, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		var listener net.Listener = base
+		if built {
+			listener = limitedListener{Listener: struct{ net.Listener }{base}, base: base}
+		}
+		const count = 20
+		for range count {
+			conn, err := net.Dial("tcp", base.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+		}
+		if err := setDeadline(listener, time.Unix(1, 0)); err != nil {
+			t.Fatal(err)
+		}
+		l := &callerListener{Listener: listener, connections: newCallerConnections()}
+		for n := range count {
+			conn, err := l.Accept()
+			if err != nil {
+				t.Fatalf("connection %d of %d is not accepted: %v", n+1, count, err)
+			}
+			_ = conn.Close()
+		}
+		if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+			t.Errorf("the listener is not closed: %v", err)
+		}
+	}
+}
--- a/internal/daemon/web.go
+++ b/internal/daemon/web.go
@@ -53,7 +53,7 @@
 	d.httpServers.callers.TLSConfig = tlsConfig
 	d.httpServers.listeners.callers, d.httpServers.listeners.operations = d.callers, d.operations
 	if tlsConfig != nil {
-		d.httpServers.listeners.callers = tls.NewListener(d.callers, tlsConfig)
+		d.httpServers.listeners.callers = limitedListener{Listener: tls.NewListener(d.callers, tlsConfig), base: d.callers}
 	}
 	return nil
 }
@@ -106,7 +106,9 @@
 // drain closes the listener for callers and returns when no request is in flight.
 func (s *httpServers) drain(ctx context.Context) error {
 	s.connections.stop()
-	_ = s.listeners.callers.Close() // the server reports errors of the listener
+	if setDeadline(s.listeners.callers, time.Unix(1, 0)) != nil {
+		_ = s.listeners.callers.Close() // the server reports errors of the listener
+	}
 	return s.connections.wait(ctx)
 }
 
