Log and count a configuration that is older than it may be

Only the age of the entries of servers was a metric.

No decision depends on it.

TestOldConfigurationIsLogged passes; it fails without the check in reportAges.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -45,12 +45,15 @@
 	subscribers []func(*Snapshot)
 	source      *newsSource
 	decoder     *configDecoder
+	staleness   *staleness
 	// onStrike is called for each strike (a crash of a backend server attributed to a request) that was found in the store,
 	// or that is withdrawn because it was removed there. onTrial is called for each claim of a trial.
 	onStrike func(s quarantine.Strike, withdrawn bool)
 	onTrial  func(quarantine.Trial)
-	// onDataAge is called regularly with the age of the entries of backend servers.
-	onDataAge func(time.Duration)
+	// onDataAge is called regularly with the age of the objects of a kind.
+	onDataAge func(objectapi.Kind, time.Duration)
+	// onStale is called when the configuration or the evacuations become older than they may be.
+	onStale func()
 	// onInvalid is called for each revision of an object that is not valid.
 	onInvalid func()
 	// onUnregistered is called when the entry of this instance is missing from the store or differs.
@@ -121,7 +124,7 @@
 		outdated:        map[string]outdatedEntry{},
 		unansweredKinds: map[objectapi.Kind]bool{}, invalidRevisions: map[objectKey]uint64{},
 		totalSuspension: suspension.Total, countedSuspension: suspension.Total(),
-		onInvalid: func() {},
+		onInvalid: func() {}, onStale: func() {},
 	}
 }
 
@@ -130,7 +133,7 @@
 	for {
 		b.applySuspension()
 		now := time.Now()
-		b.onDataAge(b.source.dataAge(now))
+		b.reportAges(now)
 		b.listMissedChanges(now)
 		b.source.checkSource(ctx, now)
 		timer := time.NewTimer(min(b.nextLapse(), ageCheckInterval))
@@ -149,6 +152,32 @@
 	}
 }
 
+// reportAges reports the ages of the known objects.
+func (b *board) reportAges(now time.Time) {
+	b.onDataAge(objectapi.Backends, b.source.dataAge(now))
+	for _, kind := range rareKinds {
+		b.onDataAge(kind, b.ageOf(kind, now))
+	}
+	b.staleness.check(now)
+}
+
+// ageOf returns the age of the known objects of a kind, counted from the start of the instance while none are known. The
+// configuration in force may be older; see configAge.
+func (b *board) ageOf(kind objectapi.Kind, now time.Time) time.Duration {
+	if asOf := b.asOf[kind]; !asOf.IsZero() {
+		return now.Sub(asOf)
+	}
+	return now.Sub(b.source.started)
+}
+
+// configAge returns the age of the configuration in force.
+func (b *board) configAge(now time.Time) time.Duration {
+	if b.configAsOf.IsZero() {
+		return now.Sub(b.source.started)
+	}
+	return now.Sub(b.configAsOf)
+}
+
 // minSuspension is the minimum time that counts as a suspension. Shorter differences are within the inaccuracy of the
 // clocks.
 const minSuspension = 10 * time.Millisecond
@@ -217,6 +246,7 @@
 		m.reply <- b.fleetEntries(now)
 	case boundsUpdate:
 		b.source.limits = news.NewAgeLimits(m.bounds.Drain)
+		b.staleness.setBound(m.bounds.ConfigApply)
 	}
 }
 
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -241,7 +241,7 @@
 	log := slog.New(slog.DiscardHandler)
 	snapshots := &SnapshotPublisher{}
 	b := newBoard(fakeSchema{}, snapshots, log)
-	b.onUnregistered, b.onDataAge = func() {}, func(time.Duration) {}
+	b.onUnregistered, b.onDataAge = func() {}, func(objectapi.Kind, time.Duration) {}
 	b.onStrike, b.onTrial = func(quarantine.Strike, bool) {}, func(quarantine.Trial) {}
 	settings := &Settings{Bounds: Bounds{Drain: 2 * time.Second}}
 	var err error
@@ -249,6 +249,9 @@
 		settings, nil); err != nil {
 		t.Fatal(err)
 	}
+	if b.staleness, err = newStaleness(b, settings.Bounds.ConfigApply); err != nil {
+		t.Fatal(err)
+	}
 	for _, kind := range followedKinds {
 		f, err := newFeed(kind, b.source.limits.Period, "edge-1", store, b.inbox, log)
 		if err != nil {
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 )
 
 // counters holds the metrics of a gateway. The types of go-metrics may be used by any task.
@@ -25,8 +27,11 @@
 	invalidObjects metrics.Counter
 	// callers is the number of open caller connections, placing the number of placements that wait for load reports.
 	callers, placing metrics.Gauge
-	// newsAge is the age of the known entries of backend servers, in milliseconds.
-	newsAge metrics.Gauge
+	// newsAge, configAge and evacuationsAge are the ages of the known entries of backend servers, of the known configuration
+	// and of the known evacuations, in milliseconds.
+	newsAge, configAge, evacuationsAge metrics.Gauge
+	// configOverdue counts how often the configuration or the evacuations became older than they may be.
+	configOverdue metrics.Counter
 	// time is the time that answered requests spent at this instance, in microseconds.
 	time metrics.Histogram
 	// takeup is the time from when a request was read until its connection's task took it up, in microseconds.
@@ -60,6 +65,9 @@
 		callers:        metrics.GetOrRegisterGauge("gateway.callers", registry),
 		placing:        metrics.GetOrRegisterGauge("gateway.placing", registry),
 		newsAge:        metrics.GetOrRegisterGauge("gateway.news_age_ms", registry),
+		configAge:      metrics.GetOrRegisterGauge("gateway.config_age_ms", registry),
+		evacuationsAge: metrics.GetOrRegisterGauge("gateway.evacuations_age_ms", registry),
+		configOverdue:  metrics.GetOrRegisterCounter("gateway.config_overdue", registry),
 		time: metrics.GetOrRegisterHistogram("gateway.time_us", registry,
 			metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)),
 		takeup: metrics.GetOrRegisterHistogram("gateway.takeup_us", registry,
@@ -67,6 +75,18 @@
 	}
 }
 
+// recordAge records the age of the known objects of a kind.
+func (c *counters) recordAge(kind objectapi.Kind, age time.Duration) {
+	gauge := c.newsAge
+	switch kind {
+	case objectapi.Configuration:
+		gauge = c.configAge
+	case objectapi.Evacuations:
+		gauge = c.evacuationsAge
+	}
+	gauge.Update(age.Milliseconds())
+}
+
 // refuse counts a refusal and its reason.
 func (c *counters) refuse(r reason) {
 	c.refused.Inc(1)
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/charts"
@@ -122,10 +123,31 @@
 	unreadable int
 	// disproved is a revision after which changes were read and that the store has not reached.
 	disproved uint64
+	// newestStatus is what the feed waits for. The feed stores it; any task may read it.
+	newestStatus atomic.Pointer[feedStatus]
 	// noWait is true if the next call asks for an answer at once, since the last one was interrupted.
 	noWait bool
 }
 
+// feedStatus is what a feed waits for, and since when. It is immutable.
+type feedStatus struct {
+	// waitsFor is "assignment", "list", "changes" or "backoff".
+	waitsFor string
+	since    time.Time
+}
+
+// status returns what the feed waits for.
+func (f *feed) status() feedStatus {
+	if s := f.newestStatus.Load(); s != nil {
+		return *s
+	}
+	return feedStatus{}
+}
+
+func (f *feed) setStatus(waitsFor string) {
+	f.newestStatus.Store(&feedStatus{waitsFor: waitsFor, since: time.Now()})
+}
+
 func newFeed(kind objectapi.Kind, period time.Duration, name string, store Store, board *task.Mailbox[any],
 	log *slog.Logger) (*feed, error) {
 	ch, err := charts.Load("feed", nil)
@@ -149,6 +171,7 @@
 		assignments: make(chan assignment, 1), interrupt: make(chan struct{}, 1), doubt: make(chan struct{}, 1),
 		totalSuspension: suspension.Total,
 	}
+	f.setStatus("assignment")
 	f.machine = bound.New(time.Now(), f)
 	return f, nil
 }
@@ -205,6 +228,7 @@
 
 // awaitAssignment waits for the next assignment.
 func (f *feed) awaitAssignment(ctx context.Context) string {
+	f.setStatus("assignment")
 	select {
 	case a := <-f.assignments:
 		select {
@@ -219,6 +243,7 @@
 
 // readList reads all objects of the kind.
 func (f *feed) readList(ctx context.Context) string {
+	f.setStatus("list")
 	f.callStart, f.suspendedAtCall = time.Now(), f.totalSuspension()
 	objects, revision, err := f.store.List(ctx, f.kind)
 	if err != nil {
@@ -243,6 +268,7 @@
 	if f.failures > 0 || f.noWait {
 		wait = 0 // an answer at once shows what the store holds now
 	}
+	f.setStatus("changes")
 	f.callStart, f.suspendedAtCall = time.Now(), f.totalSuspension()
 	call, done := f.interruptible(ctx)
 	events, revision, err := f.store.Changes(call, f.kind, f.revision, wait)
@@ -357,6 +383,7 @@
 	if f.kind != objectapi.Backends && f.failures > 1 {
 		wait = outageBackoff/2 + rand.N(outageBackoff)
 	}
+	f.setStatus("backoff")
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,7 +125,7 @@
 		return err
 	}
 	g.board.onUnregistered = g.requestRegistration
-	g.board.onDataAge = func(age time.Duration) { g.counters.newsAge.Update(age.Milliseconds()) }
+	g.board.onDataAge, g.board.onStale = g.counters.recordAge, func() { g.counters.configOverdue.Inc(1) }
 	g.board.onInvalid = func() { g.counters.invalidObjects.Inc(1) }
 	g.director = newDirector(g.self, &g.settings, poolFactory, crashes, g.log, g.counters)
 	requests, err := newForwarder(g.snapshots, g.director.inbox, g.dialect, g.stop, newBodyBudget(g.settings.Memory), g.log, g.counters)
@@ -302,6 +302,9 @@
 	if err != nil {
 		return err
 	}
+	if g.board.staleness, err = newStaleness(g.board, g.settings.Bounds.ConfigApply); err != nil {
+		return err
+	}
 	for _, kind := range followedKinds {
 		f, err := newFeed(kind, g.board.source.limits.Period, g.self.Name, g.store, g.board.inbox, g.log)
 		if err != nil {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -70,6 +70,8 @@
 type Bounds struct {
 	// Drain is the time after which a leaving backend server gets no new request.
 	Drain time.Duration
+	// ConfigApply is the time after which a confirmed configuration is in force everywhere; zero means 2 s.
+	ConfigApply time.Duration
 	// Grace is the time between the stop signal and the kill of the process.
 	Grace time.Duration
 	// ResendRatio, ResendWindow and ResendSlack limit the resends of all instances together; see package resend.
--- /dev/null
+++ b/internal/gateway/staleness_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"fuchsiahub.example/fuchsiahub/internal/fleet"
+	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+)
+
+// Guards against an instance whose configuration is old without a line that says so, why, and what its feed waits for, and
+// against such a line at each check.
+func TestOldConfigurationIsLogged(t *testing.T) {
+	for _, c := range []struct {
+		failing []objectapi.Kind
+		reason  string
+	}{
+		{followedKinds, "store does not answer"},
+		{[]objectapi.Kind{objectapi.Configuration}, "store answers calls for other kinds only"},
+	} {
+		t.Run(c.reason, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				f := newFeedTest(t)
+				var out bytes.Buffer
+				f.board.log = slog.New(slog.NewJSONHandler(&out, nil))
+				stale := 0
+				f.board.onStale = func() { stale++ }
+				f.start(ctx)
+				time.Sleep(time.Second)
+				failures := map[objectapi.Kind]string{}
+				for _, kind := range c.failing {
+					failures[kind] = "silent"
+				}
+				f.store.setFailures(failures)
+				f.store.put(objectapi.Configuration, configObject, fleet.Config{Version: 2}) // answers the call that waits
+				time.Sleep(500 * time.Millisecond)
+				f.store.put(objectapi.Configuration, configObject, fleet.Config{Version: 3})
+				time.Sleep(12 * time.Second)
+				f.store.setFailures(nil)
+				time.Sleep(2 * time.Second)
+				cancel()
+				synctest.Wait()
+				lines := strings.Count(out.String(), "configuration or evacuations are older than they may be")
+				if lines < 2 || lines > 3 || stale != 1 {
+					t.Errorf("%d lines in 10 s and %d times, want one each 5 s and one time", lines, stale)
+				}
+				for _, part := range []string{`"reason":"` + c.reason + `"`, `"config_feed":"`, `"config_from":"edge-1"`, `"source":"reading"`,
+					"configuration and evacuations are recent again"} {
+					if !strings.Contains(out.String(), part) {
+						t.Errorf("the log does not contain %s:\n%s", part, out.String())
+					}
+				}
+			})
+		})
+	}
+}
