--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -65,13 +65,18 @@
 	receivedAt, deadline time.Time
 }
 
+// newsClient asks peers for store updates.
+type newsClient interface {
+	News(ctx context.Context, address string, in *peerpb.NewsRequest) (*peerpb.NewsReply, error)
+}
+
 // newsSource is the part of the board that decides whether store updates come from the store itself or from a peer. It is
 // the context of charts/news.toml.
 type newsSource struct {
 	board  *board
 	self   fleet.Instance
 	limits news.AgeLimits
-	client *peer.Client
+	client newsClient
 	sender *peerpb.Sender
 	// seeds are the addresses of the peers named in the settings.
 	seeds []string
@@ -95,7 +100,7 @@
 	heldRequests []heldRequest
 }
 
-func newNewsSource(b *board, self fleet.Instance, settings *Settings, client *peer.Client) (*newsSource, error) {
+func newNewsSource(b *board, self fleet.Instance, settings *Settings, client newsClient) (*newsSource, error) {
 	ch, err := charts.Load("news", nil)
 	if err != nil {
 		return nil, err
