Judge a peer by the age of its configuration within the bound for changes

Cause: instances judged a reader by its news of servers. On the configuration counted from an age of 2.7 s on, more than the 2 s in which a change has to be in force.

Change: limits for the configuration and the evacuations that derive from the time for a change (configApplyS) and from the rank, as those for servers do: 1.35 to 1.7 s at 2 s. A second peer is asked before. A peer is enough only if its reply itself holds a recent state of both kinds: what this instance has read must not make an old peer look current, nor may a reply without them. The period of reads derives from the shorter of the two bounds.

The replies of two older tests lacked kinds that each peer sends; they have them now.

--- a/internal/decide/news/news.go
+++ b/internal/decide/news/news.go
@@ -18,8 +18,9 @@
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 )
 
-// AgeLimits holds the limits for the age of news. All are derived from the drain time: the time after which a draining
-// backend server must not get new requests.
+// AgeLimits holds the limits for the age of news. Those for backend servers are derived from the drain time: the time after
+// which a draining backend server must not get new requests. Those for kinds that change rarely, the configuration and the
+// evacuations, are derived from the time within which a confirmed configuration has to be in force.
 type AgeLimits struct {
 	// Period is the maximum time between two reads of the store by a reader.
 	Period time.Duration
@@ -31,9 +32,11 @@
 	RankStep time.Duration
 	// MaxLimit is the maximum limit of any rank.
 	MaxLimit time.Duration
-	// RareLimit is the age of the configuration and of evacuations above which news of a peer is not enough, although its
-	// news of servers is recent.
-	RareLimit time.Duration
+	// RareAskNext is AskNext for rare kinds.
+	RareAskNext time.Duration
+	// RareBaseLimit and RareMaxLimit are BaseLimit and MaxLimit for rare kinds. Above them, news of a peer is not enough although
+	// its news of servers is recent.
+	RareBaseLimit, RareMaxLimit time.Duration
 }
 
 const (
@@ -46,28 +49,44 @@
 	rankStep     = 60 * time.Millisecond
 	// readReserve is the part of the drain time that is left for one read after the maximum limit.
 	readReserve = 300 * time.Millisecond
-	// rareSlack is how much older than MaxLimit rare kinds may be: a missed change is noticed and read again in this time.
-	rareSlack = time.Second
-	// defaultDrain is the default drain time.
+	// rareSlack is how much older than servers rare kinds may be: a reader lists them in this time when their changes may have
+	// been missed.
+	rareSlack = 300 * time.Millisecond
+	// defaultDrain is the default drain time, defaultApply the default time for a configuration.
 	defaultDrain = 2 * time.Second
+	defaultApply = 2 * time.Second
 )
 
-// NewAgeLimits derives the limits from a drain time. A drain time of zero or less means the default.
-func NewAgeLimits(drain time.Duration) AgeLimits {
+// NewAgeLimits derives the limits from the drain time and the time within which a confirmed configuration has to be in force.
+// A time of zero or less means the default.
+func NewAgeLimits(drain, apply time.Duration) AgeLimits {
 	if drain <= 0 {
 		drain = defaultDrain
 	}
-	period := time.Duration(periodFraction * float64(drain))
-	maxLimit := max(drain-readReserve, period+limitSlack)
+	if apply <= 0 {
+		apply = defaultApply
+	}
+	period := time.Duration(periodFraction * float64(min(drain, apply)))
+	base := period + limitSlack
+	rareBase := max(min(base+rareSlack, apply-readReserve-2*rankStep), base)
 	return AgeLimits{
-		Period: period, AskNext: period + askNextSlack, BaseLimit: period + limitSlack, RankStep: rankStep,
-		MaxLimit: maxLimit, RareLimit: maxLimit + rareSlack,
+		Period: period, AskNext: period + askNextSlack, BaseLimit: base, RankStep: rankStep,
+		MaxLimit:    max(drain-readReserve, base),
+		RareAskNext: rareBase - limitSlack + askNextSlack, RareBaseLimit: rareBase,
+		RareMaxLimit: max(apply-readReserve, rareBase),
 	}
 }
 
 // LimitOf returns the age of news above which an instance of the rank reads the store itself.
-func (l AgeLimits) LimitOf(rank int) time.Duration {
-	return min(l.BaseLimit+time.Duration(max(rank-1, 0))*l.RankStep, l.MaxLimit)
+func (l AgeLimits) LimitOf(rank int) time.Duration { return l.limitOf(rank, l.BaseLimit, l.MaxLimit) }
+
+// RareLimitOf returns the same for rare kinds.
+func (l AgeLimits) RareLimitOf(rank int) time.Duration {
+	return l.limitOf(rank, l.RareBaseLimit, l.RareMaxLimit)
+}
+
+func (l AgeLimits) limitOf(rank int, base, most time.Duration) time.Duration {
+	return min(base+time.Duration(max(rank-1, 0))*l.RankStep, most)
 }
 
 // Position is the position of an instance in the order of its peers. It is immutable.
--- a/internal/decide/news/news_test.go
+++ b/internal/decide/news/news_test.go
@@ -81,7 +81,7 @@
 // store at the same age.
 func TestLimitsStayBelowDrainTime(t *testing.T) {
 	for _, drain := range []time.Duration{0, time.Second, 2 * time.Second, 3 * time.Second, 10 * time.Second} {
-		limits := NewAgeLimits(drain)
+		limits := NewAgeLimits(drain, drain)
 		bound := drain
 		if drain == 0 {
 			bound = defaultDrain
@@ -90,8 +90,11 @@
 			if limit := limits.LimitOf(rank); limit >= bound || limit <= limits.Period {
 				t.Errorf("drain %s, rank %d: news may be %s old, the period is %s", drain, rank, limit, limits.Period)
 			}
+			if limit := limits.RareLimitOf(rank); limit >= bound || limit <= limits.Period {
+				t.Errorf("bound %s, rank %d: the configuration may be %s old, the period is %s", bound, rank, limit, limits.Period)
+			}
 		}
-		if limits.LimitOf(2) <= limits.LimitOf(1) {
+		if limits.LimitOf(2) <= limits.LimitOf(1) || limits.RareLimitOf(2) <= limits.RareLimitOf(1) {
 			t.Errorf("drain %s: ranks 1 and 2 read at the same age", drain)
 		}
 	}
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -245,7 +245,7 @@
 	case entriesRequest:
 		m.reply <- b.fleetEntries(now)
 	case boundsUpdate:
-		b.source.limits = news.NewAgeLimits(m.bounds.Drain)
+		b.source.limits = news.NewAgeLimits(m.bounds.Drain, m.bounds.ConfigApply)
 		b.staleness.setBound(m.bounds.ConfigApply)
 	}
 }
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -516,7 +516,9 @@
 	_, b := newTestBoard(t, newFakeStore())
 	now := time.Now()
 	b.source.seeds = []string{"seed-1", "seed-2"}
-	b.applyUpdate(now, kindUpdate{kind: objectapi.Backends, complete: true, revision: 3, asOf: now, reader: "edge-9"})
+	for _, kind := range append([]objectapi.Kind{objectapi.Backends}, rareKinds...) {
+		b.applyUpdate(now, kindUpdate{kind: kind, complete: true, revision: 3, asOf: now, reader: "edge-9"})
+	}
 	b.source.fire("informed")
 	if asked := b.source.peersToAsk(now); !slices.Equal(asked, []string{"seed-1"}) {
 		t.Errorf("peers asked: %v, want seed-1", asked)
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -193,7 +193,8 @@
 		now := time.Now()
 		news := func(now time.Time) {
 			reply := &peerpb.NewsReply{}
-			for kind, age := range map[objectapi.Kind]time.Duration{objectapi.Configuration: c.configAge, objectapi.Backends: 0} {
+			for kind, age := range map[objectapi.Kind]time.Duration{objectapi.Configuration: c.configAge, objectapi.Evacuations: 0,
+				objectapi.Backends: 0} {
 				reply.Kinds = append(reply.Kinds, &peerpb.KindNews{Kind: string(kind), Whole: true, Revision: 7, Reader: "edge-2",
 					AgeMs: uint32(age.Milliseconds())})
 			}
--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -120,7 +120,7 @@
 		return nil, err
 	}
 	s := &newsSource{
-		board: b, self: self, limits: news.NewAgeLimits(settings.Bounds.Drain), client: client, seedTimeout: seedTimeout,
+		board: b, self: self, limits: news.NewAgeLimits(settings.Bounds.Drain, settings.Bounds.ConfigApply), client: client, seedTimeout: seedTimeout,
 		seeds:  slices.DeleteFunc(slices.Clone(settings.Seeds), func(a string) bool { return a == self.Address }),
 		isSeed: slices.Contains(settings.Seeds, self.Address), feeds: map[objectapi.Kind]*feed{},
 		inFlight: map[string]bool{}, askedAt: map[string]time.Time{}, retryAt: map[string]time.Time{},
@@ -187,7 +187,7 @@
 		if len(s.seeds) == 0 || s.isSeed || now.Sub(s.started) >= s.seedTimeout {
 			s.fire("stale")
 		}
-	case age > s.limits.LimitOf(s.position.Rank), s.rareAge(now) > s.limits.RareLimit:
+	case age > s.limits.LimitOf(s.position.Rank), s.rareAge(now) > s.limits.RareLimitOf(s.position.Rank):
 		s.fire("stale")
 	}
 	for _, address := range s.peersToAsk(now) {
@@ -214,7 +214,7 @@
 		candidates = s.seeds // the first update may predate the entries of all other instances
 	}
 	count := 1
-	if s.dataAge(now) > s.limits.AskNext {
+	if s.dataAge(now) > s.limits.AskNext || s.rareAge(now) > s.limits.RareAskNext {
 		count = 2
 	}
 	return s.availablePeers(now, candidates, count, 0)
@@ -297,6 +297,8 @@
 		s.board.log.Info("peer answers requests for updates again", "peer", m.address)
 		delete(s.retryAt, m.address)
 	}
+	// recent is the number of rare kinds of which the peer knows a recent state, servers its update of the servers.
+	recent, servers := 0, (*kindUpdate)(nil)
 	for _, k := range m.reply.GetKinds() {
 		if !isFollowed(k.GetKind()) {
 			continue
@@ -313,10 +315,16 @@
 		u := m.toKindUpdate(now, k)
 		s.board.adjustForSuspension(&u)
 		s.board.applyUpdate(now, u)
+		if slices.Contains(rareKinds, u.kind) && now.Sub(u.asOf) <= s.limits.RareLimitOf(s.position.Rank) {
+			recent++
+		}
 		if u.kind == objectapi.Backends {
-			s.considerUpdate(now, &u)
+			servers = &u
 		}
 	}
+	if servers != nil && recent == len(rareKinds) {
+		s.considerUpdate(now, servers)
+	}
 }
 
 // isFollowed reports whether a kind that a peer names is one that instances follow. Another release may follow others.
@@ -342,10 +350,10 @@
 	return u
 }
 
-// considerUpdate decides whether an update from a peer makes reading the store unnecessary. Updates that this instance
-// itself read and that came back through a peer do not, nor do recent news of servers with an old configuration.
+// considerUpdate decides whether an update of the servers, from a peer that also knows a recent state of the rare kinds, makes
+// reading the store unnecessary. Updates that this instance itself read and that came back through a peer do not.
 func (s *newsSource) considerUpdate(now time.Time, u *kindUpdate) {
-	if now.Sub(u.asOf) > s.limits.LimitOf(s.position.Rank) || s.rareAge(now) > s.limits.RareLimit || u.reader == s.self.Name {
+	if now.Sub(u.asOf) > s.limits.LimitOf(s.position.Rank) || u.reader == s.self.Name {
 		return
 	}
 	if s.board.storeUnavailable() || s.position.StopsReadingFor(u.reader) {
