Count a configuration that is not known as old

Callers saw refusals at instances that had started beside a reader without a configuration: they learned of servers, counted as informed and never read.

Cause: the age of the configuration and of the evacuations was that of the oldest known one, so one that was not known at all counted as current.

Change: it is older than any limit.

--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -159,13 +159,15 @@
 	return now.Sub(asOf)
 }
 
-// rareAge returns the age of the oldest rare kind that is known.
+// rareAge returns the age of the oldest rare kind. One that is not known yet is older than any limit.
 func (s *newsSource) rareAge(now time.Time) time.Duration {
 	var oldest time.Duration
 	for _, kind := range rareKinds {
-		if asOf := s.board.asOf[kind]; !asOf.IsZero() {
-			oldest = max(oldest, now.Sub(asOf))
+		age := s.board.ageOf(kind, now)
+		if s.board.asOf[kind].IsZero() {
+			age += s.limits.RareMaxLimit
 		}
+		oldest = max(oldest, age)
 	}
 	return oldest
 }
