Ask peers for the configuration when the store does not answer calls for it

Callers saw old routes at the reader for as long as its calls for the configuration had no answer, although its peers knew the new one.

Cause: a reader asks peers of better rank only, and the first one nobody, unless its calls for servers have no answer either.

Change: a reader whose configuration or evacuations are older than any limit asks its peers as in an outage.

--- a/internal/gateway/followers_test.go
+++ b/internal/gateway/followers_test.go
@@ -214,7 +214,7 @@
 }
 
 // Guards against instances that follow a reader whose calls for the configuration or the evacuations have no answer, while its
-// calls for servers do.
+// calls for servers do, and against a reader that does not learn of them from its peers.
 func TestFollowersNoticeReaderWithoutConfiguration(t *testing.T) {
 	for name, kinds := range map[string][]objectapi.Kind{
 		"configuration": {objectapi.Configuration}, "evacuations": {objectapi.Evacuations}, "both": rareKinds,
@@ -225,7 +225,7 @@
 				reader.store.silence(0, kinds...)
 				f.expectChangeInTime(2, "b", reader)
 				time.Sleep(3 * time.Second)
-				f.expectChangeInTime(3, "c", reader)
+				f.expectChangeInTime(3, "c", nil)
 			})
 		})
 	}
@@ -244,6 +244,29 @@
 	}
 }
 
+// Guards against instances that start beside a peer without a configuration and count as informed of it.
+func TestStartBesidePeerWithoutConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFleetTest(t, 4)
+		first := f.instances[0]
+		first.store.silence(0, objectapi.Configuration)
+		f.start(ctx, first)
+		time.Sleep(3 * time.Second)
+		for _, i := range f.instances[1:] {
+			f.start(ctx, i)
+		}
+		time.Sleep(2 * time.Second)
+		for _, i := range f.instances[1:] {
+			if versionOf(i.snapshots.Newest()) != 1 {
+				t.Errorf("%s is %s and has no configuration 2 s after its start", i.self.Name, i.board.source.machine.State())
+			}
+		}
+		f.expectChangeInTime(2, "b", first)
+	})
+}
+
 // Guards against a fleet that waits for a reader which does not answer its peers and does not read, as a frozen process.
 func TestFollowersNoticeFrozenReader(t *testing.T) {
 	forEachReader(t, func(f *fleetTest, reader *fleetInstance) {
--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -32,7 +32,8 @@
 	maxNewsBytes = 900 << 10
 	// maxNewsWait is the maximum time for which the request of a peer is held, several times the wait that peers ask for.
 	maxNewsWait = 10 * time.Second
-	// maxPeersInOutage is the number of peers that are asked at a time while the store does not answer this instance.
+	// maxPeersInOutage is the number of peers that are asked at a time while the store does not answer this instance, or does
+	// not answer its calls for rare kinds.
 	maxPeersInOutage = 2
 	// ageCheckInterval is the interval at which the age of the updates is checked.
 	ageCheckInterval = 100 * time.Millisecond
@@ -203,7 +204,7 @@
 	switch {
 	case s.machine.In("asking"):
 		return s.availablePeers(now, s.seeds, len(s.seeds), 0)
-	case s.machine.In("reading") && s.board.storeUnavailable():
+	case s.machine.In("reading") && (s.board.storeUnavailable() || s.rareAge(now) > s.limits.RareMaxLimit):
 		return s.availablePeers(now, s.allPeers(), maxPeersInOutage, peerCheckInterval)
 	case s.machine.In("reading"):
 		return s.availablePeers(now, addresses(s.position.Predecessors), 1, peerCheckInterval)
