Let neither a suspicion nor an assignment of a feed replace the other

Callers could see an old configuration for as long as an instance read the store: its feed of configurations had lost the order to read, or waited on.

Cause: after each step the feed took one of an assignment, a suspicion and the step's own event, at random if several were there, and dropped the event of the step. A suspicion that was left from before took the place of the order to read, which the idle state ignores, so the feed stayed idle; and in a backoff it took the place of the retry and was ignored, so the backoff began anew, up to 7.5 s each time.

Change: the event of the step comes first, then an assignment, then a suspicion, and a suspicion ends the backoff of a list. A list also settles that the next call may wait, which saves one call.

TestSuspicionDoesNotReplaceAssignment and TestSuspicionEndsBackoff failed before: the feed stayed idle and in list_backoff.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -176,21 +176,20 @@
 	return f, nil
 }
 
-// run is the body of the task.
+// run is the body of the task. The event of a step comes first, then an assignment that arrived meanwhile, then a suspicion, so
+// that none of them replaces another.
 func (f *feed) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		event := f.step(ctx)
+		f.fire(f.step(ctx))
 		select {
 		case a := <-f.assignments:
-			order := f.applyAssignment(a)
-			if order == "activate" && f.machine.In("active") {
-				order = event // the feed reads on; it may have been told to stop in the meantime
-			}
-			f.fire(order) // the board has already received the result of the step
+			f.fire(f.applyAssignment(a))
+		default:
+		}
+		select {
 		case <-f.doubt:
 			f.fire("too_old")
 		default:
-			f.fire(event)
 		}
 	}
 	return nil
@@ -244,6 +243,7 @@
 // readList reads all objects of the kind.
 func (f *feed) readList(ctx context.Context) string {
 	f.setStatus("list")
+	f.noWait = false // the list shows what the store holds now
 	f.callStart, f.suspendedAtCall = time.Now(), f.totalSuspension()
 	objects, revision, err := f.store.List(ctx, f.kind)
 	if err != nil {
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -238,3 +238,65 @@
 		f.expectChangesInTime()
 	})
 }
+
+// runFeed runs the feed of configurations alone and answers its updates, as the board does. It returns the revisions of the
+// updates that complete lists brought.
+func (f *feedTest) runFeed(ctx context.Context) (*feed, <-chan uint64) {
+	feed, lists := f.board.source.feeds[objectapi.Configuration], make(chan uint64, 100)
+	go func() { _ = feed.run(ctx) }()
+	go func() {
+		for {
+			select {
+			case m := <-f.board.inbox.C():
+				if u, ok := m.(kindUpdate); ok {
+					u.reply <- u.revision
+					if u.complete {
+						lists <- u.revision
+					}
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return feed, lists
+}
+
+// Guards against a feed that loses its assignment to a suspicion from before: it reads nothing until the next assignment.
+func TestSuspicionDoesNotReplaceAssignment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFeedTest(t)
+		feed, lists := f.runFeed(ctx)
+		synctest.Wait() // it waits for an assignment
+		feed.listAgain("test")
+		feed.setAssignment(assignment{active: true})
+		time.Sleep(time.Second)
+		if len(lists) == 0 {
+			t.Errorf("the feed that was told to read is %s", feed.machine.State())
+		}
+	})
+}
+
+// Guards against a feed in a backoff that waits again, for up to 7.5 s, when it is told to list its objects at once.
+func TestSuspicionEndsBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFeedTest(t)
+		f.store.setFailures(map[objectapi.Kind]string{objectapi.Configuration: "refuses"})
+		feed, lists := f.runFeed(ctx)
+		feed.setAssignment(assignment{active: true})
+		time.Sleep(2 * time.Second)
+		if state := feed.machine.State(); state != "list_backoff" {
+			t.Fatalf("the feed is %s", state)
+		}
+		f.store.setFailures(nil)
+		feed.listAgain("test")
+		time.Sleep(100 * time.Millisecond)
+		if len(lists) == 0 {
+			t.Errorf("the feed is %s and waits for %s", feed.machine.State(), feed.status().waitsFor)
+		}
+	})
+}
