Refuse an unknown route as unknown when the configuration is older than it may be

Callers saw 404 for routes that a confirmed configuration had added, at an instance whose configuration was up to 9 s old: it denied the route instead of asking to come again.

Cause: the age above which a route may have been added since was 1 s more than the wait of a call for changes. The age does not depend on that wait any more.

TestUnknownRouteOfOldConfigurationIsNotDenied got 404 before at an age of 2.1 s.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -55,6 +55,8 @@
 	// ConfigAsOf, BackendsAsOf and EvacuatedAsOf are the times, on the local monotonic clock, at which the data was surely
 	// current in the store.
 	ConfigAsOf, BackendsAsOf, EvacuatedAsOf time.Time
+	// MaxConfigAge is the age of the configuration above which a confirmed change may be missing, such as a new route.
+	MaxConfigAge time.Duration
 }
 
 // Ready reports whether requests can be served with this view.
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -553,13 +553,14 @@
 		view := *old.View
 		view.ConfigAsOf, view.BackendsAsOf, view.EvacuatedAsOf = b.configAsOf, b.asOf[objectapi.Backends],
 			b.asOf[objectapi.Evacuations]
+		view.MaxConfigAge = b.staleness.bound
 		b.snapshots.newest.Store(&Snapshot{View: &view, Routes: b.routes})
 		return
 	}
 	view := &fleet.View{
 		Config: b.config, Backends: map[string][]*fleet.Backend{}, EvacuatedZones: maps.Clone(b.evacuatedZones),
 		ConfigAsOf: b.configAsOf, BackendsAsOf: b.asOf[objectapi.Backends],
-		EvacuatedAsOf: b.asOf[objectapi.Evacuations],
+		EvacuatedAsOf: b.asOf[objectapi.Evacuations], MaxConfigAge: b.staleness.bound,
 	}
 	for _, entry := range b.backends {
 		view.Backends[entry.Service] = append(view.Backends[entry.Service], entry)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -32,9 +32,6 @@
 	maxCopies = 4
 	// minHedgeDelay is the minimum delay of a hedge (a second copy while the first is in flight).
 	minHedgeDelay = 30 * time.Millisecond
-	// staleConfigAge limits the age of the configuration, apart from the wait of one call of the store. When it is older,
-	// an unknown route may have been added since.
-	staleConfigAge = time.Second
 	// shortRetryAfter is the Retry-After time for short-lived causes, such as an instance without a configuration.
 	shortRetryAfter = 200 * time.Millisecond
 )
@@ -211,7 +208,7 @@
 	}
 	route, ok := snapshot.Routes.Match(f.host, f.request.Path)
 	if !ok {
-		if age := time.Since(snapshot.ConfigAsOf); age > staleConfigAge+rarePace.wait {
+		if time.Since(snapshot.ConfigAsOf) > snapshot.MaxConfigAge {
 			return f.refuseEarly(reasonOldRoutes, shortRetryAfter), false
 		}
 		f.log.Info("request has no route", "request", f.request.ID, "host", f.host, "path", f.request.Path,
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"fuchsiahub.example/fuchsiahub/internal/call"
+	"fuchsiahub.example/fuchsiahub/internal/decide/dispatch"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 )
@@ -61,3 +64,26 @@
 		})
 	}
 }
+
+// Guards against a 404 for a route that a confirmed configuration may have added, and against a refusal while the configuration
+// is recent.
+func TestUnknownRouteOfOldConfigurationIsNotDenied(t *testing.T) {
+	for age, want := range map[time.Duration]int{1900 * time.Millisecond: http.StatusNotFound, 2100 * time.Millisecond: http.StatusServiceUnavailable} {
+		synctest.Test(t, func(t *testing.T) {
+			_, b := newTestBoard(t, newFakeStore())
+			now := time.Now()
+			b.config = &fleet.Config{Version: 1}
+			b.routes, b.configAsOf = dispatch.NewTable(b.config), now
+			b.backends["i-1"] = &fleet.Backend{ID: "i-1", Service: "s"}
+			b.publish(true)
+			c := newCallerTest(t)
+			c.server.requests.snapshots = b.snapshots
+			f := c.server.requests.newForward(t.Context(), &incomingRequest{host: "a.example", receivedAt: now,
+				request: &call.Request{ID: "1", Method: http.MethodGet, Path: "/new/x"}, callerTimeout: time.Second})
+			time.Sleep(age)
+			if reply, ok := f.resolve(b.snapshots.Newest()); ok || reply.status != want {
+				t.Errorf("at an age of %s the answer is %d, want %d", age, reply.status, want)
+			}
+		})
+	}
+}
