--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -195,6 +195,7 @@
 		b.asOf[kind] = at.Add(-missed)
 	}
 	b.configAsOf = b.configAsOf.Add(-missed)
+	b.publish(false) // requests judge the configuration by its age
 	b.log.Warn("machine was suspended", "for_ms", missed.Milliseconds())
 }
 
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -87,3 +87,19 @@
 		})
 	}
 }
+
+// Guards against a suspension that ages what the instance knows, but not what its requests see.
+func TestSuspensionAgesPublishedConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, b := newTestBoard(t, newFakeStore())
+		var total time.Duration
+		b.totalSuspension, b.countedSuspension = func() time.Duration { return total }, 0
+		b.configAsOf = time.Now()
+		b.publish(true)
+		total = 3 * time.Second
+		b.applySuspension()
+		if age := time.Since(b.snapshots.Newest().ConfigAsOf); age != total {
+			t.Errorf("the published configuration is %s old after a suspension of %s", age, total)
+		}
+	})
+}
