Report an age above 49 days to peers as 49 days

Callers could see an old configuration at all instances after an outage of 49.7 days: the age of what a peer passes on is sent in milliseconds in 32 bits, and it wrapped round, so old objects looked recent.

TestAgeForPeersDoesNotOverflow was told ms before, for 50 days.

--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -421,7 +422,7 @@
 		}
 		out := &peerpb.KindNews{
 			Kind: k.GetKind(), Revision: cached.revision, Reader: s.board.readBy[kind],
-			AgeMs: uint32(now.Sub(s.board.asOf[kind]).Milliseconds()) + 1,
+			AgeMs: uint32(min(now.Sub(s.board.asOf[kind]).Milliseconds()+1, math.MaxUint32)),
 		}
 		added := s.addObjects(out, cached, k.GetRevision(), q.request.GetPacked())
 		if size > 0 && size+added > maxNewsBytes {
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -14,6 +14,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/decide/dispatch"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
+	"fuchsiahub.example/fuchsiahub/internal/peerpb"
 )
 
 // Guards against an instance whose configuration is old without a line that says so, why, and what its feed waits for, and
@@ -103,3 +104,18 @@
 		}
 	})
 }
+
+// Guards against an age of more than 49 days that looks like a recent one to peers.
+func TestAgeForPeersDoesNotOverflow(t *testing.T) {
+	_, b := newTestBoard(t, newFakeStore())
+	now := time.Now()
+	for _, kind := range followedKinds {
+		b.applyUpdate(now, kindUpdate{kind: kind, complete: true, revision: 3, asOf: now.Add(-50 * 24 * time.Hour)})
+	}
+	reply := make(chan *peerpb.NewsReply, 1)
+	b.source.handleRequest(now, newsRequest{request: &peerpb.NewsRequest{Known: []*peerpb.KnownKind{{Kind: string(objectapi.Configuration)}}},
+		reply: reply})
+	if age := (<-reply).GetKinds()[0].GetAgeMs(); time.Duration(age)*time.Millisecond < 24*time.Hour {
+		t.Errorf("peers are told an age of %d ms", age)
+	}
+}
