Test restarted readers and busy decoders in a fleet

Guards against two further ways in which a reader keeps the configuration from others: it starts again, or its decoder is busy.

--- a/internal/gateway/followers_test.go
+++ b/internal/gateway/followers_test.go
@@ -80,6 +80,8 @@
 	store     *ownStore
 	board     *board
 	snapshots *SnapshotPublisher
+	// stop ends the tasks of the instance.
+	stop context.CancelFunc
 	// unreachable is true while the instance does not answer its peers.
 	unreachable atomic.Bool
 }
@@ -130,6 +132,7 @@
 		f.t.Fatal(err)
 	}
 	i.board.source.feeds = feeds
+	ctx, i.stop = context.WithCancel(ctx)
 	for _, feed := range feeds {
 		feed.name = i.self.Name
 		go func() { _ = feed.run(ctx) }()
@@ -276,6 +279,51 @@
 	})
 }
 
+// Guards against a reader that starts again and is taken for one that reads, by its peers or by itself.
+func TestFollowersNoticeRestartedReader(t *testing.T) {
+	for _, downtime := range []time.Duration{0, 300 * time.Millisecond} {
+		t.Run(fmt.Sprint("down for ", downtime), func(t *testing.T) {
+			forEachReader(t, func(f *fleetTest, reader *fleetInstance) {
+				reader.stop()
+				reader.unreachable.Store(true)
+				time.Sleep(downtime)
+				reader.unreachable.Store(false)
+				reader.store.silence(0, objectapi.Configuration)
+				f.start(f.t.Context(), reader)
+				f.expectChangeInTime(2, "b", reader)
+				time.Sleep(3 * time.Second)
+				f.expectChangeInTime(3, "c", nil)
+				reader.stop()
+			})
+		})
+	}
+}
+
+// Guards against a reader that is still decoding a configuration and keeps it from its peers, or believes its own to be recent.
+func TestBusyDecoderDelaysNoOtherInstance(t *testing.T) {
+	forEachReader(t, func(f *fleetTest, reader *fleetInstance) {
+		reader.board.decoder.schema = stuckSchema{until: f.t.Context()}
+		written := time.Now()
+		f.expectChangeInTime(2, "b", reader)
+		time.Sleep(3 * time.Second)
+		f.expectChangeInTime(3, "c", reader)
+		if s := reader.snapshots.Newest(); versionOf(s) != 1 || s.ConfigAsOf.After(written) {
+			t.Errorf("the reader has version %d and believes it to be the newest %s after version 2", versionOf(s), s.ConfigAsOf.Sub(written))
+		}
+	})
+}
+
+// stuckSchema decodes no configuration until a context ends.
+type stuckSchema struct {
+	fakeSchema
+	until context.Context
+}
+
+func (s stuckSchema) Config(o objectapi.Object) (*fleet.Config, error) {
+	<-s.until.Done()
+	return s.fakeSchema.Config(o)
+}
+
 // Guards against an age of the configuration that is renewed by answers for other kinds.
 func TestAgeOfConfigurationIsTrue(t *testing.T) {
 	inFleet(t, 0, func(f *fleetTest, _ *fleetInstance) {
