Pass on to peers that the configuration has been read again

Cause: the request of a peer was held until the servers had been read or something had changed. While entries of instances change, the reader lists the configuration between two reads of the servers; its peers heard of that with the next read, and since they judge the configuration by the bound for changes some began to read the store themselves at the start of a fleet.

Change: a list of the configuration or of the evacuations answers held requests. TestListOfRareKindIsPassedOn failed before.

Tried and taken back: the first instance of the order asks the reader instead of any peer.

--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -379,9 +379,14 @@
 	s.heldRequests = append(s.heldRequests, q)
 }
 
+// rareKindsReadSince reports whether a rare kind has been read since a time.
+func (s *newsSource) rareKindsReadSince(t time.Time) bool {
+	return slices.ContainsFunc(rareKinds, func(kind objectapi.Kind) bool { return s.board.asOf[kind].After(t) })
+}
+
 // hasNews reports whether there are changes that the peer does not know, or the store has been read since the peer asked.
 func (s *newsSource) hasNews(q *heldRequest) bool {
-	if s.board.asOf[objectapi.Backends].After(q.receivedAt) {
+	if s.board.asOf[objectapi.Backends].After(q.receivedAt) || s.rareKindsReadSince(q.receivedAt) {
 		return true
 	}
 	for _, k := range q.request.GetKnown() {
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -119,3 +119,27 @@
 		t.Errorf("peers are told an age of %d ms", age)
 	}
 }
+
+// Guards against peers whose configuration becomes too old for them although the reader has just listed it again: they would
+// all read the store.
+func TestListOfRareKindIsPassedOn(t *testing.T) {
+	_, b := newTestBoard(t, newFakeStore())
+	now := time.Now()
+	known := &peerpb.NewsRequest{WaitMs: 1000}
+	for _, kind := range followedKinds {
+		b.applyUpdate(now, kindUpdate{kind: kind, complete: true, revision: 3, asOf: now})
+		known.Known = append(known.Known, &peerpb.KnownKind{Kind: string(kind), Revision: 3})
+	}
+	reply := make(chan *peerpb.NewsReply, 1)
+	b.source.handleRequest(now, newsRequest{request: known, reply: reply})
+	b.source.answerHeld(now)
+	if len(reply) > 0 {
+		t.Fatal("a request is answered although nothing was read since")
+	}
+	listed := now.Add(300 * time.Millisecond)
+	b.applyUpdate(listed, kindUpdate{kind: objectapi.Configuration, complete: true, revision: 4, asOf: listed})
+	b.source.answerHeld(listed)
+	if len(reply) == 0 {
+		t.Error("a request waits although the configuration has been read since")
+	}
+}
