Report the age of the configuration in the product's own mode

An instance knew no age of its documents: silence of a watch counted as unchanged, and agreement with a peer as complete.

Change: each watch that is opened shows what the object API holds at that time; a gauge holds the age of the oldest kind, a counter and a line at most each 30 s say when it exceeds the 9 s of a change, with the kind and the error.

TestOldConfigurationIsReported; it fails when documents of peers renew the age.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -34,6 +34,8 @@
 	MetricConfigConflicts = "config.conflicts"
 	// MetricConfigFetches counts the requests for documents that were sent to peers.
 	MetricConfigFetches = "config.fetches"
+	// MetricConfigOverdue counts how often the configuration became older than a change may take to come into force.
+	MetricConfigOverdue = "config.overdue"
 )
 
 // configKinds are the kinds of objects that make up the configuration.
@@ -76,8 +78,11 @@
 	// dirty is true if a document or its status has changed since the last publish.
 	dirty bool
 
+	age      *configAge
 	counters map[config.Verdict]metrics.Counter
-	fetches  metrics.Counter
+	// fetches, overdue and ageGauge are the metrics of the same names.
+	fetches, overdue metrics.Counter
+	ageGauge         metrics.Gauge
 }
 
 // ConfigStatus is the status of the configuration at one instance, for operators. It is immutable.
@@ -122,6 +127,7 @@
 	c := &Config{
 		options: options, set: set, inbox: task.NewMailbox[any]("configuration", configCapacity), ended: make(chan struct{}),
 		sources: newSources(), watchers: map[objectapi.Kind]*watcher{}, dirty: true, fetches: metrics.GetOrRegisterCounter(MetricConfigFetches, options.Metrics),
+		overdue: metrics.GetOrRegisterCounter(MetricConfigOverdue, options.Metrics), ageGauge: metrics.GetOrRegisterGauge(MetricConfigAge, options.Metrics),
 		counters: map[config.Verdict]metrics.Counter{
 			config.Applied:     metrics.GetOrRegisterCounter(MetricConfigApplied, options.Metrics),
 			config.Deleted:     metrics.GetOrRegisterCounter(MetricConfigApplied, options.Metrics),
@@ -131,6 +137,9 @@
 		},
 	}
 	c.status.Store(&ConfigStatus{})
+	if c.age, err = newConfigAge(c); err != nil {
+		return nil, err
+	}
 	return c, nil
 }
 
@@ -169,11 +178,15 @@
 		c.watchers[kind] = w
 		watchers.Go("watch "+string(kind), func(ctx context.Context) error { w.run(ctx); return nil })
 	}
+	ageChecks := time.NewTicker(ageCheckInterval)
+	defer ageChecks.Stop()
 	for ctx.Err() == nil {
 		select {
 		case m := <-c.inbox.C():
 			c.handle(ctx, m)
 			c.publish(ctx)
+		case now := <-ageChecks.C:
+			c.age.check(now)
 		case <-ctx.Done():
 		}
 	}
@@ -210,6 +223,7 @@
 		c.handleChange(m)
 	case readableEvent:
 		c.sources.setReadable(m.kind)
+		c.age.refresh(m.kind, m.asOf)
 	case unreadableEvent:
 		c.sources.setUnreadable(m.kind, m.err)
 		if fault.Is(m.err, fault.TooOld) {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -33,8 +33,11 @@
 		kind  objectapi.Kind
 		event objectapi.Event
 	}
-	// readableEvent reports that a watch is open: the object API is available.
-	readableEvent struct{ kind objectapi.Kind }
+	// readableEvent reports that a watch is open: the object API is available, and the objects known at asOf were current.
+	readableEvent struct {
+		kind objectapi.Kind
+		asOf time.Time
+	}
 	// unreadableEvent reports that the object API is not available.
 	unreadableEvent struct {
 		kind objectapi.Kind
@@ -118,12 +121,13 @@
 			return err
 		}
 	}
+	opened := time.Now()
 	watch, err := w.api.Watch(ctx, w.kind, w.afterVersion)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = watch.Close() }() // the watch is no longer used
-	w.notify(ctx, readableEvent{kind: w.kind})
+	w.notify(ctx, readableEvent{kind: w.kind, asOf: opened})
 	for {
 		event, err := w.nextEvent(ctx, watch)
 		if errors.Is(err, errNoEvent) {
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -126,3 +126,29 @@
 		}
 	})
 }
+
+// Guards against an old configuration without a line that says so, against one that counts as recent since a peer has the same,
+// and against a line at each check.
+func TestOldConfigurationIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var log bytes.Buffer
+		c, err := NewConfig(ConfigOptions{Metrics: metrics.NewRegistry(), Log: slog.New(slog.NewTextHandler(&log, nil))})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for second := range 20 {
+			c.handle(t.Context(), readableEvent{kind: objectapi.Services, asOf: time.Now()})
+			c.handle(t.Context(), readableEvent{kind: objectapi.Backends, asOf: time.Now()})
+			if second < 2 {
+				c.handle(t.Context(), readableEvent{kind: objectapi.Fleet, asOf: time.Now()})
+			}
+			c.handle(t.Context(), peerVersion{peer: "edge-2", version: member.ConfigVersion{Digest: c.set.Digest()}})
+			time.Sleep(time.Second)
+			c.age.check(time.Now())
+		}
+		if n := strings.Count(log.String(), "configuration is older than it may be"); n != 1 || c.overdue.Count() != 1 ||
+			!strings.Contains(log.String(), "kind=fleet") || c.ageGauge.Value() != 19000 {
+			t.Errorf("%d lines, %d times, age %d ms:\n%s", n, c.overdue.Count(), c.ageGauge.Value(), log.String())
+		}
+	})
+}
