Reopen a silent watch within the time for a change

Callers could see an old document for a minute: a watch that has broken silently reports no change, and peers correct that only if one of them knows the document. A single instance, or a fleet whose watches broke together, had to wait for the reopening after a minute. A list could take 10 s, longer than the 9 s in which a change has to be in force.

Change: a watch without an event is reopened after 5 s, and a list is given up after 3 s. That costs an instance less than one call in a second (four kinds in 5 s), 20 calls a second for 24 instances; the object API serves 2,000.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -16,10 +16,11 @@
 	// make at most 30 calls per second while the object API is down; it serves 2,000.
 	watchRetryFirst = 100 * time.Millisecond
 	watchRetryLimit = 4 * time.Second
-	// listTimeout bounds one list call: 190 documents of up to 1 MiB at the platform's typical speed.
-	listTimeout = 10 * time.Second
-	// watchTimeout is the time without events after which a watch is reopened, to detect connections that broke silently.
-	watchTimeout = time.Minute
+	// listTimeout bounds one list call.
+	listTimeout = 3 * time.Second
+	// watchTimeout is the time without events after which a watch is reopened, since one that has broken silently reports no
+	// change. With the calls that follow it stays below configBound.
+	watchTimeout = 5 * time.Second
 )
 
 // Messages from a watcher to its owner, the task that uses the objects of its kind.
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -127,6 +127,53 @@
 	})
 }
 
+// deafAPI is an object API whose first watch of each kind reports nothing. Version 7 of a document is written after a second.
+type deafAPI struct {
+	objectapi.API
+	watches chan objectapi.Kind
+}
+
+func (deafAPI) List(context.Context, objectapi.Kind) ([]objectapi.Object, uint64, error) {
+	return nil, 4, nil
+}
+
+func (a deafAPI) Watch(_ context.Context, kind objectapi.Kind, after uint64) (objectapi.Watch, error) {
+	a.watches <- kind
+	return deafWatch{deaf: len(a.watches) == 1, after: after}, nil
+}
+
+type deafWatch struct {
+	deaf  bool
+	after uint64
+}
+
+func (w deafWatch) Next(ctx context.Context) (objectapi.Event, error) {
+	if w.deaf || w.after >= 7 || !task.Pause(ctx, time.Millisecond) {
+		<-ctx.Done()
+		return objectapi.Event{}, ctx.Err()
+	}
+	return objectapi.Event{Object: objectapi.Object{Kind: objectapi.Services, Name: "a", Version: 7}}, nil
+}
+
+func (deafWatch) Close() error { return nil }
+
+// Guards against a document that comes into force a minute after its confirmation, because a watch has broken silently and no
+// peer knows the document.
+func TestSilentWatchIsReopenedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 9*time.Second)
+		defer cancel()
+		inbox := task.NewMailbox[any]("test", 64)
+		newWatcher(deafAPI{watches: make(chan objectapi.Kind, 64)}, objectapi.Services, inbox, slog.New(slog.DiscardHandler)).run(ctx)
+		for inbox.Len() > 0 {
+			if e, ok := (<-inbox.C()).(changeEvent); ok && e.event.Object.Version == 7 {
+				return
+			}
+		}
+		t.Error("the change was not reported within 9 s")
+	})
+}
+
 // Guards against an old configuration without a line that says so, against one that counts as recent since a peer has the same,
 // and against a line at each check.
 func TestOldConfigurationIsReported(t *testing.T) {
