Bound the lines of the head of an answer

Change: a head has at most 256 lines, counted as they arrive, so that one that never ends is not kept either; more are an invalid answer with an unknown outcome. TestHeadOfTooManyLinesIsInvalid failed before: the answer was delivered. Heads of 250 lines, interim ones of 200 lines and bodies of many lines are read (TestAnswersWithinLimitsAreRead).

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -293,8 +293,9 @@
 // readHead reads the head of the next answer and skips interim (1xx) answers.
 func (c *connection) readHead(method string) (*http.Response, error) {
 	c.socket.readable = maxHeadBytes
-	defer func() { c.socket.readable = unlimitedBytes }()
+	defer func() { c.socket.readable, c.socket.inHead = unlimitedBytes, false }()
 	for range maxInterimAnswers + 1 {
+		c.socket.beginHead()
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
--- a/internal/backend/endless_test.go
+++ b/internal/backend/endless_test.go
@@ -185,8 +185,11 @@
 // Guards against a limit that ends a valid answer: one with a long head, and one after some interim answers.
 func TestAnswersWithinLimitsAreRead(t *testing.T) {
 	for name, answer := range map[string]string{
-		"long head":       okHead + "A: " + strings.Repeat("a", 30<<10) + "\r\nContent-Length: 2\r\n\r\nok",
-		"interim answers": strings.Repeat(interimHead+"\r\n", 5) + okAnswer("ok"),
+		"long head":                       okHead + "A: " + strings.Repeat("a", 30<<10) + "\r\nContent-Length: 2\r\n\r\nok",
+		"interim answers":                 strings.Repeat(interimHead+"\r\n", 5) + okAnswer("ok"),
+		"many lines":                      okHead + strings.Repeat("A: b\r\n", 250) + "Content-Length: 2\r\n\r\nok",
+		"interim answers with many lines": strings.Repeat(interimHead+strings.Repeat("A: b\r\n", 200)+"\r\n", 5) + okAnswer("ok"),
+		"body of many lines":              okHead + "Content-Length: 2002\r\n\r\n" + strings.Repeat("\n", 2000) + "ok",
 	} {
 		t.Run(name, func(t *testing.T) {
 			address := scriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
@@ -194,13 +197,30 @@
 				write(c, answer)
 			})
 			p := startPool(t, address, backend.PoolSize{MaxConnections: 1})
-			if result := p.Do(t.Context(), getRequest("/x")); body(result) != "ok" {
+			if result := p.Do(t.Context(), getRequest("/x")); strings.TrimLeft(body(result), "\n") != "ok" {
 				t.Errorf("fate %v, body %q, error %v", result.Fate, body(result), result.Err)
 			}
 		})
 	}
 }
 
+// Guards against a complete head whose short lines take many times its size in memory once they are decoded.
+func TestHeadOfTooManyLinesIsInvalid(t *testing.T) {
+	for name, start := range map[string]string{"answer": okHead, "interim answer": interimHead + "A: b\r\n\r\n" + okHead} {
+		t.Run(name, func(t *testing.T) {
+			address := scriptedServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				readRequest(r)
+				write(c, start+strings.Repeat("A:\r\n", 5000)+"Content-Length: 2\r\n\r\nok")
+			})
+			p := startPool(t, address, backend.PoolSize{MaxConnections: 1})
+			result := p.Do(t.Context(), getRequest("/x"))
+			if result.Fate != call.MaybeRun || !backend.IsInvalidAnswer(result.Err) {
+				t.Errorf("fate %v, error %v", result.Fate, result.Err)
+			}
+		})
+	}
+}
+
 // Guards against a probe that reads much of an endless answer, and against one that reports a server that sends one as
 // answered, or as one that refused the connection, which counts as a crash.
 func TestEndlessAnswerToProbe(t *testing.T) {
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -14,6 +14,8 @@
 const (
 	// maxHeadBytes is the maximum size of the head of an answer, together with the interim answers before it.
 	maxHeadBytes = 32 << 10
+	// maxHeadLines is the maximum number of lines of a head. A short line takes up to a hundred times its bytes once it is decoded.
+	maxHeadLines = 256
 	// maxInterimAnswers is the maximum number of interim (1xx) answers before an answer.
 	maxInterimAnswers = 8
 	// maxForeignBytes is the maximum size of the bodies of all answers to earlier requests that are skipped in one exchange,
@@ -40,6 +42,10 @@
 	written int
 	// readable is the number of bytes that may still be read, or unlimitedBytes.
 	readable int
+	// linesLeft is the number of lines that may still be read up to the end of a head; it is checked only while inHead is true.
+	// line is the length of the line that is being read, without its end.
+	linesLeft, line int
+	inHead          bool
 	// readFailed is true when a read has failed for a reason other than the limit.
 	readFailed bool
 	// lateSince is when bytes were first read after the deadline; zero when none were.
@@ -49,7 +55,31 @@
 // beginExchange forgets what happened to the last exchange.
 func (c *limitedConn) beginExchange() { c.written, c.lateSince = 0, time.Time{} }
 
-// Read fails when more bytes are wanted than may be read. After the deadline it still returns the bytes that have arrived: the
+// beginHead limits the lines that are read up to the next empty one. Those that have been read before are not counted, which the
+// size of the read buffer bounds.
+func (c *limitedConn) beginHead() { c.inHead, c.linesLeft, c.line = true, maxHeadLines, 0 }
+
+// countLines counts the lines of a head in bytes that were read. It returns false when there are too many.
+func (c *limitedConn) countLines(read []byte) bool {
+	for _, b := range read {
+		switch {
+		case !c.inHead:
+			return true
+		case b == '\n':
+			c.inHead = c.line > 0
+			c.line = 0
+			c.linesLeft--
+		case b != '\r':
+			c.line++
+		}
+		if c.linesLeft < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Read fails when more bytes are wanted than may be read, or more lines of a head. After the deadline it still returns the bytes that have arrived: the
 // process may have been late and not the server.
 func (c *limitedConn) Read(p []byte) (int, error) {
 	if c.readable == 0 {
@@ -70,6 +100,9 @@
 	if c.readable > 0 {
 		c.readable -= n
 	}
+	if !c.countLines(p[:n]) {
+		return 0, errTooLong
+	}
 	c.readFailed = c.readFailed || err != nil
 	return n, err
 }
