Let pipelined requests wait for memory

Change: a request behind others of its connection takes 80 KiB of a budget of 15 % of the memory; when it is used up, the connection takes up its next request after an answer. None is refused, and the first request of a connection needs no room.

TestPipelinedRequestsWaitForMemory: before, all ten requests were taken up.

--- a/internal/gateway/bodybudget.go
+++ b/internal/gateway/bodybudget.go
@@ -5,12 +5,18 @@
 	"errors"
 	"io"
 	"sync/atomic"
+
+	"fuchsiahub.example/fuchsiahub/internal/backend"
 )
 
 const (
 	// bodyShare is the share of the memory of the process that the bodies of requests may take together. The rest is for
 	// garbage that is not collected yet, answers and all other work.
 	bodyShare = 0.35
+	// pipelinedShare is the share for requests that wait behind others of their connection.
+	pipelinedShare = 0.15
+	// pipelinedBytes is the memory of such a request: its task and an answer that is not streamed.
+	pipelinedBytes = backend.MaxBufferedAnswerBytes + 16<<10
 	// bodyStep is the size with which the buffer of a body of unknown length begins, in bytes.
 	bodyStep = 16 << 10
 )
@@ -18,7 +24,7 @@
 // errNoMemory is the error for a body that does not fit into the budget now.
 var errNoMemory = errors.New("bodies of requests take too much memory")
 
-// bodyBudget bounds the memory that the bodies of all requests take together. A process that exceeds the memory of its machine
+// bodyBudget bounds the memory that the bodies and long heads of all requests take together. A process that exceeds the memory of its machine
 // is killed, with the requests of all callers. It is shared by the goroutines that read connections.
 type bodyBudget struct {
 	// limit is in bytes; zero sets none.
@@ -31,6 +37,15 @@
 	return &bodyBudget{limit: int64(bodyShare * float64(memory))}
 }
 
+// newPipelinedBudget returns the budget of the requests that wait behind others of their connection. When it is used up, a
+// connection takes up a further request only after an answer; none is refused.
+func newPipelinedBudget(memory int64) *bodyBudget {
+	return &bodyBudget{limit: int64(pipelinedShare * float64(memory))}
+}
+
+// put returns bytes that were taken.
+func (b *bodyBudget) put(bytes int64) { b.taken.Add(-bytes) }
+
 // take takes bytes from the budget. It returns false, and takes none, if they are not left.
 func (b *bodyBudget) take(bytes int64) bool {
 	for {
@@ -45,7 +60,7 @@
 }
 
 // bodyLease is what one request has taken from the budget. It is released when the request or its connection has ended. Nil is
-// the lease of a request without a body.
+// the lease of a request with a short head and without a body.
 type bodyLease struct {
 	budget *bodyBudget
 	bytes  atomic.Int64
@@ -71,10 +86,10 @@
 
 func (l *bodyLease) shrink(bytes int64) {
 	l.bytes.Add(-bytes)
-	l.budget.taken.Add(-bytes)
+	l.budget.put(bytes)
 }
 
-func (l *bodyLease) returnAll() { l.budget.taken.Add(-l.bytes.Swap(0)) }
+func (l *bodyLease) returnAll() { l.budget.put(l.bytes.Swap(0)) }
 
 // release returns all bytes.
 func (l *bodyLease) release() {
--- a/internal/gateway/bodybudget_test.go
+++ b/internal/gateway/bodybudget_test.go
@@ -95,3 +95,43 @@
 		}
 	})
 }
+
+// Guards against pipelined requests that together exceed the memory of the process, against one that is refused or lost for that
+// reason, and against memory that is not returned.
+func TestPipelinedRequestsWaitForMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newConnectionTest(t)
+		budget := test.server.requests.pipelined
+		budget.limit = 2 * pipelinedBytes
+		conn, other := test.connect(), test.connect()
+		const sent = 10
+		conn.send(strings.Repeat(testPost, sent))
+		synctest.Wait()
+		if waiting := test.director.Len(); waiting != 3 {
+			t.Errorf("%d requests are taken up, want one and two behind it", waiting)
+		}
+		other.send(testPost)
+		synctest.Wait()
+		if waiting := test.director.Len(); waiting != 4 {
+			t.Errorf("%d requests are taken up after that of another caller, want 4", waiting)
+		}
+		for n := range sent + 1 {
+			if !test.refuse() {
+				t.Fatalf("only %d requests are taken up", n)
+			}
+			if n == 3 {
+				other.expectRefusal("request of another caller")
+				continue
+			}
+			conn.expectRefusal("pipelined request")
+		}
+		conn.send(strings.Repeat(testPost, 5))
+		synctest.Wait()
+		_ = conn.Close()
+		for test.refuse() { // the requests that were taken up
+		}
+		if taken := budget.taken.Load(); taken != 0 {
+			t.Errorf("%d bytes are not returned", taken)
+		}
+	})
+}
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -100,6 +100,8 @@
 	rejection rejection
 	// idleSince is when the last answer was written.
 	idleSince time.Time
+	// nextReserved is true if memory is taken for the next request that comes behind another one.
+	nextReserved bool
 	// continuePending is true when 100 Continue has to be sent after the pending answers.
 	continuePending bool
 	// begunAt is when the first byte of the request that is being read arrived; zero when none is being read.
@@ -127,6 +129,8 @@
 	http10 bool
 	// rejected is true if the request could not be read.
 	rejected bool
+	// reserved is true if the memory of the request is taken from the budget of pipelined requests.
+	reserved bool
 	// reply receives the answer.
 	reply chan reply
 }
@@ -221,7 +225,7 @@
 		return
 	}
 	readEvents := c.readEvents
-	if len(c.queue) >= maxPipelined {
+	if !c.canTakeUpRequest() {
 		readEvents = nil
 	}
 	var firstReply chan reply
@@ -249,6 +253,23 @@
 	}
 }
 
+// canTakeUpRequest reports whether another request can be taken up, and takes the memory for one that waits behind others.
+func (c *caller) canTakeUpRequest() bool {
+	if len(c.queue) == 0 {
+		return true
+	}
+	c.nextReserved = c.nextReserved || c.requests.pipelined.take(pipelinedBytes)
+	return c.nextReserved && len(c.queue) < maxPipelined
+}
+
+// returnReserved returns the memory that was taken for a request.
+func (c *caller) returnReserved(reserved *bool) {
+	if *reserved {
+		c.requests.pipelined.put(pipelinedBytes)
+		*reserved = false
+	}
+}
+
 // awaitsStop reports whether the reading goroutine is about to report that it has stopped or that a request has begun, which
 // takes no more than a look at the socket. It decides whether the answer to the only pending request is the last one.
 func (c *caller) awaitsStop() bool {
@@ -332,6 +353,9 @@
 func (c *caller) startRequest() {
 	q := pendingRequest{id: c.incoming.request.ID, receivedAt: c.incoming.receivedAt, method: c.incoming.method,
 		http10: c.incoming.http10, reply: make(chan reply, 1)}
+	if len(c.queue) > 0 {
+		q.reserved, c.nextReserved = c.nextReserved, false
+	}
 	c.queue = append(c.queue, q)
 	f, lease := c.requests.newForward(c.ctx, c.incoming), c.incoming.lease
 	go func() {
@@ -357,7 +381,10 @@
 		c.resetOnClose()
 	}
 	r.release()
-	c.queue = c.queue[1:]
+	c.returnReserved(&q.reserved)
+	if c.queue = c.queue[1:]; len(c.queue) == 0 {
+		c.returnReserved(&c.nextReserved)
+	}
 	c.idleSince = time.Now()
 	cause := endAnswer
 	if q.rejected {
@@ -408,12 +435,14 @@
 	c.reportEnd()
 	c.cancel()
 	for _, q := range c.queue {
+		c.returnReserved(&q.reserved)
 		go func() {
 			r := <-q.reply
 			r.release()
 		}()
 	}
 	c.queue = nil
+	c.returnReserved(&c.nextReserved)
 	_ = c.conn.Close() // an error of the close has no consequence
 }
 
--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -64,7 +64,7 @@
 	stop := &plannedStop{leaving: make(chan struct{}), ends: time.Now().Add(time.Hour)}
 	test := &connectionTest{t: t, director: task.NewMailbox[any]("director", 2*raceRepeats), stop: stop, leaving: stop.leaving,
 		closingIdle: make(chan struct{}), registry: metrics.NewRegistry()}
-	requests, err := newForwarder(snapshots, test.director, fakeDialect{}, stop, newBodyBudget(0), slog.New(slog.DiscardHandler),
+	requests, err := newForwarder(snapshots, test.director, fakeDialect{}, stop, 0, slog.New(slog.DiscardHandler),
 		newCounters(test.registry))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/ending_test.go
+++ b/internal/gateway/ending_test.go
@@ -71,7 +71,7 @@
 	snapshots := &SnapshotPublisher{}
 	snapshots.newest.Store(&Snapshot{Routes: dispatch.NewTable(config), View: &fleet.View{Config: config,
 		Backends: map[string][]*fleet.Backend{"s": {}}, ConfigAsOf: time.Now()}})
-	requests, err := newForwarder(snapshots, c.director, fakeDialect{}, &plannedStop{leaving: c.leaving, ends: time.Now().Add(time.Hour)}, newBodyBudget(0),
+	requests, err := newForwarder(snapshots, c.director, fakeDialect{}, &plannedStop{leaving: c.leaving, ends: time.Now().Add(time.Hour)}, 0,
 		slog.New(slog.NewJSONHandler(&c.log, nil)), newCounters(c.registry))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -43,13 +43,15 @@
 	dialect   Dialect
 	stop      *plannedStop
 	bodies    *bodyBudget
+	// pipelined bounds the memory of requests that wait behind others of their connection.
+	pipelined *bodyBudget
 	bound     *chart.Bound[*forward]
 	log       *slog.Logger
 	counters  *counters
 }
 
 func newForwarder(snapshots *SnapshotPublisher, director *task.Mailbox[any], dialect Dialect, stop *plannedStop,
-	bodies *bodyBudget, log *slog.Logger, counters *counters) (*forwarder, error) {
+	memory int64, log *slog.Logger, counters *counters) (*forwarder, error) {
 	ch, err := charts.Load("forward", nil)
 	if err != nil {
 		return nil, err
@@ -79,7 +81,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &forwarder{snapshots: snapshots, director: director, dialect: dialect, stop: stop, bodies: bodies, bound: bound, log: log, counters: counters}, nil
+	return &forwarder{snapshots: snapshots, director: director, dialect: dialect, stop: stop, bodies: newBodyBudget(memory),
+		pipelined: newPipelinedBudget(memory), bound: bound, log: log, counters: counters}, nil
 }
 
 // forward is the task of one request of a caller. It is the context of charts/forward.toml.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,7 +128,7 @@
 	g.board.onDataAge, g.board.onStale = g.counters.recordAge, func() { g.counters.configOverdue.Inc(1) }
 	g.board.onInvalid = func() { g.counters.invalidObjects.Inc(1) }
 	g.director = newDirector(g.self, &g.settings, poolFactory, crashes, g.log, g.counters)
-	requests, err := newForwarder(g.snapshots, g.director.inbox, g.dialect, g.stop, newBodyBudget(g.settings.Memory), g.log, g.counters)
+	requests, err := newForwarder(g.snapshots, g.director.inbox, g.dialect, g.stop, g.settings.Memory, g.log, g.counters)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -105,7 +105,7 @@
 		snapshots.newest.Store(&Snapshot{Routes: dispatch.NewTable(config), View: &fleet.View{Config: config, ConfigAsOf: time.Now(),
 			Backends: map[string][]*fleet.Backend{"atlas": {{ID: "i-1"}}}}})
 		log := slog.New(slog.NewTextHandler(s.log, nil))
-		requests, err := newForwarder(snapshots, inbox, plainDialect{}, &plannedStop{leaving: make(chan struct{})}, newBodyBudget(0), log, s.counters)
+		requests, err := newForwarder(snapshots, inbox, plainDialect{}, &plannedStop{leaving: make(chan struct{})}, 0, log, s.counters)
 		if err != nil {
 			t.Fatal(err)
 		}
