Bound the heads of requests in lines and in the memory of the process

Cause: a head is limited in bytes only, and one of 16 KiB takes up to a hundred times that once it is decoded.

Change: a head has at most 256 lines (431), and one that takes more than 8 KiB once decoded takes its memory from the budget of the bodies (503 as not run).

--- a/internal/gateway/bodybudget_test.go
+++ b/internal/gateway/bodybudget_test.go
@@ -135,3 +135,37 @@
 		}
 	})
 }
+
+// Guards against heads that take many times their size in memory, and together exceed that of the process.
+func TestHeadsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		test := newConnectionTest(t)
+		test.server.requests.bodies.limit = 60 << 10
+		get := func(lines int, length int) *testConn {
+			conn := test.connect()
+			conn.send("GET /crew HTTP/1.1\r\nHost: hotline\r\n" + strings.Repeat("A: "+strings.Repeat("a", length)+"\r\n", lines) + "\r\n")
+			return conn
+		}
+		for _, lines := range []int{maxHeadLines, 10 * maxHeadLines} {
+			if r, err := get(lines, 1).answer(); err != nil || r.StatusCode != http.StatusRequestHeaderFieldsTooLarge || !r.Close {
+				t.Errorf("answer to a head of %d lines: %+v, %v", lines, r, err)
+			}
+		}
+		first := get(200, 20) // takes more than half of the budget
+		synctest.Wait()
+		if r, err := get(200, 20).answer(); err != nil || r.StatusCode != http.StatusServiceUnavailable || r.Header.Get("Retry-After") == "" {
+			t.Errorf("answer to a head beyond the budget: %+v, %v", r, err)
+		}
+		short := get(3, 20)
+		for _, conn := range []*testConn{first, short} {
+			if !test.refuse() {
+				t.Error("a request is not passed on")
+			}
+			conn.expectRefusal("request within the budget")
+		}
+		synctest.Wait()
+		if taken := test.server.requests.bodies.taken.Load(); taken != 0 {
+			t.Errorf("%d bytes are not returned", taken)
+		}
+	})
+}
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -22,6 +22,13 @@
 const (
 	// readBuffer is the initial size of the read buffer, enough for a typical head. A larger head gets a larger buffer.
 	readBuffer = 4 << 10
+	// maxHeadLines is the maximum number of lines of a head.
+	maxHeadLines = 256
+	// headFactor and lineBytes give the memory that a decoded head takes: its bytes several times, and the entry of each line.
+	headFactor = 3
+	lineBytes  = 200
+	// smallHead is the memory of a head up to which it is not taken from the budget of the bodies.
+	smallHead = 8 << 10
 	// defaultHeaderBytes is the maximum size of a head before a configuration is known.
 	defaultHeaderBytes = 16 << 10
 	// defaultBodyBytes is the maximum size of a body before a configuration is known.
@@ -41,7 +48,7 @@
 	// callerTimeout is the timeout sent by the caller; zero if it sent none.
 	callerTimeout time.Duration
 	method        string
-	// lease is the memory that the body takes.
+	// lease is the memory that the body and a long head take.
 	lease *bodyLease
 	// last is true if no further request is read from the connection, because the caller asked for its end or reading was
 	// stopped.
@@ -162,11 +169,20 @@
 	if err := checkHead(head); err != nil {
 		return rejectionOf(err)
 	}
+	memory := int64(headFactor*len(head) + lineBytes*bytes.Count(head, []byte("\n")))
 	request, err := http.ReadRequest(r.buffer)
 	if err != nil {
 		return rejectionOf(errMalformed)
 	}
-	return r.body(request, limits)
+	var lease *bodyLease
+	if memory > smallHead || request.ContentLength != 0 {
+		lease = r.bodies.newLease(r.lifetime)
+	}
+	if memory > smallHead && !lease.grow(memory) {
+		lease.release()
+		return rejectionOf(errNoMemory)
+	}
+	return r.body(request, lease, limits)
 }
 
 func rejectionOf(err error) (any, error) {
@@ -177,6 +193,9 @@
 	case errors.Is(err, bufio.ErrBufferFull):
 		return rejection{status: http.StatusRequestHeaderFieldsTooLarge,
 			err: fault.New(fault.TooLarge, "send a shorter header", "header is too long")}, nil
+	case errors.Is(err, errNoMemory):
+		return rejection{status: http.StatusServiceUnavailable, err: fault.New(fault.Overloaded, "send the request again later",
+			"other requests take the memory"), retryAfter: shortRetryAfter}, nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return rejection{status: http.StatusRequestTimeout, err: fault.New(fault.BadRequest, "send the request in time",
 			"request did not arrive in time")}, nil
@@ -199,7 +218,7 @@
 			seen = seen[2:]
 		}
 		if end := bytes.Index(seen, []byte("\r\n\r\n")); end >= 0 {
-			if end > limit {
+			if end > limit || bytes.Count(seen[:end], []byte("\n")) >= maxHeadLines {
 				return nil, bufio.ErrBufferFull
 			}
 			return seen[:end+2], nil
@@ -208,7 +227,7 @@
 			!bytes.Contains(seen, []byte("\r\n\r\n")) {
 			return nil, errMalformed
 		}
-		if len(seen) > limit {
+		if len(seen) > limit || bytes.Count(seen, []byte("\n")) > maxHeadLines {
 			return nil, bufio.ErrBufferFull
 		}
 		if len(seen) == r.buffer.Size() {
@@ -259,8 +278,15 @@
 	return nil
 }
 
-// body reads the complete body of a request.
-func (r *requestReader) body(request *http.Request, limits fleet.Limits) (any, error) {
+// body reads the complete body of a request. The lease is released if it returns no request.
+func (r *requestReader) body(request *http.Request, lease *bodyLease, limits fleet.Limits) (m any, err error) {
+	defer func() {
+		if in, ok := m.(*incomingRequest); ok {
+			in.lease = lease
+		} else {
+			lease.release()
+		}
+	}()
 	limit := limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
@@ -282,15 +308,10 @@
 	if request.ContentLength == 0 {
 		return r.translate(request, nil), nil
 	}
-	lease := r.bodies.newLease(r.lifetime)
 	body, err := lease.readBody(request.Body, request.ContentLength, limit)
-	if err != nil || int64(len(body)) > limit {
-		lease.release()
-	}
 	switch {
 	case errors.Is(err, errNoMemory):
-		return rejection{status: http.StatusServiceUnavailable, err: fault.New(fault.Overloaded, "send the request again later",
-			"bodies of other requests take the memory"), retryAfter: shortRetryAfter}, nil
+		return rejectionOf(err)
 	case err != nil && errors.Is(err, io.ErrUnexpectedEOF):
 		return nil, err
 	case err != nil:
@@ -302,9 +323,7 @@
 	case int64(len(body)) > limit:
 		return tooLarge, nil
 	}
-	in := r.translate(request, body)
-	in.lease = lease
-	return in, nil
+	return r.translate(request, body), nil
 }
 
 // translate converts a parsed request to the form in which it is sent on, and decodes the metadata of the caller.
