--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -258,14 +258,14 @@
 	if len(c.queue) == 0 {
 		return true
 	}
-	c.nextReserved = c.nextReserved || c.requests.pipelined.take(pipelinedBytes)
+	c.nextReserved = c.nextReserved || c.requests.pipelined.Take(pipelinedBytes)
 	return c.nextReserved && len(c.queue) < maxPipelined
 }
 
 // returnReserved returns the memory that was taken for a request.
 func (c *caller) returnReserved(reserved *bool) {
 	if *reserved {
-		c.requests.pipelined.put(pipelinedBytes)
+		c.requests.pipelined.Put(pipelinedBytes)
 		*reserved = false
 	}
 }
@@ -360,7 +360,7 @@
 	f, lease := c.requests.newForward(c.ctx, c.incoming), c.incoming.lease
 	go func() {
 		r := f.run()
-		lease.release()
+		lease.Release()
 		q.reply <- r
 	}()
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -19,6 +19,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
+	"fuchsiahub.example/fuchsiahub/internal/memory"
 	"fuchsiahub.example/fuchsiahub/internal/task"
 )
 
@@ -42,16 +43,16 @@
 	director  *task.Mailbox[any]
 	dialect   Dialect
 	stop      *plannedStop
-	bodies    *bodyBudget
+	bodies    *memory.Budget
 	// pipelined bounds the memory of requests that wait behind others of their connection.
-	pipelined *bodyBudget
+	pipelined *memory.Budget
 	bound     *chart.Bound[*forward]
 	log       *slog.Logger
 	counters  *counters
 }
 
 func newForwarder(snapshots *SnapshotPublisher, director *task.Mailbox[any], dialect Dialect, stop *plannedStop,
-	memory int64, log *slog.Logger, counters *counters) (*forwarder, error) {
+	memoryBytes int64, log *slog.Logger, counters *counters) (*forwarder, error) {
 	ch, err := charts.Load("forward", nil)
 	if err != nil {
 		return nil, err
@@ -81,8 +82,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &forwarder{snapshots: snapshots, director: director, dialect: dialect, stop: stop, bodies: newBodyBudget(memory),
-		pipelined: newPipelinedBudget(memory), bound: bound, log: log, counters: counters}, nil
+	return &forwarder{snapshots: snapshots, director: director, dialect: dialect, stop: stop, bodies: newBodyBudget(memoryBytes),
+		pipelined: newPipelinedBudget(memoryBytes), bound: bound, log: log, counters: counters}, nil
 }
 
 // forward is the task of one request of a caller. It is the context of charts/forward.toml.
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -17,6 +17,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/call"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
+	"fuchsiahub.example/fuchsiahub/internal/memory"
 )
 
 const (
@@ -49,7 +50,7 @@
 	callerTimeout time.Duration
 	method        string
 	// lease is the memory that the body and a long head take.
-	lease *bodyLease
+	lease *memory.Lease
 	// last is true if no further request is read from the connection, because the caller asked for its end or reading was
 	// stopped.
 	last bool
@@ -85,12 +86,12 @@
 	// notify reports an event before the request is complete.
 	notify func(any)
 	// bodies bounds the memory of the bodies, which are released at the latest when the lifetime of the connection ends.
-	bodies   *bodyBudget
+	bodies   *memory.Budget
 	lifetime context.Context
 }
 
 func newRequestReader(conn net.Conn, limits func() fleet.Limits, dialect Dialect, stopOrder context.Context,
-	notify func(any), bodies *bodyBudget, lifetime context.Context) *requestReader {
+	notify func(any), bodies *memory.Budget, lifetime context.Context) *requestReader {
 	source := &arrivedReader{conn: conn}
 	return &requestReader{source: source, buffer: bufio.NewReaderSize(source, readBuffer), limits: limits, dialect: dialect,
 		stopOrder: stopOrder, notify: notify, bodies: bodies, lifetime: lifetime}
@@ -169,18 +170,18 @@
 	if err := checkHead(head); err != nil {
 		return rejectionOf(err)
 	}
-	memory := int64(headFactor*len(head) + lineBytes*bytes.Count(head, []byte("\n")))
+	headMemory := int64(headFactor*len(head) + lineBytes*bytes.Count(head, []byte("\n")))
 	request, err := http.ReadRequest(r.buffer)
 	if err != nil {
 		return rejectionOf(errMalformed)
 	}
-	var lease *bodyLease
-	if memory > smallHead || request.ContentLength != 0 {
-		lease = r.bodies.newLease(r.lifetime)
+	var lease *memory.Lease
+	if headMemory > smallHead || request.ContentLength != 0 {
+		lease = r.bodies.NewLease(r.lifetime)
 	}
-	if memory > smallHead && !lease.grow(memory) {
-		lease.release()
-		return rejectionOf(errNoMemory)
+	if headMemory > smallHead && !lease.Grow(headMemory) {
+		lease.Release()
+		return rejectionOf(memory.ErrExhausted)
 	}
 	return r.body(request, lease, limits)
 }
@@ -193,7 +194,7 @@
 	case errors.Is(err, bufio.ErrBufferFull):
 		return rejection{status: http.StatusRequestHeaderFieldsTooLarge,
 			err: fault.New(fault.TooLarge, "send a shorter header", "header is too long")}, nil
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, memory.ErrExhausted):
 		return rejection{status: http.StatusServiceUnavailable, err: fault.New(fault.Overloaded, "send the request again later",
 			"other requests take the memory"), retryAfter: shortRetryAfter}, nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -279,12 +280,12 @@
 }
 
 // body reads the complete body of a request. The lease is released if it returns no request.
-func (r *requestReader) body(request *http.Request, lease *bodyLease, limits fleet.Limits) (m any, err error) {
+func (r *requestReader) body(request *http.Request, lease *memory.Lease, limits fleet.Limits) (m any, err error) {
 	defer func() {
 		if in, ok := m.(*incomingRequest); ok {
 			in.lease = lease
 		} else {
-			lease.release()
+			lease.Release()
 		}
 	}()
 	limit := limits.BodyBytes
@@ -308,9 +309,9 @@
 	if request.ContentLength == 0 {
 		return r.translate(request, nil), nil
 	}
-	body, err := lease.readBody(request.Body, request.ContentLength, limit)
+	body, err := lease.ReadBody(request.Body, request.ContentLength, limit)
 	switch {
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, memory.ErrExhausted):
 		return rejectionOf(err)
 	case err != nil && errors.Is(err, io.ErrUnexpectedEOF):
 		return nil, err
--- a/internal/gateway/streaming.go
+++ b/internal/gateway/streaming.go
@@ -80,9 +80,9 @@
 	if size < 0 {
 		size = maxCompletedAnswer
 	}
-	lease := c.requests.bodies.newLease(c.ctx)
-	if size > maxCompletedAnswer || !lease.grow(size) {
-		lease.release()
+	lease := c.requests.bodies.NewLease(c.ctx)
+	if size > maxCompletedAnswer || !lease.Grow(size) {
+		lease.Release()
 		return
 	}
 	body, complete, err := readUpTo(r.stream, int(size))
@@ -91,7 +91,7 @@
 	}
 	stream, done := r.stream, r.done
 	finish := func() {
-		lease.release()
+		lease.Release()
 		_ = stream.Close() // an error of the close has no consequence
 		if done != nil {
 			done()
