Bound the memory and the time of bodies in the product's own mode

Callers could lose a process to the bodies of others: each may have up to 64 MiB, was read into a buffer that grew by copying, and nothing bounded those of all requests together, nor the time in which one is sent.

Change: bodies take their memory from one budget (setting memory.bodies_mb, 256 by default) and have 30 s; what does not fit is refused as not run, with Retry-After. After an error the rest of a body is read for a second only: without that, a caller that sent a byte a second got its answer after 17 min 3 s in the test.

--- a/internal/daemon/web.go
+++ b/internal/daemon/web.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/frontend"
+	"fuchsiahub.example/fuchsiahub/internal/memory"
 	"fuchsiahub.example/fuchsiahub/internal/ops"
 )
 
@@ -45,7 +46,7 @@
 	}
 	ending := make(chan struct{})
 	handler := frontend.NewHandler(d.requestServer, d.newRequestID, frontend.WithLog(d.log),
-		frontend.WithCutCounter(d.metrics.Cut), frontend.WithProcessEnding(ending))
+		frontend.WithCutCounter(d.metrics.Cut), frontend.WithProcessEnding(ending), frontend.WithBodies(memory.NewBudget(int64(d.settings.Memory.BodiesMB)<<20)))
 	d.httpServers = &httpServers{
 		callers: newHTTPServer(d.closeWhenNotReady(handler), d.log), operations: newHTTPServer(ops.NewHandler(&statusSource{d}), d.log), log: d.log,
 		connections: newCallerConnections(), ending: ending,
--- a/internal/frontend/handler.go
+++ b/internal/frontend/handler.go
@@ -17,6 +17,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/call"
 	"fuchsiahub.example/fuchsiahub/internal/decide/route"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/memory"
 )
 
 // Header fields between callers and instances.
@@ -37,6 +38,15 @@
 // document may lower it.
 const maxRetries = 5
 
+const (
+	// bodyTimeout is the maximum time for reading a body.
+	bodyTimeout = 30 * time.Second
+	// discardTimeout is the maximum time for which the server reads the rest of a body that is not used.
+	discardTimeout = time.Second
+	// exhaustedRetryAfter is when a request may come again whose body does not fit into the memory.
+	exhaustedRetryAfter = time.Second
+)
+
 // Server answers transport-neutral requests. MaxBody returns the body size limit of a service in bytes.
 type Server interface {
 	MaxBody(service string) (int64, error)
@@ -51,6 +61,8 @@
 	// countCut counts a request that was cut off, by cause. processEnding is closed before the remaining connections are.
 	countCut      func(cause string)
 	processEnding <-chan struct{}
+	// bodies bounds the memory of the bodies of all requests.
+	bodies *memory.Budget
 }
 
 // Option configures a handler.
@@ -67,9 +79,12 @@
 	return func(h *Handler) { h.processEnding = ending }
 }
 
+// WithBodies sets the budget of the memory that the bodies of all requests take together. By default there is no limit.
+func WithBodies(budget *memory.Budget) Option { return func(h *Handler) { h.bodies = budget } }
+
 // NewHandler returns the HTTP handler for callers. Function newID generates IDs for requests without one.
 func NewHandler(server Server, newID func() string, options ...Option) http.Handler {
-	h := &Handler{server: server, newID: newID, log: slog.New(slog.DiscardHandler), countCut: func(string) {}}
+	h := &Handler{server: server, newID: newID, log: slog.New(slog.DiscardHandler), countCut: func(string) {}, bodies: memory.NewBudget(0)}
 	for _, option := range options {
 		option(h)
 	}
@@ -82,7 +97,9 @@
 
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
-	req, err := h.readRequest(r)
+	lease := h.bodies.NewLease(r.Context())
+	defer lease.Release()
+	req, err := h.readRequest(w, r, lease)
 	if err != nil {
 		id := h.requestID(r)
 		h.answerError(w, id, serviceOf(r), err)
@@ -120,7 +137,7 @@
 }
 
 // readRequest reads the whole request into memory, so that it can be retried if it did not run.
-func (h *Handler) readRequest(r *http.Request) (*call.Request, error) {
+func (h *Handler) readRequest(w http.ResponseWriter, r *http.Request, lease *memory.Lease) (*call.Request, error) {
 	req := &call.Request{
 		ID: h.requestID(r), Service: serviceOf(r), Tenant: r.Header.Get(HeaderTenant), Method: r.Method,
 		Path: r.URL.EscapedPath(), Query: r.URL.RawQuery, Header: endToEnd(r), RetriesLeft: maxRetries,
@@ -132,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	req.Body, err = readBody(r, limit)
+	req.Body, err = readBody(w, r, lease, limit)
 	return req, err
 }
 
@@ -189,17 +206,35 @@
 	return fault.New(fault.BadRequest, remedy, "header %s is not valid", name).MarkNotRun(0)
 }
 
-func readBody(r *http.Request, limit int64) ([]byte, error) {
+// readBody reads the body of a request in bodyTimeout. Its memory belongs to the lease. After an error the connection ends.
+func readBody(w http.ResponseWriter, r *http.Request, lease *memory.Lease, limit int64) (body []byte, err error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, fault.New(fault.TooLarge, "send less or raise max_body in the document of the service", "request body is larger than %d bytes", limit).MarkNotRun(0)
-	}
-	if err != nil {
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(time.Now().Add(bodyTimeout)) // fails only for a broken connection
+	defer func() {
+		if err == nil {
+			_ = connection.SetReadDeadline(time.Time{}) // same
+			return
+		}
+		w.Header().Set("Connection", "close")
+		_ = connection.SetReadDeadline(time.Now().Add(discardTimeout)) // same
+	}()
+	tooLarge := fault.New(fault.TooLarge, "send less or raise max_body in the document of the service",
+		"request body is larger than %d bytes", limit).MarkNotRun(0)
+	if r.ContentLength > limit {
+		return nil, tooLarge
+	}
+	body, err = lease.ReadBody(r.Body, r.ContentLength, limit)
+	switch {
+	case errors.Is(err, memory.ErrExhausted):
+		return nil, fault.New(fault.Overloaded, "send the request again later", "bodies of other requests take the memory").
+			MarkNotRun(exhaustedRetryAfter)
+	case err != nil:
 		return nil, fault.Wrap(err, fault.BadRequest, "send the whole body", "request body could not be read").MarkNotRun(0)
+	case int64(len(body)) > limit:
+		return nil, tooLarge
 	}
 	return body, nil
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -19,6 +19,8 @@
 	maxWritesPerSecond = 10_000
 	maxPartitions      = 64
 	maxDrain           = time.Hour
+	minBodiesMB        = 64
+	maxBodiesMB        = 1 << 20
 )
 
 // checker converts the decoded file to settings and collects the problems that it finds.
@@ -77,7 +79,8 @@
 		OperationsAddress: c.address("operations_address", f.OperationsAddress, true),
 		Platform:          Platform{Address: c.address("platform.address", f.Platform.Address, true), Register: orDefault(f.Platform.Register, true)},
 		Log:               c.log(f.Log), Drain: c.drain(f.Drain), Claims: c.claims(f.Claims), Probe: c.probe(f.Probe),
-		TLS: TLS{Callers: c.certificate("tls.callers", f.TLS.Callers, false), Peers: c.certificate("tls.peers", f.TLS.Peers, true)},
+		Memory: Memory{BodiesMB: c.integer("memory.bodies_mb", f.Memory.BodiesMB, DefaultBodiesMB, minBodiesMB, maxBodiesMB)},
+		TLS:    TLS{Callers: c.certificate("tls.callers", f.TLS.Callers, false), Peers: c.certificate("tls.peers", f.TLS.Peers, true)},
 	}
 }
 
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -33,6 +33,8 @@
 	Claims Claims
 	// Probe limits the load that probes put on backend servers.
 	Probe Probe
+	// Memory limits the memory that requests take.
+	Memory Memory
 	// TLS configures encryption of connections with callers and peers. Default none: connections are not encrypted.
 	TLS TLS
 }
@@ -85,6 +87,13 @@
 	PerSecond float64
 }
 
+// Memory limits the memory that requests take.
+type Memory struct {
+	// BodiesMB is the memory that the bodies of all requests may take together, in MiB, from 64, the largest body, to 1048576.
+	// Default 256. What does not fit is refused as not run.
+	BodiesMB int
+}
+
 // Defaults of the settings.
 const (
 	DefaultLogFormat       = FormatJSON
@@ -93,6 +102,7 @@
 	DefaultWritesPerSecond = 200
 	DefaultPartitions      = 4
 	DefaultProbePerSecond  = 1.0
+	DefaultBodiesMB        = 256
 )
 
 // Formats of the log.
--- a/internal/settings/file.go
+++ b/internal/settings/file.go
@@ -15,6 +15,7 @@
 	Drain             drain     `toml:"drain"`
 	Claims            claims    `toml:"claims"`
 	Probe             probe     `toml:"probe"`
+	Memory            memory    `toml:"memory"`
 	TLS               tlsTables `toml:"tls"`
 }
 
@@ -44,6 +45,10 @@
 	PerSecond *float64 `toml:"per_second"`
 }
 
+type memory struct {
+	BodiesMB *int `toml:"bodies_mb"`
+}
+
 type tlsTables struct {
 	Callers certificate `toml:"callers"`
 	Peers   certificate `toml:"peers"`
