Close a connection whose caller does not read, in the product's own mode

Callers could lose a process to others that do not read: nothing bounded the time of a write, so each held its connection and its answer for as long as it liked. The gateway allows 10 s for each write.

Change: so does the connection of the daemon. An answer that is read slowly is not cut.

--- a/internal/daemon/callerconn.go
+++ b/internal/daemon/callerconn.go
@@ -214,6 +214,14 @@
 	return nil
 }
 
+// Write implements net.Conn. The caller has writeTimeout for each write, which is not the time of a whole answer.
+func (c *callerConn) Write(p []byte) (int, error) {
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
 func (c *callerConn) interrupt() error { return c.Conn.SetReadDeadline(time.Unix(1, 0)) }
 
 // CloseWrite closes the write side, which the server does before it closes a connection with unread bytes.
--- a/internal/daemon/web.go
+++ b/internal/daemon/web.go
@@ -19,6 +19,8 @@
 const (
 	// headerTimeout bounds the time to read the header of a request.
 	headerTimeout = 10 * time.Second
+	// writeTimeout bounds one write, in case the caller does not read.
+	writeTimeout = 10 * time.Second
 	// idleTimeout exceeds the 60 s of common load balancers, so that they close idle connections first.
 	idleTimeout = 75 * time.Second
 	// maxHeaderBytes bounds the header of a request.
