Bound the requests of peers that never end

Callers lost a process to bytes from the address for peers: 300 connections that each held a request of 1 MB without an end took 378 MB of 284 MB. One message was bounded, and the number of connections, but not what they hold together, nor its time.

Change: beyond 16 KiB a request takes its bytes from 32 MiB for all inbound connections, and has 10 s up to its answer; then the connection is closed. TestUnfinishedRequestsAreBounded: before, all 60 connections with 61 MB were kept and none was closed. With the change the real process took 100 MB in the same attack and answered all 44 requests of others (TestEndlessBytesLeaveMemoryForOthers, two more cases).

--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -10,6 +10,12 @@
 
 	// maxInbound bounds the open inbound connections. In a fleet of 200 instances each peer opens a few.
 	maxInbound = 2048
+	// freeRequestBytes is the size of a request up to which its memory is not counted, longRequestBytes the memory that the rest
+	// of all longer ones may take together.
+	freeRequestBytes = 16 << 10
+	longRequestBytes = 32 << 20
+	// longRequestTimeout is the maximum time for a longer request, up to its answer.
+	longRequestTimeout = 10 * time.Second
 	// inboundIdle is the idle timeout of inbound connections. It is longer than outboundIdle, so that the client, which
 	// knows whether a call is in flight, closes first.
 	inboundIdle = 2 * time.Minute
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/memory"
 	"fuchsiahub.example/fuchsiahub/internal/peerpb"
 	"fuchsiahub.example/fuchsiahub/internal/task"
 )
@@ -35,6 +36,8 @@
 	counters counters
 	log      *slog.Logger
 	inbox    *task.Mailbox[any]
+	// requests bounds the memory of long requests of all connections.
+	requests *memory.Budget
 
 	listener net.Listener
 	// open counts the open connections, active the calls in flight.
@@ -54,7 +57,8 @@
 
 // NewServer returns a server. Without a TLS configuration its connections are unencrypted.
 func NewServer(handlers Handlers, config *tls.Config, registry metrics.Registry, log *slog.Logger) (*Server, error) {
-	s := &Server{tls: config, counters: newCounters(registry), log: log, inbox: task.NewMailbox[any]("peer server", serverCapacity)}
+	s := &Server{tls: config, counters: newCounters(registry), log: log, inbox: task.NewMailbox[any]("peer server", serverCapacity),
+		requests: memory.NewBudget(longRequestBytes)}
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterPeer(mux, &service{handlers: handlers, counters: s.counters}); err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "report this as a bug", "peer service cannot be registered")
@@ -171,7 +175,7 @@
 		conn = tls.Server(conn, s.tls)
 	}
 	go func() {
-		err := s.drpc.ServeOne(ctx, &socket{Conn: conn, counters: s.counters})
+		err := s.drpc.ServeOne(ctx, &inboundSocket{socket: &socket{Conn: conn, counters: s.counters}, budget: s.requests})
 		_ = s.inbox.Send(context.Background(), disconnectEvent{err: err}) // the server outlives its connections
 	}()
 }
