Count the time of discovery from the first reading of the own entry

Cause: the store went away just after the start, so instances of a region did not know each other, and each took the share of one that is alone when 4 s had passed since its start (8 and 7 requests).

Change: the 4 s count from the moment at which the own entry, with the present address, was read from the store; before, the share is that of a start.

TestUnlistedInstanceTakesStartupShare.

--- a/internal/decide/coldstart/allowance.go
+++ b/internal/decide/coldstart/allowance.go
@@ -39,15 +39,15 @@
 	return share
 }
 
-// DiscoveryTime is how long an instance may take to discover all others and to be discovered by them: one write of its
-// entry to the store, and two reads of the entries until the last instance has it.
+// DiscoveryTime is how long an instance may take to discover all others and to be discovered by them, once its entry has been
+// read from the store: two reads of the entries until the last instance has it.
 const DiscoveryTime = 4 * time.Second
 
 // assumedInstances is the number of instances that a newly started instance assumes in its region.
 const assumedInstances = 6
 
-// StartupShare returns the share of an instance that has run for less than DiscoveryTime, which may not have discovered
-// other newly started instances yet.
+// StartupShare returns the share of an instance whose entry was not read from the store before DiscoveryTime: it may not have
+// discovered other newly started instances yet.
 func StartupShare(bound float64, share int) int {
 	return min(share, max(int(bound*distributedFraction)/assumedInstances, 1))
 }
--- a/internal/gateway/coldserver_test.go
+++ b/internal/gateway/coldserver_test.go
@@ -30,7 +30,7 @@
 		d.servers[entry.Incarnation()] = s
 		d.snapshot = &Snapshot{View: &fleet.View{Backends: map[string][]*fleet.Backend{"s": {entry}},
 			Config: &fleet.Config{Services: map[string]fleet.Service{"s": {ColdPerSecond: 6.3}}}}}
-		d.started = time.Now().Add(-time.Minute)
+		d.listedAt = time.Now().Add(-time.Minute)
 		route := &fleet.Route{Name: "r", LatencyTarget: time.Second}
 		load := backend.Result{Fate: call.Answered, Answer: &call.Answer{Status: 200}, LoadKnown: true, Slots: 6, Slowdown: 1}
 		check := func(coldFor time.Duration) {
@@ -84,3 +84,37 @@
 		}
 	})
 }
+
+// Guards against instances that each take the share of one that is alone, because they have started while the store was silent
+// and do not know each other.
+func TestUnlistedInstanceTakesStartupShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDirector(fleet.Instance{Name: "edge-1", Address: "10.0.0.1:1", Place: fleet.Place{Zone: "a", Region: "east"}},
+			&Settings{Bounds: Bounds{ResendWindow: time.Second, ColdOvershoot: 1.5, ColdSlack: 5}, Timing: DefaultTiming()}, nil,
+			nil, slog.New(slog.DiscardHandler), newCounters(metrics.NewRegistry()))
+		s := &server{entry: &fleet.Backend{ID: "i-1", Service: "s", Place: d.self.Place}}
+		view := fleet.View{Config: &fleet.Config{Services: map[string]fleet.Service{"s": {ColdPerSecond: 6.3}}}}
+		expect := func(want int, when string) {
+			t.Helper()
+			if share := d.coldShare(time.Now(), s); share != want {
+				t.Errorf("%s the share is %d requests in a second, want %d", when, share, want)
+			}
+		}
+		read := func(address string) {
+			next := view
+			next.Instances = []fleet.Instance{{Name: "edge-1", Address: address, Place: d.self.Place}}
+			d.applySnapshot(time.Now(), &Snapshot{View: &next})
+		}
+		d.applySnapshot(time.Now(), &Snapshot{View: &view})
+		time.Sleep(time.Minute)
+		expect(1, "before its entry is read")
+		read("10.0.0.9:1")
+		time.Sleep(time.Minute)
+		expect(1, "while the entry is that of an earlier start at another address")
+		read(d.self.Address)
+		time.Sleep(3 * time.Second)
+		expect(1, "while others may not have read its entry")
+		time.Sleep(time.Second)
+		expect(8, "when it is alone")
+	})
+}
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/backend"
@@ -124,7 +125,8 @@
 	log      *slog.Logger
 	counters *counters
 
-	started  time.Time
+	// listedAt is when the entry of this instance was first among those that were read from the store; zero before.
+	listedAt time.Time
 	snapshot *Snapshot
 	servers  map[string]*server
 	pending  []*pendingPlacement
@@ -141,7 +143,7 @@
 	return &director{
 		inbox: task.NewMailbox[any]("director", directorInboxCapacity), self: self, bounds: settings.Bounds,
 		timing: settings.Timing, tuning: placement.DefaultTuning(),
-		poolFactory: poolFactory, crashes: crashes, log: log, counters: counters, started: time.Now(),
+		poolFactory: poolFactory, crashes: crashes, log: log, counters: counters,
 		snapshot: &Snapshot{View: &fleet.View{}}, servers: map[string]*server{},
 		claimedAt:    map[quarantine.Fingerprint]time.Time{},
 		serviceTimes: map[string]*placement.ServiceTime{}, budgets: map[string]*resend.Budget{},
@@ -218,6 +220,9 @@
 // applySnapshot applies a new snapshot: it opens pools for new backend servers and closes those of removed ones.
 func (d *director) applySnapshot(now time.Time, snapshot *Snapshot) {
 	d.snapshot = snapshot
+	if d.listedAt.IsZero() && slices.ContainsFunc(snapshot.Instances, d.isSelf) {
+		d.listedAt = now
+	}
 	known := map[string]bool{}
 	for _, entries := range snapshot.Backends {
 		for _, entry := range entries {
@@ -233,6 +238,11 @@
 	}
 }
 
+// isSelf reports whether an entry of the store is that of this instance at its present address.
+func (d *director) isSelf(i fleet.Instance) bool {
+	return i.Name == d.self.Name && i.Address == d.self.Address
+}
+
 // updateServer creates or updates the state of a backend server from its entry. A server with a new address gets a new pool.
 func (d *director) updateServer(now time.Time, entry *fleet.Backend) {
 	s := d.servers[entry.Incarnation()]
--- a/internal/gateway/placing.go
+++ b/internal/gateway/placing.go
@@ -325,7 +325,7 @@
 	if s.share.snapshot != d.snapshot || s.share.bound != bound {
 		s.share = coldShare{snapshot: d.snapshot, bound: bound, value: d.computeColdShare(s, bound)}
 	}
-	if now.Sub(d.started) < coldstart.DiscoveryTime {
+	if d.listedAt.IsZero() || now.Sub(d.listedAt) < coldstart.DiscoveryTime {
 		return coldstart.StartupShare(bound, s.share.value)
 	}
 	return s.share.value
