--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -274,7 +274,7 @@
 		feed.setAssignment(assignment{active: true})
 		time.Sleep(time.Second)
 		if len(lists) == 0 {
-			t.Errorf("the feed that was told to read is %s", feed.machine.State())
+			t.Errorf("the feed that was told to read waits for %s", feed.status().waitsFor)
 		}
 	})
 }
@@ -289,14 +289,14 @@
 		feed, lists := f.runFeed(ctx)
 		feed.setAssignment(assignment{active: true})
 		time.Sleep(2 * time.Second)
-		if state := feed.machine.State(); state != "list_backoff" {
-			t.Fatalf("the feed is %s", state)
+		if waitsFor := feed.status().waitsFor; waitsFor != "backoff" {
+			t.Fatalf("the feed waits for %s", waitsFor)
 		}
 		f.store.setFailures(nil)
 		feed.listAgain("test")
 		time.Sleep(100 * time.Millisecond)
 		if len(lists) == 0 {
-			t.Errorf("the feed is %s and waits for %s", feed.machine.State(), feed.status().waitsFor)
+			t.Errorf("the feed waits for %s", feed.status().waitsFor)
 		}
 	})
 }
--- a/internal/gateway/followers_test.go
+++ b/internal/gateway/followers_test.go
@@ -82,6 +82,10 @@
 	snapshots *SnapshotPublisher
 	// stop ends the tasks of the instance.
 	stop context.CancelFunc
+	// inbox is that of the running instance.
+	inbox atomic.Pointer[task.Mailbox[any]]
+	// stuck is true while its decoder returns nothing.
+	stuck atomic.Bool
 	// unreachable is true while the instance does not answer its peers.
 	unreachable atomic.Bool
 }
@@ -106,13 +110,14 @@
 // News passes a request to the instance at the address. It implements newsClient.
 func (f *fleetTest) News(ctx context.Context, address string, in *peerpb.NewsRequest) (*peerpb.NewsReply, error) {
 	for _, i := range f.instances {
-		if i.self.Address != address || i.board == nil {
+		inbox := i.inbox.Load()
+		if i.self.Address != address || inbox == nil {
 			continue
 		}
 		if i.unreachable.Load() {
 			return nil, hang(ctx, time.Now(), time.Duration(in.GetWaitMs())*time.Millisecond)
 		}
-		return task.Ask(ctx, i.board.inbox, func(reply chan<- *peerpb.NewsReply) any { return newsRequest{request: in, reply: reply} })
+		return task.Ask(ctx, inbox, func(reply chan<- *peerpb.NewsReply) any { return newsRequest{request: in, reply: reply} })
 	}
 	return nil, fault.New(fault.StoreUnavailable, "", "no such peer")
 }
@@ -133,12 +138,15 @@
 	}
 	i.board.source.feeds = feeds
 	ctx, i.stop = context.WithCancel(ctx)
+	i.board.decoder.schema = stuckSchema{stuck: &i.stuck, until: ctx}
 	for _, feed := range feeds {
 		feed.name = i.self.Name
 		go func() { _ = feed.run(ctx) }()
 	}
-	go func() { _ = i.board.run(ctx) }()
-	go func() { _ = i.board.decoder.run(ctx) }()
+	b := i.board
+	go func() { _ = b.run(ctx) }()
+	go func() { _ = b.decoder.run(ctx) }()
+	i.inbox.Store(b.inbox)
 }
 
 // reader returns the instance that alone reads the store. Another one may begin to for a moment.
@@ -167,6 +175,7 @@
 	f.store.put(objectapi.Configuration, configObject, map[string]uint64{"Version": version})
 	f.store.put(objectapi.Evacuations, zone, struct{}{})
 	time.Sleep(2 * time.Second)
+	synctest.Wait()
 	for _, i := range f.instances {
 		s := i.snapshots.Newest()
 		if i != excused && (versionOf(s) != version || !s.EvacuatedZones[zone]) {
@@ -207,6 +216,7 @@
 	for reader := range 5 {
 		for offset := time.Duration(0); offset < 800*time.Millisecond; offset += 130 * time.Millisecond {
 			t.Run(fmt.Sprintf("edge-%d reads, after %s", reader+1, offset), func(t *testing.T) {
+				t.Parallel()
 				inFleet(t, reader, func(f *fleetTest, reader *fleetInstance) {
 					time.Sleep(offset)
 					test(f, reader)
@@ -261,6 +271,7 @@
 			f.start(ctx, i)
 		}
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		for _, i := range f.instances[1:] {
 			if versionOf(i.snapshots.Newest()) != 1 {
 				t.Errorf("%s is %s and has no configuration 2 s after its start", i.self.Name, i.board.source.machine.State())
@@ -302,7 +313,7 @@
 // Guards against a reader that is still decoding a configuration and keeps it from its peers, or believes its own to be recent.
 func TestBusyDecoderDelaysNoOtherInstance(t *testing.T) {
 	forEachReader(t, func(f *fleetTest, reader *fleetInstance) {
-		reader.board.decoder.schema = stuckSchema{until: f.t.Context()}
+		reader.stuck.Store(true)
 		written := time.Now()
 		f.expectChangeInTime(2, "b", reader)
 		time.Sleep(3 * time.Second)
@@ -313,14 +324,17 @@
 	})
 }
 
-// stuckSchema decodes no configuration until a context ends.
+// stuckSchema decodes no configuration while it is stuck, until a context ends.
 type stuckSchema struct {
 	fakeSchema
+	stuck *atomic.Bool
 	until context.Context
 }
 
 func (s stuckSchema) Config(o objectapi.Object) (*fleet.Config, error) {
-	<-s.until.Done()
+	if s.stuck.Load() {
+		<-s.until.Done()
+	}
 	return s.fakeSchema.Config(o)
 }
 
