Count only what a peer's reply added towards following it

A reply whose configuration does not continue from what this instance knows was not applied, and still counted as recent, so a reader could stop reading on news that it had not taken up. TestFollowersNoticeReaderWithoutConfiguration and the other tests of fleets pass.

--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -301,7 +301,7 @@
 		s.board.log.Info("peer answers requests for updates again", "peer", m.address)
 		delete(s.retryAt, m.address)
 	}
-	// recent is the number of rare kinds of which the peer knows a recent state, servers its update of the servers.
+	// recent is the number of rare kinds of which the peer has passed on a recent state, servers its update of the servers.
 	recent, servers := 0, (*kindUpdate)(nil)
 	for _, k := range m.reply.GetKinds() {
 		if !isFollowed(k.GetKind()) {
@@ -318,8 +318,8 @@
 		}
 		u := m.toKindUpdate(now, k)
 		s.board.adjustForSuspension(&u)
-		s.board.applyUpdate(now, u)
-		if slices.Contains(rareKinds, u.kind) && now.Sub(u.asOf) <= s.limits.RareLimitOf(s.position.Rank) {
+		applied := s.board.applyUpdate(now, u)
+		if applied && slices.Contains(rareKinds, u.kind) && now.Sub(u.asOf) <= s.limits.RareLimitOf(s.position.Rank) {
 			recent++
 		}
 		if u.kind == objectapi.Backends {
