--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -14,7 +14,8 @@
 const (
 	// maxHeadBytes is the maximum size of the head of an answer, together with the interim answers before it.
 	maxHeadBytes = 32 << 10
-	// maxHeadLines is the maximum number of lines of a head. A short line takes up to a hundred times its bytes once it is decoded.
+	// maxHeadLines is the maximum number of lines of a head. A short line takes up to a hundred times its bytes once it is
+	// decoded.
 	maxHeadLines = 256
 	// maxInterimAnswers is the maximum number of interim (1xx) answers before an answer.
 	maxInterimAnswers = 8
@@ -79,8 +80,8 @@
 	return true
 }
 
-// Read fails when more bytes are wanted than may be read, or more lines of a head. After the deadline it still returns the bytes that have arrived: the
-// process may have been late and not the server.
+// Read fails when more bytes are wanted than may be read, or more lines of a head. After the deadline it still returns the bytes
+// that have arrived: the process may have been late and not the server.
 func (c *limitedConn) Read(p []byte) (int, error) {
 	if c.readable == 0 {
 		return 0, errTooLong
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 )
 
-// Step is the size, in bytes, with which the buffer of a body of unknown length begins.
-const Step = 16 << 10
+// bodyStep is the size, in bytes, with which the buffer of a body of unknown length begins.
+const bodyStep = 16 << 10
 
 // ErrExhausted is the error for a body that does not fit into the budget now.
 var ErrExhausted = errors.New("requests take too much memory")
@@ -87,7 +87,7 @@
 func (l *Lease) ReadBody(body io.Reader, length, limit int64) ([]byte, error) {
 	size := length
 	if length < 0 {
-		size = min(Step, limit+1)
+		size = min(bodyStep, limit+1)
 	}
 	if !l.Grow(size) {
 		return nil, ErrExhausted
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -15,14 +15,14 @@
 // beyond the budget or not returned.
 func TestBodyIsReadWithinBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		for _, size := range []int{1, Step - 1, Step, Step + 1, 3 * Step, 10 * Step} {
+		for _, size := range []int{1, bodyStep - 1, bodyStep, bodyStep + 1, 3 * bodyStep, 10 * bodyStep} {
 			for _, known := range []bool{true, false} {
-				b := &Budget{limit: 40 * Step}
+				b := &Budget{limit: 40 * bodyStep}
 				ctx, cancel := context.WithCancel(t.Context())
 				text := strings.Repeat("0123456789", size/10+1)[:size]
-				length, limit := int64(-1), int64(8*Step)
+				length, limit := int64(-1), int64(8*bodyStep)
 				if known {
-					length, limit = int64(size), 16*Step
+					length, limit = int64(size), 16*bodyStep
 				}
 				name := fmt.Sprintf("%d bytes, length known %v", size, known)
 				lease := b.NewLease(ctx)
@@ -30,7 +30,7 @@
 				if want := text[:min(int64(size), limit+1)]; err != nil || string(body) != want {
 					t.Errorf("%s: %d bytes are read, want %d, %v", name, len(body), len(want), err)
 				}
-				if taken := b.Taken(); taken < int64(len(body)) || taken > 2*int64(len(body))+Step {
+				if taken := b.Taken(); taken < int64(len(body)) || taken > 2*int64(len(body))+bodyStep {
 					t.Errorf("%s: %d bytes are taken for %d", name, taken, len(body))
 				}
 				lease.Release()
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -17,6 +17,7 @@
 	budget *memory.Budget
 	// received counts the bytes since the last answer, taken those that are taken from the budget.
 	received, taken atomic.Int64
+	closed          atomic.Bool
 }
 
 // Read reads from the connection. It fails when the budget is used up, or when a long request is not complete in time.
@@ -30,6 +31,9 @@
 		return 0, errTooManyBytes
 	}
 	s.taken.Add(int64(n))
+	if s.closed.Load() {
+		s.returnTaken() // Close may have returned the bytes before
+	}
 	if before <= freeRequestBytes {
 		if err := s.SetReadDeadline(time.Now().Add(longRequestTimeout)); err != nil {
 			return 0, err
@@ -51,6 +55,7 @@
 
 // Close closes the connection.
 func (s *inboundSocket) Close() error {
+	s.closed.Store(true)
 	s.returnTaken()
 	return s.socket.Close()
 }
--- a/internal/peer/inbound_test.go
+++ b/internal/peer/inbound_test.go
@@ -48,6 +48,9 @@
 		if bytes := kept.Load() * frames * int64(len(frame)); bytes > 40<<20 || kept.Load() == 0 {
 			t.Errorf("%d connections with %d bytes are kept", kept.Load(), bytes)
 		}
+		if n := p.counter("peer.bad_messages"); n == 0 {
+			t.Error("no closed connection is counted")
+		}
 		if _, err := p.client.News(t.Context(), remote, &peerpb.NewsRequest{Sender: sender}); err != nil {
 			t.Errorf("a short call: %v", err)
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -218,4 +218,6 @@
 }
 
 // isMalformed reports whether an error means that a peer sent data that is not drpc, too large, unknown or undecodable.
-func isMalformed(err error) bool { return drpc.ProtocolError.Has(err) || errors.Is(err, proto.Error) }
+func isMalformed(err error) bool {
+	return drpc.ProtocolError.Has(err) || errors.Is(err, proto.Error) || errors.Is(err, errTooManyBytes)
+}
