Remove an expired server from all tables of the board

Cause: the board kept the end of the grace time of a lapsed entry in a map of its own. An entry that is not valid removed the server but not that time. Its expiry called removeBackend, which knew no such server and left the time where it was, so the timer of the board was set to zero in each turn. A machine that is suspended within the grace time led there too: the next update looks like the end of another outage, so the server was held again, with its old, past end.

Change: expiry.Table holds values with the time at which they expire, and TakeExpired removes what it returns, whatever its owner does then. The board keeps lapsed and outdated entries in such tables, and a server leaves all tables in one function, deleteBackend. A server whose store was unavailable again within the grace time gets another grace time.

Evidence: TestExpiredEntriesLeaveNoTimer counts the turns of the board at one instant of a synctest bubble. On the code before, with a test that is the same but for the cases of outdated entries, "the board no longer waited" from 8.1 to 9.0 s on in the cases of an entry that is not valid (3 cases) and of a suspension. It passes with the change.

--- a/internal/decide/expiry/expiry.go
+++ b/internal/decide/expiry/expiry.go
@@ -1,7 +1,10 @@
-// Package expiry decides which instance entries in the platform's store are stale. The store never expires them, and the
-// entries of removed instances would still count when the instances divide cold allowances and resend budgets.
+// Package expiry decides what is no longer in force.
 //
-// A wrong removal heals by itself: an instance whose entry is missing writes it again.
+// AbsenceTracker decides which instance entries in the platform's store are stale. The store never expires them, and the
+// entries of removed instances would still count when the instances divide cold allowances and resend budgets. A wrong
+// removal heals by itself: an instance whose entry is missing writes it again.
+//
+// Table holds values of any kind until they expire.
 package expiry
 
 import (
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/decide/dispatch"
+	"fuchsiahub.example/fuchsiahub/internal/decide/expiry"
 	"fuchsiahub.example/fuchsiahub/internal/decide/news"
 	"fuchsiahub.example/fuchsiahub/internal/decide/quarantine"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
@@ -76,12 +77,11 @@
 	decoding uint64
 	// configAsOf is the time at which the configuration in force was surely the newest one in the store.
 	configAsOf time.Time
-	// lapsed holds the entries that were removed during or just after an outage of the store, with the time from which
-	// they count as gone.
-	lapsed map[string]time.Time
-	// outdated holds entries that are older by the server's own account than the known ones, with the time from which they are
-	// used all the same.
-	outdated map[string]outdatedEntry
+	// lapsed holds the servers whose entries were removed during or just after an outage of the store, until they count as
+	// gone.
+	lapsed *expiry.Table[string, struct{}]
+	// outdated holds entries that are older by the server's own account than the known ones, until they are used all the same.
+	outdated *expiry.Table[string, *fleet.Backend]
 	// storeReturnedAt is when the store last came back after an outage.
 	storeReturnedAt time.Time
 	// totalSuspension returns how long the machine has been suspended in total.
@@ -100,12 +100,6 @@
 	invalidRevisions map[objectKey]uint64
 }
 
-// outdatedEntry is an entry of a backend server that seems to be older than the known one.
-type outdatedEntry struct {
-	entry *fleet.Backend
-	useAt time.Time
-}
-
 // objectKey identifies an object of the store.
 type objectKey struct {
 	kind objectapi.Kind
@@ -120,8 +114,7 @@
 		revisions: news.NewRevisions(), missedChanges: map[objectapi.Kind]missedChange{},
 		strikes: map[string]quarantine.Strike{}, trials: map[string]time.Time{},
 		cache: objectCache{}, readBy: map[objectapi.Kind]string{}, asOf: map[objectapi.Kind]time.Time{},
-		lapsed:          map[string]time.Time{},
-		outdated:        map[string]outdatedEntry{},
+		lapsed: expiry.NewTable[string, struct{}](), outdated: expiry.NewTable[string, *fleet.Backend](),
 		unansweredKinds: map[objectapi.Kind]bool{}, invalidRevisions: map[objectKey]uint64{},
 		totalSuspension: suspension.Total, countedSuspension: suspension.Total(),
 		onInvalid: func() {}, onStale: func() {},
@@ -210,11 +203,11 @@
 // nextLapse returns the time until the next lapsed entry counts as gone or the next outdated one is used.
 func (b *board) nextLapse() time.Duration {
 	wait := idleWait
-	for _, at := range b.lapsed {
+	if at, ok := b.lapsed.Next(); ok {
 		wait = min(wait, time.Until(at))
 	}
-	for _, o := range b.outdated {
-		wait = min(wait, time.Until(o.useAt))
+	if at, ok := b.outdated.Next(); ok {
+		wait = min(wait, time.Until(at))
 	}
 	return max(wait, 0)
 }
@@ -451,38 +444,47 @@
 	entry, err := b.schema.Backend(o)
 	if err != nil {
 		b.reportInvalid(o, err)
-		delete(b.backends, o.Name)
-		delete(b.outdated, o.Name)
+		b.deleteBackend(o.Name, "entry is not valid")
 		return
 	}
 	old := b.backends[o.Name]
 	if old != nil && (entry.StartedAtMs < old.StartedAtMs || entry.StartedAtMs == old.StartedAtMs && entry.Sequence < old.Sequence) {
-		b.outdated[o.Name] = outdatedEntry{entry: entry, useAt: time.Now().Add(outdatedGrace)}
+		b.outdated.Set(o.Name, entry, time.Now().Add(outdatedGrace))
 		b.log.Info("outdated entry of a backend server is ignored for now", "backend", o.Name, "born", entry.StartedAtMs,
 			"sequence", entry.Sequence)
 		return
 	}
-	delete(b.outdated, o.Name)
 	if old == nil || old.StartedAtMs != entry.StartedAtMs || old.Draining != entry.Draining {
 		b.log.Info("backend server is registered", "backend", o.Name, "service", entry.Service, "zone", entry.Place.Zone,
 			"draining", entry.Draining, "cold_ms", entry.ColdFor.Milliseconds(), "revision", o.Version)
 	}
-	delete(b.lapsed, o.Name)
-	b.backends[o.Name] = entry
+	b.useBackend(entry)
+}
+
+// useBackend puts an entry of a server in force.
+func (b *board) useBackend(entry *fleet.Backend) {
+	b.lapsed.Take(entry.ID)
+	b.outdated.Take(entry.ID)
+	b.backends[entry.ID] = entry
+}
+
+// deleteBackend forgets a server.
+func (b *board) deleteBackend(name, cause string) {
+	b.lapsed.Take(name)
+	b.outdated.Take(name)
+	if entry := b.backends[name]; entry != nil {
+		delete(b.backends, name)
+		b.log.Info("backend server is removed", "backend", name, "service", entry.Service, "cause", cause)
+	}
 }
 
 // useOutdated puts entries in force that seemed to be outdated and that nothing has replaced: the clock of the server was set
 // back between two starts, or its count began anew.
 func (b *board) useOutdated(now time.Time) {
-	for name, o := range b.outdated {
-		if now.Before(o.useAt) {
-			continue
-		}
-		delete(b.outdated, name)
-		delete(b.lapsed, name)
-		b.backends[name] = o.entry
-		b.log.Warn("entry of a backend server seemed to be outdated and stays; it is used", "backend", name, "born", o.entry.StartedAtMs,
-			"sequence", o.entry.Sequence, "draining", o.entry.Draining)
+	for _, o := range b.outdated.TakeExpired(now) {
+		b.useBackend(o.Value)
+		b.log.Warn("entry of a backend server seemed to be outdated and stays; it is used", "backend", o.Key,
+			"born", o.Value.StartedAtMs, "sequence", o.Value.Sequence, "draining", o.Value.Draining)
 		b.publish(true)
 	}
 }
@@ -507,33 +509,43 @@
 	}
 }
 
-// removeBackend removes a server and reports whether it did. A server whose entry may only have lapsed during an outage of
+// removeBackend applies the removal of the entry of a server. A server whose entry may only have lapsed during an outage of
 // the store is kept until the grace time is over.
-func (b *board) removeBackend(now time.Time, name string) bool {
-	delete(b.outdated, name)
+func (b *board) removeBackend(now time.Time, name string) {
+	b.outdated.Take(name)
 	entry := b.backends[name]
 	if entry == nil {
-		return false
+		return
 	}
-	if graceEnd := b.storeReturnedAt.Add(lapseGrace); !entry.Draining && !b.storeReturnedAt.IsZero() && now.Before(graceEnd) {
-		if _, held := b.lapsed[name]; !held {
-			b.lapsed[name] = graceEnd
-			b.log.Info("entry lapsed while the store was unavailable; the backend server is kept for a grace time", "backend", name)
-		}
-		return false
+	graceEnd := b.lapseGraceEnd()
+	if entry.Draining || !now.Before(graceEnd) {
+		b.deleteBackend(name, "entry is removed")
+		return
+	}
+	if !b.lapsed.Has(name) {
+		b.lapsed.Set(name, struct{}{}, graceEnd)
+		b.log.Info("entry lapsed while the store was unavailable; the backend server is kept for a grace time", "backend", name)
 	}
-	delete(b.backends, name)
-	delete(b.lapsed, name)
-	b.log.Info("backend server is removed", "backend", name, "service", entry.Service)
-	return true
 }
 
-// dropLapsed removes the servers whose grace time is over.
+// lapseGraceEnd returns until when servers may take to register again after the last outage; zero if there was none.
+func (b *board) lapseGraceEnd() time.Time {
+	if b.storeReturnedAt.IsZero() {
+		return time.Time{}
+	}
+	return b.storeReturnedAt.Add(lapseGrace)
+}
+
+// dropLapsed ends the grace time of servers. One whose store was unavailable again meanwhile has another grace time.
 func (b *board) dropLapsed(now time.Time) {
-	for name, at := range b.lapsed {
-		if !now.Before(at) && b.removeBackend(now, name) {
-			b.publish(true)
+	for _, lapsed := range b.lapsed.TakeExpired(now) {
+		name := lapsed.Key
+		if graceEnd := b.lapseGraceEnd(); now.Before(graceEnd) {
+			b.lapsed.Set(name, struct{}{}, graceEnd)
+			continue
 		}
+		b.deleteBackend(name, "grace time is over")
+		b.publish(true)
 	}
 }
 
