Use the older entry of a server whose newer one has lapsed

Callers lost a server that lives: an entry that seems to be outdated waits 5 s until it is used, and the end of the grace time of the newer one, which had lapsed in an outage of the store, threw it away. The server stayed unused until its entry changed again.

Cause: the grace time ended in the function for an entry that the store has removed, which also forgets the waiting one. That entry is in the store.

Change: when the grace time of a lapsed entry is over, a waiting one is used at once, since nothing newer is known any more.

Evidence: the case "older entry" of TestExpiredEntriesLeaveNoTimer and TestBoardFollowsStoreAfterAnyOrderOfChanges (rapid, 100 orders of changes and outages) failed before: "[] are known and [i-1] in the store" after 39 orders.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -536,7 +536,8 @@
 	return b.storeReturnedAt.Add(lapseGrace)
 }
 
-// dropLapsed ends the grace time of servers. One whose store was unavailable again meanwhile has another grace time.
+// dropLapsed ends the grace time of servers. One whose store was unavailable again meanwhile has another grace time. One that
+// has written an entry since, which seemed to be outdated, is used with that.
 func (b *board) dropLapsed(now time.Time) {
 	for _, lapsed := range b.lapsed.TakeExpired(now) {
 		name := lapsed.Key
@@ -544,7 +545,13 @@
 			b.lapsed.Set(name, struct{}{}, graceEnd)
 			continue
 		}
-		b.deleteBackend(name, "grace time is over")
+		if entry, ok := b.outdated.Take(name); ok {
+			b.useBackend(entry)
+			b.log.Info("backend server is used with an entry that seemed to be outdated, since the newer one lapsed", "backend", name,
+				"born", entry.StartedAtMs, "sequence", entry.Sequence, "draining", entry.Draining)
+		} else {
+			b.deleteBackend(name, "grace time is over")
+		}
 		b.publish(true)
 	}
 }
--- a/internal/gateway/boardexpiry_test.go
+++ b/internal/gateway/boardexpiry_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 )
@@ -108,6 +112,8 @@
 			r.setSilent(false)
 		}, 4 * time.Second, nil},
 		{"suspension, which looks like another outage", func(r *boardRun) { r.suspended.Add(int64(3 * time.Second)) }, 4 * time.Second, nil},
+		{"older entry", func(r *boardRun) { r.store.put(objectapi.Backends, "i-1", older) }, 2 * time.Second,
+			[]string{"i-1"}},
 		{"older entry and one that is not valid", func(r *boardRun) {
 			r.store.put(objectapi.Backends, "i-1", older)
 			time.Sleep(100 * time.Millisecond)
@@ -140,3 +146,77 @@
 		})
 	}
 }
+
+// boardStep is a change of the store, an end of its answers or both, and the pause before the next step.
+type boardStep struct {
+	what  string
+	id    string
+	entry fleet.Backend
+	pause time.Duration
+}
+
+func drawBoardSteps(t *rapid.T) []boardStep {
+	pauses := []time.Duration{0, 50 * time.Millisecond, 700 * time.Millisecond, 1900 * time.Millisecond, 2 * time.Second, 3 * time.Second,
+		5 * time.Second}
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) boardStep {
+		return boardStep{
+			what: rapid.SampledFrom([]string{"silence", "answers", "lapse", "put", "put", "invalid", "remove"}).Draw(t, "what"),
+			id:   rapid.SampledFrom([]string{"i-1", "i-2"}).Draw(t, "id"),
+			entry: fleet.Backend{Service: "s", StartedAtMs: rapid.Int64Range(1, 3).Draw(t, "started"),
+				Sequence: rapid.Uint64Range(1, 3).Draw(t, "sequence"), Draining: rapid.Bool().Draw(t, "draining")},
+			pause: rapid.SampledFrom(pauses).Draw(t, "pause"),
+		}
+	}), 5, 40).Draw(t, "steps")
+}
+
+// playBoard plays the steps and then a quiet time. It returns what was wrong.
+func playBoard(t *testing.T, steps []boardStep) (problem string) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		r := startBoardRun(t, ctx)
+		stored := map[string]bool{}
+		for _, s := range steps {
+			switch s.what {
+			case "silence", "answers":
+				r.setSilent(s.what == "silence")
+			case "lapse":
+				r.setSilent(true)
+				time.Sleep(3 * time.Second)
+				r.store.remove(objectapi.Backends, s.id)
+				delete(stored, s.id)
+				r.setSilent(false)
+			case "put":
+				r.store.put(objectapi.Backends, s.id, s.entry)
+				stored[s.id] = true
+			case "invalid":
+				r.store.put(objectapi.Backends, s.id, json.RawMessage(`"maintenance"`))
+				delete(stored, s.id)
+			case "remove":
+				r.store.remove(objectapi.Backends, s.id)
+				delete(stored, s.id)
+			}
+			time.Sleep(s.pause)
+		}
+		r.setSilent(false)
+		time.Sleep(10 * time.Second)
+		if r.ctx.Err() != nil {
+			problem = fmt.Sprintf("the board no longer waited from %s on", r.spunAt)
+			return
+		}
+		if want := slices.Sorted(maps.Keys(stored)); !slices.Equal(r.known(), want) {
+			problem = fmt.Sprintf("%v are known and %v in the store", r.known(), want)
+		}
+	})
+	return problem
+}
+
+// Guards against tables of the board that disagree after any order of changes and outages: a timer that stays due, a server
+// that is kept for good after its entry has gone, and one that is never used although its entry is in the store.
+func TestBoardFollowsStoreAfterAnyOrderOfChanges(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		if problem := playBoard(t, drawBoardSteps(rt)); problem != "" {
+			rt.Fatal(problem)
+		}
+	})
+}
