Slow down, log and count a task whose past time stays set

Change: tasks that wait for the earliest of several times do so with task.Alarm in both modes (board, director, gateway, partitions, lifecycle, service, quarantine, audit). An alarm that is set 64 times in succession to a time that has passed, and that is no later than the one before, goes off every 10 ms from then on, logs the task once and counts it in task.overdue_alarms. process.cpu_ms shows the processor time.

No other loop with the fault of the board was found: the other tables remove by the condition that sets the timer.

--- a/internal/audit/writer.go
+++ b/internal/audit/writer.go
@@ -76,16 +76,17 @@
 
 // Run runs the task until the context ends. It then makes a last attempt to write the waiting records.
 func (w *Writer) Run(ctx context.Context) error {
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
+	alarm := task.NewAlarm("audit", w.log)
+	defer alarm.Stop()
 	for {
-		w.resetTimer(timer)
+		due, _ := w.machine.Deadline()
+		alarm.Set(due)
 		select {
 		case r := <-w.inbox.C():
 			w.enqueue(r)
 		case r := <-w.results:
 			w.handleResult(r)
-		case <-timer.C:
+		case <-alarm.C():
 			w.machine.Tick(time.Now())
 		case <-ctx.Done():
 			w.flush()
@@ -94,14 +95,6 @@
 	}
 }
 
-func (w *Writer) resetTimer(timer *time.Timer) {
-	if due, ok := w.machine.Deadline(); ok {
-		timer.Reset(time.Until(due))
-		return
-	}
-	timer.Reset(time.Hour)
-}
-
 func (w *Writer) fire(event string) {
 	if err := w.machine.Fire(time.Now(), event); err != nil {
 		panic(err) // events are constants of this package, so an unknown one is a programming error
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -70,6 +70,7 @@
 // New opens the listeners of an instance and builds its tasks without starting them.
 func New(s *settings.Daemon, log *slog.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, log: log.With("instance", s.Instance), metrics: metric.NewSet()}
+	d.metrics.AddProcess()
 	d.api = objecthttp.New(s.Platform.Address.String(), nil)
 	if err := d.listen(); err != nil {
 		d.closeListeners()
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -123,23 +123,23 @@
 
 // run is the body of the task.
 func (b *board) run(ctx context.Context) error {
+	alarm := task.NewAlarm("board", b.log)
+	defer alarm.Stop()
 	for {
 		b.applySuspension()
 		now := time.Now()
 		b.reportAges(now)
 		b.listMissedChanges(now)
 		b.source.checkSource(ctx, now)
-		timer := time.NewTimer(min(b.nextLapse(), ageCheckInterval))
+		alarm.SetFirst(now.Add(ageCheckInterval), b.nextExpiry())
 		select {
 		case m := <-b.inbox.C():
 			b.applySuspension()
 			b.handle(time.Now(), m)
-		case <-timer.C:
+		case <-alarm.C():
 		case <-ctx.Done():
-			timer.Stop()
 			return nil
 		}
-		timer.Stop()
 		b.dropLapsed(time.Now())
 		b.useOutdated(time.Now())
 	}
@@ -197,19 +197,13 @@
 	u.asOf = u.asOf.Add(-max(b.countedSuspension-u.suspendedAtCall, 0))
 }
 
-// idleWait is the timer duration of a task that has nothing scheduled.
-const idleWait = time.Hour
-
-// nextLapse returns the time until the next lapsed entry counts as gone or the next outdated one is used.
-func (b *board) nextLapse() time.Duration {
-	wait := idleWait
-	if at, ok := b.lapsed.Next(); ok {
-		wait = min(wait, time.Until(at))
-	}
-	if at, ok := b.outdated.Next(); ok {
-		wait = min(wait, time.Until(at))
+// nextExpiry returns when the next lapsed entry counts as gone or the next outdated one is used; zero if there is none.
+func (b *board) nextExpiry() time.Time {
+	at, lapses := b.lapsed.Next()
+	if useAt, ok := b.outdated.Next(); ok && (!lapses || useAt.Before(at)) {
+		return useAt
 	}
-	return max(wait, 0)
+	return at
 }
 
 func (b *board) handle(now time.Time, m any) {
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -153,14 +153,14 @@
 // run is the body of the task. It returns when the context is done.
 func (d *director) run(ctx context.Context) error {
 	d.poolContext = ctx
-	timer := time.NewTimer(idleWait)
-	defer timer.Stop()
+	alarm := task.NewAlarm("director", d.log)
+	defer alarm.Stop()
 	for {
-		timer.Reset(d.nextDecision())
+		alarm.Set(d.nextDecision())
 		select {
 		case m := <-d.inbox.C():
 			d.handle(ctx, time.Now(), m)
-		case <-timer.C:
+		case <-alarm.C():
 		case <-ctx.Done():
 			return nil
 		}
@@ -177,12 +177,15 @@
 	}
 }
 
-func (d *director) nextDecision() time.Duration {
-	wait := idleWait
+// nextDecision returns when the next placement is decided at the latest; zero if none is pending.
+func (d *director) nextDecision() time.Time {
+	var next time.Time
 	for _, p := range d.pending {
-		wait = min(wait, time.Until(p.decideBy))
+		if next.IsZero() || p.decideBy.Before(next) {
+			next = p.decideBy
+		}
 	}
-	return max(wait, 0)
+	return next
 }
 
 func (d *director) handle(ctx context.Context, now time.Time, m any) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,7 @@
 		return nil, err
 	}
 	set := metric.NewSet()
+	set.AddProcess()
 	g := &Gateway{
 		settings: settings, schema: schema, store: measuredStore{store: store, registry: set.Registry()},
 		dialect: dialect, log: log, metrics: set, counters: newCounters(set.Registry()), snapshots: &SnapshotPublisher{},
@@ -331,35 +332,36 @@
 // loop runs the gateway task until the instance has stopped.
 func (g *Gateway) loop(ctx context.Context, stop context.Context) {
 	stopped := stop.Done()
+	alarm := task.NewAlarm("gateway", g.log)
+	defer alarm.Stop()
 	for !g.machine.Final() {
-		timer := time.NewTimer(g.nextWake())
+		alarm.Set(g.nextWake())
 		select {
 		case m := <-g.inbox.C():
 			g.handle(ctx, m)
 		case <-stopped:
 			stopped = nil
 			g.fire("stop")
-		case <-timer.C:
+		case <-alarm.C():
 			g.machine.Tick(time.Now())
 			if g.snapshots.Newest().Ready() {
 				g.fire("snapshot_ready")
 			}
 		}
-		timer.Stop()
 		if g.acceptingEnded && g.openConnections == 0 {
 			g.fire("connections_closed")
 		}
 	}
 }
 
-func (g *Gateway) nextWake() time.Duration {
+// nextWake returns when the task has to look whether it is ready, or when the next timeout of the chart is due; zero if there
+// is none.
+func (g *Gateway) nextWake() time.Time {
 	if !isClosed(g.ready) {
-		return readyCheckInterval
+		return time.Now().Add(readyCheckInterval)
 	}
-	if due, ok := g.machine.Deadline(); ok {
-		return max(time.Until(due), 0)
-	}
-	return idleWait
+	due, _ := g.machine.Deadline()
+	return due
 }
 
 func (g *Gateway) fire(event string) {
--- a/internal/metric/set.go
+++ b/internal/metric/set.go
@@ -9,6 +9,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/task"
 )
 
 // reservoirSize and reservoirAlpha are the values that go-metrics itself uses for an exponentially decaying sample of about
@@ -18,12 +19,27 @@
 	reservoirAlpha = 0.015
 )
 
+// Names of the metrics of the process.
+const (
+	MetricProcessCPU    = "process.cpu_ms"
+	MetricOverdueAlarms = "task.overdue_alarms"
+)
+
 // Set holds the metrics of one instance.
 type Set struct{ registry gometrics.Registry }
 
 // NewSet returns an empty set.
 func NewSet() *Set { return &Set{registry: gometrics.NewRegistry()} }
 
+// AddProcess adds the metrics of the process, which all instances of it share.
+func (s *Set) AddProcess() {
+	for name, m := range map[string]any{
+		MetricProcessCPU: gometrics.NewFunctionalGauge(cpuMilliseconds), MetricOverdueAlarms: task.OverdueAlarms,
+	} {
+		s.registry.GetOrRegister(name, m)
+	}
+}
+
 // Registry returns the registry, for packages that register their own metrics.
 func (s *Set) Registry() gometrics.Registry { return s.registry }
 
--- a/internal/metric/set_test.go
+++ b/internal/metric/set_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/task"
 )
 
 // Guards against a metric that is missing or is written under another name than docs/metrics.md lists.
@@ -31,3 +32,18 @@
 		t.Errorf("got\n%swant\n%s", text.String(), want)
 	}
 }
+
+// Guards against a process whose processor time and stuck tasks cannot be seen from outside (review/10).
+func TestMetricsOfProcess(t *testing.T) {
+	set := NewSet()
+	set.AddProcess()
+	before := set.Counters()
+	task.OverdueAlarms.Inc(1)
+	after := set.Counters()
+	for after[MetricProcessCPU] <= before[MetricProcessCPU] { // reading the metrics uses processor time
+		after = set.Counters()
+	}
+	if after[MetricOverdueAlarms] != before[MetricOverdueAlarms]+1 {
+		t.Errorf("overdue alarms: %d, then %d", before[MetricOverdueAlarms], after[MetricOverdueAlarms])
+	}
+}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -145,14 +145,14 @@
 func (l *Lifecycle) Run(ctx context.Context) error {
 	defer close(l.ended)
 	defer func() { l.cancelStages() }()
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
+	alarm := task.NewAlarm("lifecycle", l.options.Log)
+	defer alarm.Stop()
 	for !l.machine.Final() {
-		l.arm(timer)
+		alarm.SetFirst(dueOf(l.machine), dueOf(l.zoneMachine))
 		select {
 		case m := <-l.inbox.C():
 			l.handle(m)
-		case <-timer.C:
+		case <-alarm.C():
 			l.machine.Tick(time.Now())
 			l.zoneMachine.Tick(time.Now())
 		case <-ctx.Done():
@@ -163,15 +163,10 @@
 	return l.err
 }
 
-// arm sets the timer to the next timeout of a machine.
-func (l *Lifecycle) arm(timer *time.Timer) {
-	wait := time.Hour
-	for _, m := range []*chart.Machine[*Lifecycle]{l.machine, l.zoneMachine} {
-		if due, ok := m.Deadline(); ok {
-			wait = min(wait, time.Until(due))
-		}
-	}
-	timer.Reset(wait)
+// dueOf returns when the next timeout of a machine is due; zero if there is none.
+func dueOf(m *chart.Machine[*Lifecycle]) time.Time {
+	due, _ := m.Deadline()
+	return due
 }
 
 func (l *Lifecycle) handle(m any) {
--- a/internal/node/partitions.go
+++ b/internal/node/partitions.go
@@ -139,8 +139,8 @@
 // run is the body of the task. After the context has ended it finishes the work in flight, for at most claimsStopLimit.
 func (s *partitions) run(ctx context.Context) error {
 	defer close(s.ended)
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
+	alarm := task.NewAlarm("partitions", s.log)
+	defer alarm.Stop()
 	drop := time.NewTicker(dropInterval)
 	defer drop.Stop()
 	callCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -148,11 +148,11 @@
 	var limit <-chan time.Time
 	done := ctx.Done()
 	for !s.stopping || s.callsInFlight > 0 || !s.quiet() {
-		s.arm(timer)
+		alarm.Set(s.nextTimeout())
 		select {
 		case m := <-s.inbox.C():
 			s.handle(callCtx, m)
-		case <-timer.C:
+		case <-alarm.C():
 			s.tick(callCtx)
 		case <-drop.C:
 			s.dropNotOwned()
@@ -177,15 +177,15 @@
 	return true
 }
 
-// arm sets the timer to the next timeout of a partition.
-func (s *partitions) arm(timer *time.Timer) {
-	next := time.Hour
+// nextTimeout returns when the next timeout of a partition is due; zero if there is none.
+func (s *partitions) nextTimeout() time.Time {
+	var next time.Time
 	for _, p := range s.openPartitions {
-		if due, ok := p.Deadline(); ok {
-			next = min(next, time.Until(due))
+		if due, ok := p.Deadline(); ok && (next.IsZero() || due.Before(next)) {
+			next = due
 		}
 	}
-	timer.Reset(next)
+	return next
 }
 
 func (s *partitions) tick(ctx context.Context) {
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -140,14 +140,15 @@
 // Run is the body of the quarantine task. It ends with the context.
 func (q *Quarantine) Run(ctx context.Context) error {
 	defer close(q.ended)
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
+	alarm := task.NewAlarm("quarantine", q.options.Log)
+	defer alarm.Stop()
 	for {
-		q.arm(timer)
+		due, _ := q.state.Deadline()
+		alarm.Set(due)
 		select {
 		case m := <-q.inbox.C():
 			q.handle(ctx, m)
-		case <-timer.C:
+		case <-alarm.C():
 			q.state.Tick(time.Now())
 			q.publish()
 		case <-ctx.Done():
@@ -156,15 +157,6 @@
 	}
 }
 
-// arm sets the timer to the next timeout of the state.
-func (q *Quarantine) arm(timer *time.Timer) {
-	if due, ok := q.state.Deadline(); ok {
-		timer.Reset(time.Until(due))
-		return
-	}
-	timer.Reset(time.Hour)
-}
-
 // publish makes the current marks visible to requests.
 func (q *Quarantine) publish() {
 	before := q.Status().Refused
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -113,15 +113,15 @@
 	defer close(s.ended)
 	s.syncPools(ctx)
 	s.resizePools(ctx)
-	timer := time.NewTimer(time.Hour)
-	defer timer.Stop()
+	alarm := task.NewAlarm("service "+s.name, s.log)
+	defer alarm.Stop()
 	done, stopping := ctx.Done(), false
 	for !stopping || s.runningPools > 0 {
-		s.resetTimer(timer)
+		alarm.SetFirst(s.timeouts(time.Now()))
 		select {
 		case m := <-s.inbox.C():
 			s.handle(ctx, m)
-		case <-timer.C:
+		case <-alarm.C():
 			s.fleet.Tick(time.Now())
 			s.resizePools(ctx)
 		case <-done:
@@ -134,17 +134,13 @@
 	return nil
 }
 
-// resetTimer sets the timer to the next timeout of a server or of a waiting request.
-func (s *Service) resetTimer(timer *time.Timer) {
-	now := time.Now()
-	due := now.Add(time.Hour)
-	if at, ok := s.fleet.Deadline(now); ok && at.Before(due) {
-		due = at
-	}
-	if at, ok := s.queue.NextExpiry(s.pace(now)); ok && at.Before(due) {
-		due = at
+// timeouts returns when the next timeout of a server and that of a waiting request are due; zero if there is none.
+func (s *Service) timeouts(now time.Time) (server, request time.Time) {
+	server, _ = s.fleet.Deadline(now)
+	if at, waits := s.queue.NextExpiry(s.pace(now)); waits {
+		request = at
 	}
-	timer.Reset(time.Until(due))
+	return server, request
 }
 
 func (s *Service) handle(ctx context.Context, m any) {
