End an exchange with a backend server whose status is none

Callers of a server in trouble got an answer that belongs to nothing, or waited until their deadline. A status of 000 to 099, 101 or any other unknown 1xx was skipped like an interim answer: the bytes behind it were read as the answer to the request (200 with the body "late" in the test), and without such bytes the request and its server's connection were held until the deadline. 600 to 999 were passed on as answers, to health checks too. A head that stays open after such a status was waited for.

Cause: readHead took every status below 200 for an interim answer, and net/http's parser accepts any three digits, also "+20" and "-00".

Change: httpstatus says which statuses are valid: 200 to 599, and 100, 102 and 103 without a body as interim answers. The connection checks the status line before the rest of the head has arrived. Requests, health checks and probes of both modes read heads here.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -13,6 +14,7 @@
 
 	"fuchsiahub.example/fuchsiahub/internal/call"
 	"fuchsiahub.example/fuchsiahub/internal/chart"
+	"fuchsiahub.example/fuchsiahub/internal/httpstatus"
 	"fuchsiahub.example/fuchsiahub/internal/task"
 )
 
@@ -290,20 +292,49 @@
 	return c.socket.readable, err
 }
 
-// readHead reads the head of the next answer and skips interim (1xx) answers.
+// readHead reads the head of the next answer and skips interim (1xx) answers. It fails as soon as a status is not valid.
 func (c *connection) readHead(method string) (*http.Response, error) {
 	c.socket.readable = maxHeadBytes
 	defer func() { c.socket.readable, c.socket.inHead = unlimitedBytes, false }()
 	for range maxInterimAnswers + 1 {
 		c.socket.beginHead()
+		if err := c.checkStatusLine(); err != nil {
+			return nil, err
+		}
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, httpstatus.CheckFinal(response.StatusCode)
+		}
+		if err := httpstatus.CheckInterim(response.StatusCode, response.Header, response.TransferEncoding); err != nil {
+			return nil, err
 		}
 	}
 	return nil, errTooLong
 }
 
+// checkStatusLine waits for the next line and checks the status in it, before the rest of the head arrives. A line that is
+// longer than the buffer is left to the parser.
+func (c *connection) checkStatusLine() error {
+	for size := 1; ; size = c.reader.Buffered() + 1 {
+		switch _, err := c.reader.Peek(size); err {
+		case nil:
+		case bufio.ErrBufferFull:
+			return nil
+		case io.EOF:
+			return io.ErrUnexpectedEOF // as from the parser
+		default:
+			return err
+		}
+		arrived, _ := c.reader.Peek(c.reader.Buffered()) // what is buffered can be read
+		if end := bytes.IndexByte(arrived, '\n'); end >= 0 {
+			return httpstatus.CheckLine(arrived[:end])
+		}
+	}
+}
+
 // keepAliveTimeout returns the idle timeout that a server announces in whole seconds; zero when it announces none.
 func keepAliveTimeout(header http.Header) time.Duration {
 	_, after, found := strings.Cut(header.Get("Keep-Alive"), "timeout=")
