Take no answer of the store without a valid status for a success

An answer of the store with a status below 200 counted as a success: with 000, 001, 099, 101 and "+20" a write was acknowledged that may never have been made (the entry of an instance, a strike, the claim of a trial), and a page with objects was used. 500 to 504 and 600 to 999 counted as "nothing was done" for writes, which only 429 and 503 promise, and a redirect was followed: a write became a read of another object, whose answer acknowledged the write.

Cause: the client compared the status with 300 only, and net/http follows redirects by default.

Change: httpstatus.Transport ends a call, and its connection, at a status that is none and at an unknown interim status.

--- a/internal/httpstatus/status.go
+++ b/internal/httpstatus/status.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -71,22 +72,48 @@
 	return nil
 }
 
-// Transport is a transport of net/http that fails when the status of an answer is not valid. No byte behind the head is
-// read then.
-type Transport struct{ Base http.RoundTripper }
+// Transport is a transport of net/http that fails when the status of an answer is not valid. The connection ends then, so that
+// no byte behind the head is read.
+type Transport struct {
+	Base http.RoundTripper
+	// MaxInterimBytes is the maximum size of the heads of the interim answers to one request. The transport of net/http limits
+	// only the size of each when they are looked at.
+	MaxInterimBytes int
+}
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var conn net.Conn // set by the goroutine that is in RoundTrip
+	interimBytes := 0 // belongs to the goroutine that reads the connection
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		Got1xxResponse: func(status int, header textproto.MIMEHeader) error { return CheckInterim(status, http.Header(header), nil) },
+		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
+			if interimBytes += headSize(header); interimBytes > t.MaxInterimBytes {
+				return fmt.Errorf("interim answers exceeded %d bytes", t.MaxInterimBytes)
+			}
+			return CheckInterim(status, http.Header(header), nil)
+		},
 	})
 	response, err := t.Base.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
 	if err := CheckFinal(response.StatusCode); err != nil {
-		_ = response.Body.Close() // the connection ends with it
+		_ = response.Body.Close()
+		_ = conn.Close() // net/http would keep a connection behind a complete body
 		return nil, err
 	}
 	return response, nil
 }
+
+// headSize returns the size of a head, in bytes, with the shortest status line.
+func headSize(header textproto.MIMEHeader) int {
+	const line, end = len("HTTP/1.1 100 \r\n"), len("\r\n")
+	size := line + end
+	for name, values := range header {
+		for _, value := range values {
+			size += len(name) + len(": ") + len(value) + end
+		}
+	}
+	return size
+}
