End a call of the object API at a status that is none

In the product's own mode a call whose answer had a status of 000 to 199 or 600 and above waited up to 2 s for the rest of its body, 101 and 150 without any end of the answer too; an answer with 000 and the reason "unavailable" in its body counted as a write that was not made, and the bytes behind an unknown interim status were read as the answer. The reason counted with every status, while the protocol (doc.go) gives it to 503 only.

Change: the client calls through httpstatus.Transport, and the reason counts with 503 only.

--- a/internal/objecthttp/client.go
+++ b/internal/objecthttp/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/httpstatus"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 )
 
@@ -28,8 +29,10 @@
 
 // Client implements objectapi.API over HTTP. It is safe for concurrent use.
 type Client struct {
-	base      string
-	transport *http.Transport
+	base string
+	// connections holds the connections; transport makes calls over them.
+	connections *http.Transport
+	transport   http.RoundTripper
 }
 
 var _ objectapi.API = (*Client)(nil)
@@ -42,15 +45,17 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: callTimeout}).DialContext
 	}
-	return &Client{base: "http://" + address + PathPrefix, transport: &http.Transport{
+	connections := &http.Transport{
 		DialContext: dial, ResponseHeaderTimeout: callTimeout, MaxConnsPerHost: maxConnections,
 		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: connectionIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}}
+	}
+	return &Client{base: "http://" + address + PathPrefix, connections: connections,
+		transport: &httpstatus.Transport{Base: connections, MaxInterimBytes: maxHeadBytes}}
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() { c.connections.CloseIdleConnections() }
 
 // Get returns the object at its current version.
 func (c *Client) Get(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error) {
--- a/internal/objecthttp/exchange.go
+++ b/internal/objecthttp/exchange.go
@@ -126,7 +126,8 @@
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
 		return fault.New(fault.Invalid, "correct the call", "the object API refused the call for %s: %s", call.objectPath(), problem.Message)
 	}
-	noEffect := response.StatusCode == http.StatusTooManyRequests || problem.Reason == ReasonUnavailable
+	noEffect := response.StatusCode == http.StatusTooManyRequests ||
+		response.StatusCode == http.StatusServiceUnavailable && problem.Reason == ReasonUnavailable
 	if call.isWrite() && !noEffect {
 		return fault.New(fault.AmbiguousWrite, "read the object back to learn whether the write took effect",
 			"the object API answered a write of %s with status %d", call.objectPath(), response.StatusCode)
