Drop a kept answer of a peer whose status is none

In the product's own mode a caller that repeated a once-only request could get a success that nobody gave: net/http writes a kept answer with the status 150 as an interim answer and then 200 with its body, and panics at 000 to 099.

Change: a kept answer without a valid status counts as no longer kept, so the caller gets 409 as for any answer that is not kept, and the drop is logged with the peer.

--- a/internal/node/claimmessage.go
+++ b/internal/node/claimmessage.go
@@ -7,6 +7,7 @@
 	"fuchsiahub.example/fuchsiahub/internal/call"
 	"fuchsiahub.example/fuchsiahub/internal/decide/once"
 	"fuchsiahub.example/fuchsiahub/internal/fault"
+	"fuchsiahub.example/fuchsiahub/internal/httpstatus"
 	"fuchsiahub.example/fuchsiahub/internal/peer"
 	"fuchsiahub.example/fuchsiahub/internal/peerpb"
 )
@@ -63,6 +64,7 @@
 	if c.layout.problem() != nil {
 		return &peerpb.SettleReply{}, nil
 	}
+	c.logInvalidAnswer(in.GetSender().GetInstance(), in.Answer)
 	for settlement, value := range wireSettlements {
 		if value == in.Settlement {
 			m.Settlement = settlement
@@ -135,6 +137,13 @@
 	return claimReply{}, badClaimMessage("state of the reply is not known")
 }
 
+// logInvalidAnswer logs a kept answer of a peer that is dropped for its status.
+func (c *Claims) logInvalidAnswer(from string, in *peerpb.KeptAnswer) {
+	if in != nil && !httpstatus.IsFinal(int(in.Status)) {
+		c.options.Log.Warn("kept answer of a peer has no valid status and is dropped", "peer", from, "status", in.Status)
+	}
+}
+
 func encodeAnswer(a *call.Answer) *peerpb.KeptAnswer {
 	if a == nil {
 		return nil
@@ -146,8 +155,9 @@
 	return kept
 }
 
+// decodeAnswer returns the kept answer of a peer. One without a valid status counts as no longer kept.
 func decodeAnswer(in *peerpb.KeptAnswer) *call.Answer {
-	if in == nil {
+	if in == nil || !httpstatus.IsFinal(int(in.Status)) {
 		return nil
 	}
 	a := &call.Answer{Status: int(in.Status), Body: in.Body, Length: int64(len(in.Body))}
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -205,6 +205,7 @@
 	if err != nil {
 		return claimReply{}, err
 	}
+	c.logInvalidAnswer(owner, reply.GetAnswer())
 	return decodeClaimReply(reply)
 }
 
--- a/internal/node/claims_test.go
+++ b/internal/node/claims_test.go
@@ -218,3 +218,24 @@
 		i.shutDown()
 	})
 }
+
+// Guards against a kept answer of a peer whose status is none: HTTP passes 150 on as an interim answer before a success, and 000
+// not at all.
+func TestKeptAnswersHaveValidStatuses(t *testing.T) {
+	for _, status := range []int32{-1, 0, 99, 100, 101, 150, 199, 600, 999, 1 << 30} {
+		kept := &peerpb.KeptAnswer{Status: status, Body: []byte("done")}
+		reply, err := decodeClaimReply(&peerpb.ClaimReply{State: peerpb.ClaimState_CLAIM_STATE_ANSWERED, Answer: kept})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c := resultOfVerdict(&claim{}, reply)
+		if e := fault.As(c.err); c.event != "duplicate" || c.answer != nil || e.NotRun || frontend.Status(e) != http.StatusConflict {
+			t.Errorf("status %d: event %q, answer %+v, error %v", status, c.event, c.answer, c.err)
+		}
+	}
+	kept := &peerpb.KeptAnswer{Status: 599, Body: []byte("done")}
+	reply, err := decodeClaimReply(&peerpb.ClaimReply{State: peerpb.ClaimState_CLAIM_STATE_ANSWERED, Answer: kept})
+	if c := resultOfVerdict(&claim{}, reply); err != nil || c.event != "replayed" || c.answer.Status != 599 {
+		t.Errorf("valid answer: event %q, answer %+v, errors %v, %v", c.event, c.answer, err, c.err)
+	}
+}
