Pause before a peer is asked again whose news brought nothing

An instance that follows its peers asked a peer again at once after each answer. A peer that answers at once, and with nothing that can be applied or is more recent, was asked without a pause for as long as it did so: both used their processors and the network for nothing. Peers of one release hold such requests; a peer of another release need not.

Cause: only the age of the known objects and a failed call kept a peer from being asked.

Change: a peer whose reply brought neither changes nor more recent objects is asked again 0.5 s after the last request at the earliest; another peer is asked meanwhile.

--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -29,6 +29,9 @@
 	// peerCheckInterval is the interval at which an instance that reads the store asks a peer of better rank, which should
 	// read instead.
 	peerCheckInterval = 500 * time.Millisecond
+	// minNewer is the minimum time by which news without changes has to be more recent than what is known. Less is within the
+	// accuracy of ages.
+	minNewer = 10 * time.Millisecond
 	// maxNewsBytes is the maximum size of one reply to a peer; kinds that do not fit follow in the next reply.
 	maxNewsBytes = 900 << 10
 	// maxNewsWait is the maximum time for which the request of a peer is held, several times the wait that peers ask for.
@@ -98,6 +101,9 @@
 	askedAt map[string]time.Time
 	// retryAt holds, for each peer that did not answer, the time from which it may be asked again.
 	retryAt map[string]time.Time
+	// uselessUntil holds, for each peer whose last reply brought nothing new, the time until which it is not asked again. It would
+	// send the same at once.
+	uselessUntil map[string]time.Time
 	// heldRequests holds the requests of peers that are not answered yet.
 	heldRequests []heldRequest
 }
@@ -125,7 +131,7 @@
 		board: b, self: self, limits: news.NewAgeLimits(settings.Bounds.Drain, settings.Bounds.ConfigApply), client: client, seedTimeout: seedTimeout,
 		seeds:  slices.DeleteFunc(slices.Clone(settings.Seeds), func(a string) bool { return a == self.Address }),
 		isSeed: slices.Contains(settings.Seeds, self.Address), feeds: map[objectapi.Kind]*feed{},
-		inFlight: map[string]bool{}, askedAt: map[string]time.Time{}, retryAt: map[string]time.Time{},
+		inFlight: map[string]bool{}, askedAt: map[string]time.Time{}, retryAt: map[string]time.Time{}, uselessUntil: map[string]time.Time{},
 		sender: &peerpb.Sender{
 			Instance: self.Name, Incarnation: self.Incarnation, Region: self.Place.Region, Zone: self.Place.Zone,
 			Protocol: peer.ProtocolVersion,
@@ -255,7 +261,7 @@
 		if count == 0 {
 			break
 		}
-		if now.Before(s.retryAt[address]) {
+		if now.Before(s.retryAt[address]) || now.Before(s.uselessUntil[address]) {
 			continue
 		}
 		count--
@@ -303,6 +309,7 @@
 	}
 	// recent is the number of rare kinds of which the peer has passed on a recent state, servers its update of the servers.
 	recent, servers := 0, (*kindUpdate)(nil)
+	usable := false
 	for _, k := range m.reply.GetKinds() {
 		if !isFollowed(k.GetKind()) {
 			continue
@@ -318,7 +325,9 @@
 		}
 		u := m.toKindUpdate(now, k)
 		s.board.adjustForSuspension(&u)
+		before := s.board.asOf[u.kind]
 		applied := s.board.applyUpdate(now, u)
+		usable = usable || applied && (len(u.events) > 0 || s.board.asOf[u.kind].Sub(before) > minNewer)
 		if applied && slices.Contains(rareKinds, u.kind) && now.Sub(u.asOf) <= s.limits.RareLimitOf(s.position.Rank) {
 			recent++
 		}
@@ -326,6 +335,10 @@
 			servers = &u
 		}
 	}
+	delete(s.uselessUntil, m.address)
+	if !usable {
+		s.uselessUntil[m.address] = m.sentAt.Add(peerCheckInterval)
+	}
 	if servers != nil && recent == len(rareKinds) {
 		s.considerUpdate(now, servers)
 	}
