--- a/internal/gateway/newsorder_test.go
+++ b/internal/gateway/newsorder_test.go
@@ -59,6 +59,7 @@
 				b.source.updatePosition()
 				go func() { _ = b.run(ctx) }() // it ends with the context
 				time.Sleep(10 * time.Second)
+				synctest.Wait()
 				if ctx.Err() != nil || peer.asked > 200 {
 					t.Errorf("the peer was asked %d times in 10 s, stopped: %t", peer.asked, ctx.Err() != nil)
 				}
