--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -29,6 +29,8 @@
 	// peerCheckInterval is the interval at which an instance that reads the store asks a peer of better rank, which should
 	// read instead.
 	peerCheckInterval = 500 * time.Millisecond
+	// uselessNewsPause is the minimum time between two requests to a peer whose news brought nothing new.
+	uselessNewsPause = 100 * time.Millisecond
 	// minNewer is the minimum time by which news without changes has to be more recent than what is known. Less is within the
 	// accuracy of ages.
 	minNewer = 10 * time.Millisecond
@@ -337,7 +339,7 @@
 	}
 	delete(s.uselessUntil, m.address)
 	if !usable {
-		s.uselessUntil[m.address] = m.sentAt.Add(peerCheckInterval)
+		s.uselessUntil[m.address] = m.sentAt.Add(uselessNewsPause)
 	}
 	if servers != nil && recent == len(rareKinds) {
 		s.considerUpdate(now, servers)
