--- a/internal/decide/expiry/table.go
+++ b/internal/decide/expiry/table.go
@@ -43,6 +43,16 @@
 	return e.value, has
 }
 
+// Each calls a function for each value.
+func (t *Table[K, V]) Each(do func(key K, value V, expiresAt time.Time)) {
+	for key, e := range t.entries {
+		do(key, e.value, e.expiresAt)
+	}
+}
+
+// Len returns the number of values.
+func (t *Table[K, V]) Len() int { return len(t.entries) }
+
 // Next returns when the next value expires, and false if the table is empty.
 func (t *Table[K, V]) Next() (time.Time, bool) {
 	var next time.Time
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -23,8 +23,8 @@
 	StartedAtMs int64
 	// Sequence numbers the entries that the server wrote since its start.
 	Sequence uint64
-	// Revision is the revision of the entry in the store.
-	Revision uint64
+	// Revision is the revision of the entry in the store, and Era the era of the store in which it has it.
+	Revision, Era uint64
 }
 
 // Incarnation identifies one start of the server.
--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -62,8 +62,10 @@
 
 	cache objectCache
 	// readBy is the instance that read the latest update of a kind from the store.
-	readBy         map[objectapi.Kind]string
-	config         *fleet.Config
+	readBy map[objectapi.Kind]string
+	config *fleet.Config
+	// configObject is the object of the configuration in force.
+	configObject   objectapi.Object
 	routes         *dispatch.Table
 	backends       map[string]*fleet.Backend
 	evacuatedZones map[string]bool
@@ -73,8 +75,8 @@
 	trials  map[string]time.Time
 	// asOf is the time at which the known objects of a kind were surely current in the store.
 	asOf map[objectapi.Kind]time.Time
-	// decoding is the revision of the newest configuration that has been passed to the decoder; zero when its result has arrived.
-	decoding uint64
+	// decoding is the position of the newest configuration that has been passed to the decoder; zero when its result has arrived.
+	decoding objectapi.Position
 	// configAsOf is the time at which the configuration in force was surely the newest one in the store.
 	configAsOf time.Time
 	// lapsed holds the servers whose entries were removed during or just after an outage of the store, until they count as
@@ -98,6 +100,8 @@
 	unansweredKinds map[objectapi.Kind]bool
 	// invalidRevisions holds the highest revision of an invalid object, by kind and name, so that each is logged once.
 	invalidRevisions map[objectKey]uint64
+	// restoration holds what is known against the copy from which the store has returned.
+	restoration *restoration
 }
 
 // objectKey identifies an object of the store.
@@ -106,9 +110,9 @@
 	name string
 }
 
-func newBoard(schema Schema, snapshots *SnapshotPublisher, log *slog.Logger) *board {
+func newBoard(schema Schema, snapshots *SnapshotPublisher, log *slog.Logger) (*board, error) {
 	inbox := task.NewMailbox[any]("board", boardInboxCapacity)
-	return &board{
+	b := &board{
 		inbox: inbox, decoder: newConfigDecoder(schema, inbox), schema: schema, snapshots: snapshots, log: log,
 		backends: map[string]*fleet.Backend{}, evacuatedZones: map[string]bool{}, instances: map[string]fleet.Instance{},
 		revisions: news.NewRevisions(), missedChanges: map[objectapi.Kind]missedChange{},
@@ -119,6 +123,9 @@
 		totalSuspension: suspension.Total, countedSuspension: suspension.Total(),
 		onInvalid: func() {}, onStale: func() {},
 	}
+	var err error
+	b.restoration, err = newRestoration(b)
+	return b, err
 }
 
 // run is the body of the task.
@@ -131,7 +138,7 @@
 		b.reportAges(now)
 		b.listMissedChanges(now)
 		b.source.checkSource(ctx, now)
-		alarm.SetFirst(now.Add(ageCheckInterval), b.nextExpiry())
+		alarm.SetFirst(now.Add(ageCheckInterval), b.nextExpiry(), b.restoration.nextExpiry())
 		select {
 		case m := <-b.inbox.C():
 			b.applySuspension()
@@ -142,6 +149,7 @@
 		}
 		b.dropLapsed(time.Now())
 		b.useOutdated(time.Now())
+		b.restoration.expire(time.Now())
 	}
 }
 
@@ -220,10 +228,13 @@
 		if b.applyUpdate(now, m) {
 			b.recordRevisions(now, &m)
 		}
-		m.reply <- b.cache.ofKind(m.kind).revision
+		known := b.cache.ofKind(m.kind).position
+		m.reply <- updateReply{known: known, mustList: known.Era < b.restoration.eras.Known()}
 		if m.kind == objectapi.Backends {
 			b.retryUnanswered()
 		}
+	case EraReport:
+		b.restoration.handleReport(now, m)
 	case decodedConfig:
 		b.applyDecodedConfig(m)
 	case newsRequest:
@@ -258,7 +269,7 @@
 // handleLostHistory makes the other feeds list their objects again. A store that has dropped the history of one kind has
 // dropped that of the others, and a call that waits for their changes may not hear of those made meanwhile.
 func (b *board) handleLostHistory(now time.Time, kind objectapi.Kind) {
-	if now.Sub(b.historyLostAt) < lostHistoryInterval {
+	if now.Sub(b.historyLostAt) < lostHistoryInterval || b.restoration.machine.In("restoring") {
 		return
 	}
 	b.historyLostAt = now
@@ -282,12 +293,16 @@
 
 // applyUpdate applies an update of one kind. It returns false if a newer state is known.
 func (b *board) applyUpdate(now time.Time, u kindUpdate) bool {
+	if !b.acceptEra(now, &u) {
+		return false
+	}
 	b.dropUnnamed(&u)
 	cached := b.cache.ofKind(u.kind)
-	if u.disproved > 0 && cached.unchangedSince <= u.disproved && u.disproved <= cached.revision {
-		cached.revision = 0 // any list is newer than a state that never was in the store
+	if isDisproved(cached, u.disproved) {
+		cached.position = objectapi.Position{} // any list is newer than a state that never was in the store
 		b.revisions.Forget(string(u.kind))
 	}
+	former := cached.position
 	changes, ok := cached.apply(&u)
 	if !ok {
 		return false
@@ -296,15 +311,13 @@
 		b.detectStoreReturn(now, &u)
 		b.asOf[u.kind], b.readBy[u.kind] = u.asOf, u.reader
 	}
-	for _, e := range changes {
-		b.revisions.Explain(e.Object.Version)
-		if e.Deleted {
-			b.removeObject(now, u.kind, e.Object.Name)
-			continue
-		}
-		b.applyObject(e.Object)
+	if former.Era > 0 && former.Era != u.position.Era {
+		b.restoration.restore(now, u.kind, keyed(u.kind, changes))
+	} else {
+		b.applyChanges(now, keyed(u.kind, changes))
 	}
-	if b.decoding == 0 {
+	b.restoration.checkRead()
+	if b.decoding == (objectapi.Position{}) {
 		b.configAsOf = b.asOf[objectapi.Configuration]
 	}
 	if u.kind == objectapi.Instances {
@@ -315,6 +328,58 @@
 	return true
 }
 
+// acceptEra decides whether an update is of the era of the store, which it may be the first to name. An update without an era counts
+// as one of the known era.
+func (b *board) acceptEra(now time.Time, u *kindUpdate) bool {
+	eras := &b.restoration.eras
+	if u.position.Era > eras.Known() && !b.restoration.handleVerdict(eras.Hint(now, u.position.Era)) {
+		return false
+	}
+	if u.position.Era == 0 {
+		u.setEra(eras.Known())
+	}
+	if u.position.Era < eras.Known() {
+		b.log.Info("update of an earlier era of the store is dropped", "kind", string(u.kind), "era", u.position.Era,
+			"known_era", eras.Known(), "reader", u.reader)
+		return false
+	}
+	return true
+}
+
+// setEra sets the era of an update that names none.
+func (u *kindUpdate) setEra(era uint64) {
+	u.position, u.base = u.position.In(era), u.base.In(era)
+	for i := range u.events {
+		u.events[i].Object.Era = era
+	}
+}
+
+// isDisproved reports whether the cached objects are those of a position that the store had not reached.
+func isDisproved(c *kindCache, disproved objectapi.Position) bool {
+	return disproved.Revision > 0 && disproved.Era == c.position.Era && c.unchangedSince <= disproved.Revision &&
+		disproved.Revision <= c.position.Revision
+}
+
+// applyChanges applies changes within one era.
+func (b *board) applyChanges(now time.Time, changes []keyedEvent) {
+	for _, c := range changes {
+		b.revisions.Explain(c.event.Object.Version)
+		b.restoration.release(c.key)
+		if c.event.Deleted {
+			b.removeObject(now, c.key.kind, c.key.name)
+			continue
+		}
+		b.applyObject(c.event.Object)
+	}
+}
+
+// forgetRevisions forgets what is known about the revisions of an era that is over.
+func (b *board) forgetRevisions() {
+	b.revisions = news.NewRevisions()
+	clear(b.missedChanges)
+	clear(b.invalidRevisions)
+}
+
 // errUnnamed is the error for an object whose name cannot be read.
 var errUnnamed = fault.New(fault.Invalid, "find the writer of the object and correct it", "object has no readable name")
 
@@ -351,6 +416,7 @@
 
 // applyObject applies a created or changed object.
 func (b *board) applyObject(o objectapi.Object) {
+	b.restoration.removed.Take(objectKey{kind: o.Kind, name: o.Name})
 	switch o.Kind {
 	case objectapi.Configuration:
 		b.applyConfig(o)
@@ -408,31 +474,49 @@
 	if o.Name != configObject {
 		return
 	}
-	b.decoding = o.Version
+	b.decoding = o.Position()
 	b.decoder.setNext(o)
 }
 
 // applyDecodedConfig puts a configuration in force unless a newer one already is.
 func (b *board) applyDecodedConfig(m decodedConfig) {
-	if b.decoding == m.object.Version {
-		b.decoding, b.configAsOf = 0, b.asOf[objectapi.Configuration]
+	if !m.adopted && b.decoding == m.object.Position() {
+		b.decoding, b.configAsOf = objectapi.Position{}, b.asOf[objectapi.Configuration]
 	}
 	if m.err != nil {
 		b.reportInvalid(m.object, m.err)
 		b.publish(false)
 		return
 	}
+	if !m.adopted {
+		b.restoration.configDecoded(&m)
+	}
 	if b.config != nil && m.config.Version <= b.config.Version {
 		b.publish(false)
 		return
 	}
-	b.config, b.routes = m.config, m.table
+	if m.adopted {
+		b.restoration.newerConfig = &m.object
+	}
+	b.config, b.routes, b.configObject = m.config, m.table, m.object
 	b.log.Info("configuration is in force", "version", uint64(m.config.Version), "revision", m.object.Version,
 		"routes", len(m.config.Routes), "bytes", len(m.object.Value), "decode_ms", m.decodeTime.Milliseconds(),
 		"table_ms", m.tableTime.Milliseconds(), "age_ms", time.Since(b.asOf[objectapi.Configuration]).Milliseconds())
 	b.publish(true)
 }
 
+// isOlderEntry reports whether an entry of a server is older, by the server's own account, than the known one.
+func (b *board) isOlderEntry(o objectapi.Object) bool {
+	entry, err := b.schema.Backend(o)
+	return err == nil && isOlder(entry, b.backends[o.Name])
+}
+
+// isOlder reports whether an entry is older than a known one, which may be nil.
+func isOlder(entry, known *fleet.Backend) bool {
+	return known != nil && (entry.StartedAtMs < known.StartedAtMs ||
+		entry.StartedAtMs == known.StartedAtMs && entry.Sequence < known.Sequence)
+}
+
 // applyBackend keeps the newest entry of a server. An entry that cannot be decoded removes the server.
 func (b *board) applyBackend(o objectapi.Object) {
 	entry, err := b.schema.Backend(o)
@@ -442,7 +526,7 @@
 		return
 	}
 	old := b.backends[o.Name]
-	if old != nil && (entry.StartedAtMs < old.StartedAtMs || entry.StartedAtMs == old.StartedAtMs && entry.Sequence < old.Sequence) {
+	if isOlder(entry, old) {
 		b.outdated.Set(o.Name, entry, time.Now().Add(outdatedGrace))
 		b.log.Info("outdated entry of a backend server is ignored for now", "backend", o.Name, "born", entry.StartedAtMs,
 			"sequence", entry.Sequence)
@@ -485,7 +569,9 @@
 
 // removeObject applies the deletion of an object.
 func (b *board) removeObject(now time.Time, kind objectapi.Kind, name string) {
-	delete(b.invalidRevisions, objectKey{kind: kind, name: name})
+	key := objectKey{kind: kind, name: name}
+	delete(b.invalidRevisions, key)
+	b.restoration.remember(now, key)
 	switch kind {
 	case objectapi.Backends:
 		b.removeBackend(now, name)
@@ -503,6 +589,15 @@
 	}
 }
 
+// withdrawObject takes an object out of force that is in the store.
+func (b *board) withdrawObject(now time.Time, o objectapi.Object) {
+	if o.Kind == objectapi.Backends {
+		b.deleteBackend(o.Name, "a peer knows a later state than the copy of the store")
+		return
+	}
+	b.removeObject(now, o.Kind, o.Name)
+}
+
 // removeBackend applies the removal of the entry of a server. A server whose entry may only have lapsed during an outage of
 // the store is kept until the grace time is over.
 func (b *board) removeBackend(now time.Time, name string) {
--- a/internal/gateway/board_test.go
+++ b/internal/gateway/board_test.go
@@ -81,6 +81,8 @@
 	dropped atomic.Pointer[map[objectapi.Kind]bool]
 	// shownRevision, if it is not zero, is the revision in the answers to calls for changes.
 	shownRevision atomic.Uint64
+	// era is the era in the answers; zero names none.
+	era atomic.Uint64
 }
 
 func newFakeStore() *fakeStore {
@@ -141,10 +143,41 @@
 	return nil
 }
 
-func (s *fakeStore) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, uint64, error) {
+// position returns the position of a revision in the present era.
+func (s *fakeStore) position(revision uint64) objectapi.Position {
+	return objectapi.Position{Era: s.era.Load(), Revision: revision}
+}
+
+// storeCopy is the content of a fakeStore at one time.
+type storeCopy struct {
+	events   []objectapi.Event
+	revision uint64
+}
+
+func (s *fakeStore) takeCopy() storeCopy {
+	events := <-s.events
+	s.events <- events
+	return storeCopy{events: slices.Clone(events), revision: s.revision.Load()}
+}
+
+// returnFrom makes the store return from a copy, in the next era. Calls that wait for changes go on.
+func (s *fakeStore) returnFrom(c storeCopy) {
+	<-s.events
+	s.revision.Store(c.revision)
+	s.era.Add(1)
+	s.events <- slices.Clone(c.events)
+}
+
+// at returns a position in a store without eras.
+func at(revision uint64) objectapi.Position { return objectapi.Position{Revision: revision} }
+
+// ObserveEras implements Store. The tests of eras have a store of their own.
+func (s *fakeStore) ObserveEras(func(context.Context, EraReport)) {}
+
+func (s *fakeStore) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, objectapi.Position, error) {
 	err := s.fail(ctx, kind, 0)
 	if err != nil && !fault.Is(err, fault.TooOld) && (*s.failures.Load())[kind] != "garbled" {
-		return nil, 0, err
+		return nil, at(0), err
 	}
 	events := <-s.events
 	s.events <- events
@@ -153,6 +186,7 @@
 		if e.Object.Kind == kind {
 			delete(known, e.Object.Name)
 			if !e.Deleted {
+				e.Object.Era = s.era.Load()
 				known[e.Object.Name] = e.Object
 			}
 		}
@@ -161,34 +195,38 @@
 	for _, o := range known {
 		list = append(list, o)
 	}
-	return list, s.revision.Load(), nil
+	return list, s.position(s.revision.Load()), nil
 }
 
-func (s *fakeStore) Changes(ctx context.Context, kind objectapi.Kind, after uint64,
-	wait time.Duration) ([]objectapi.Event, uint64, error) {
+func (s *fakeStore) Changes(ctx context.Context, kind objectapi.Kind, after objectapi.Position,
+	wait time.Duration) ([]objectapi.Event, objectapi.Position, error) {
 	if err := s.fail(ctx, kind, wait); err != nil {
-		return nil, 0, err
+		return nil, at(0), err
 	}
 	for end := time.Now().Add(wait); ; {
 		events := <-s.events
 		s.events <- events
+		if s.era.Load() > 0 && after.Revision > s.revision.Load() {
+			return nil, at(0), fault.New(fault.TooOld, "", "no such revision")
+		}
 		var changes []objectapi.Event
 		for _, e := range events {
 			if dropped := s.dropped.Load(); dropped != nil && (*dropped)[kind] {
 				continue
 			}
-			if e.Object.Kind == kind && e.Object.Version > after {
+			if e.Object.Kind == kind && e.Object.Version > after.Revision {
+				e.Object.Era = s.era.Load()
 				changes = append(changes, e)
 			}
 		}
 		if len(changes) > 0 || !time.Now().Before(end) {
 			if shown := s.shownRevision.Load(); shown > 0 {
-				return changes, shown, nil
+				return changes, s.position(shown), nil
 			}
-			return changes, s.revision.Load(), nil
+			return changes, s.position(s.revision.Load()), nil
 		}
 		if !task.Pause(ctx, 4*time.Millisecond) {
-			return nil, 0, fault.New(fault.StoreUnavailable, "", "cancelled")
+			return nil, at(0), fault.New(fault.StoreUnavailable, "", "cancelled")
 		}
 	}
 }
@@ -240,11 +278,13 @@
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	snapshots := &SnapshotPublisher{}
-	b := newBoard(fakeSchema{}, snapshots, log)
+	b, err := newBoard(fakeSchema{}, snapshots, log)
+	if err != nil {
+		t.Fatal(err)
+	}
 	b.onUnregistered, b.onDataAge = func() {}, func(objectapi.Kind, time.Duration) {}
 	b.onStrike, b.onTrial = func(quarantine.Strike, bool) {}, func(quarantine.Trial) {}
 	settings := &Settings{Bounds: Bounds{Drain: 2 * time.Second}}
-	var err error
 	if b.source, err = newNewsSource(b, fleet.Instance{Name: "edge-1", Place: fleet.Place{Region: "east", Zone: "a"}},
 		settings, nil); err != nil {
 		t.Fatal(err)
@@ -372,9 +412,9 @@
 			step(f.readChanges)
 		}
 		// A peer reports that nothing has changed, and the feed is deactivated.
-		events, _ := b.cache.ofKind(objectapi.Backends).changesSince(1)
-		b.applyUpdate(time.Now(), kindUpdate{kind: objectapi.Backends, baseRevision: b.cache.ofKind(objectapi.Backends).revision,
-			revision: store.revision.Load(), events: events[:0], asOf: time.Now(), reader: "edge-2"})
+		events, _ := b.cache.ofKind(objectapi.Backends).changesSince(at(1))
+		b.applyUpdate(time.Now(), kindUpdate{kind: objectapi.Backends, base: b.cache.ofKind(objectapi.Backends).position,
+			position: at(store.revision.Load()), events: events[:0], asOf: time.Now(), reader: "edge-2"})
 		f.applyAssignment(assignment{})
 		time.Sleep(time.Second)
 		store.setFailures(nil)
@@ -395,13 +435,13 @@
 		var total time.Duration
 		b.totalSuspension, b.countedSuspension = func() time.Duration { return total }, 0
 		now := time.Now()
-		b.applyUpdate(now, kindUpdate{kind: objectapi.Backends, complete: true, revision: 3, asOf: now})
+		b.applyUpdate(now, kindUpdate{kind: objectapi.Backends, complete: true, position: at(3), asOf: now})
 		total = 3 * time.Second
 		b.applySuspension()
 		if age := b.source.dataAge(now); age != 3*time.Second {
 			t.Errorf("the data has age %s after a suspension of 3 s", age)
 		}
-		late := kindUpdate{kind: objectapi.Backends, complete: true, revision: 4, asOf: now, suspendedAtCall: 0}
+		late := kindUpdate{kind: objectapi.Backends, complete: true, position: at(4), asOf: now, suspendedAtCall: 0}
 		b.adjustForSuspension(&late)
 		if age := now.Sub(late.asOf); age != 3*time.Second {
 			t.Errorf("an answer whose call began before a suspension of 3 s has age %s", age)
@@ -485,7 +525,7 @@
 			for _, o := range objects {
 				events, list = append(events, objectapi.Event{Object: o}), append(list, o.Name)
 			}
-			b.applyUpdate(time.Now(), kindUpdate{kind: kind, complete: true, events: events, revision: revision,
+			b.applyUpdate(time.Now(), kindUpdate{kind: kind, complete: true, events: events, position: revision,
 				asOf: time.Now(), reader: "edge-1"})
 			slices.Sort(list)
 			return strings.Join(list, " ")
@@ -517,7 +557,7 @@
 	now := time.Now()
 	b.source.seeds = []string{"seed-1", "seed-2"}
 	for _, kind := range append([]objectapi.Kind{objectapi.Backends}, rareKinds...) {
-		b.applyUpdate(now, kindUpdate{kind: kind, complete: true, revision: 3, asOf: now, reader: "edge-9"})
+		b.applyUpdate(now, kindUpdate{kind: kind, complete: true, position: at(3), asOf: now, reader: "edge-9"})
 	}
 	b.source.fire("informed")
 	if asked := b.source.peersToAsk(now); !slices.Equal(asked, []string{"seed-1"}) {
@@ -538,24 +578,24 @@
 			Value: value}
 	}
 	s := b.cache.ofKind(objectapi.Backends)
-	if _, ok := s.apply(&kindUpdate{kind: objectapi.Backends, complete: true, revision: 300, events: events, asOf: now}); !ok {
+	if _, ok := s.apply(&kindUpdate{kind: objectapi.Backends, complete: true, position: at(300), events: events, asOf: now}); !ok {
 		t.Fatal("the list was not applied")
 	}
 	var plain, first, second peerpb.KindNews
-	large := b.source.addObjects(&plain, s, 0, false)
-	small := b.source.addObjects(&first, s, 0, true)
-	b.source.addObjects(&second, s, 0, true)
+	large := b.source.addObjects(&plain, s, at(0), false)
+	small := b.source.addObjects(&first, s, at(0), true)
+	b.source.addObjects(&second, s, at(0), true)
 	if small*4 > large || &first.Packed[0] != &second.Packed[0] {
 		t.Errorf("%d bytes are compressed to %d; compressed again for each peer: %t", large, small,
 			&first.Packed[0] != &second.Packed[0])
 	}
 	changed := events[:100]
-	if _, ok := s.apply(&kindUpdate{kind: objectapi.Backends, baseRevision: 300, revision: 301, events: changed,
+	if _, ok := s.apply(&kindUpdate{kind: objectapi.Backends, base: at(300), position: at(301), events: changed,
 		asOf: now}); !ok {
 		t.Fatal("changes were not applied")
 	}
 	var delta peerpb.KindNews
-	if size := b.source.addObjects(&delta, s, 300, true); size*2 > large || delta.GetWhole() || &delta.Packed[0] == &first.Packed[0] {
+	if size := b.source.addObjects(&delta, s, at(300), true); size*2 > large || delta.GetWhole() || &delta.Packed[0] == &first.Packed[0] {
 		t.Errorf("changes of 100 objects are compressed to %d bytes; complete list: %t", size, delta.GetWhole())
 	}
 	objects, err := unpack(first.GetPacked())
@@ -613,23 +653,23 @@
 		return objectapi.Event{Object: objectapi.Object{Name: name, Version: version}, Deleted: deleted}
 	}
 	names := func(revision uint64) string {
-		events, complete := s.changesSince(revision)
+		events, complete := s.changesSince(at(revision))
 		var list []string
 		for _, e := range events {
 			list = append(list, fmt.Sprintf("%s%t", e.Object.Name, e.Deleted))
 		}
 		return fmt.Sprint(complete, " ", strings.Join(list, " "))
 	}
-	if _, ok := s.apply(&kindUpdate{baseRevision: 5, revision: 6, events: []objectapi.Event{event("x", 6, false)}}); ok {
+	if _, ok := s.apply(&kindUpdate{base: at(5), position: at(6), events: []objectapi.Event{event("x", 6, false)}}); ok {
 		t.Error("changes were applied without the list that they change")
 	}
-	s.apply(&kindUpdate{complete: true, revision: 10, events: []objectapi.Event{event("a", 3, false)}})
-	s.apply(&kindUpdate{baseRevision: 10, revision: 12, events: []objectapi.Event{event("b", 11, false)}})
-	s.apply(&kindUpdate{baseRevision: 12, revision: 14, events: []objectapi.Event{event("a", 13, true)}})
-	if _, ok := s.apply(&kindUpdate{baseRevision: 10, revision: 20}); ok {
+	s.apply(&kindUpdate{complete: true, position: at(10), events: []objectapi.Event{event("a", 3, false)}})
+	s.apply(&kindUpdate{base: at(10), position: at(12), events: []objectapi.Event{event("b", 11, false)}})
+	s.apply(&kindUpdate{base: at(12), position: at(14), events: []objectapi.Event{event("a", 13, true)}})
+	if _, ok := s.apply(&kindUpdate{base: at(10), position: at(20)}); ok {
 		t.Error("changes were applied that leave a gap")
 	}
-	if _, ok := s.apply(&kindUpdate{complete: true, revision: 13}); ok {
+	if _, ok := s.apply(&kindUpdate{complete: true, position: at(13)}); ok {
 		t.Error("an older list was applied")
 	}
 	for revision, want := range map[uint64]string{
--- a/internal/gateway/configdecoder_test.go
+++ b/internal/gateway/configdecoder_test.go
@@ -25,7 +25,7 @@
 
 func configurationUpdate(version uint64) kindUpdate {
 	value := []byte(`{"Version":` + strconv.FormatUint(version, 10) + `}`)
-	return kindUpdate{kind: objectapi.Configuration, complete: true, revision: version, asOf: time.Now(), reply: make(chan uint64, 1),
+	return kindUpdate{kind: objectapi.Configuration, complete: true, position: at(version), asOf: time.Now(), reply: make(chan updateReply, 1),
 		events: []objectapi.Event{{Object: objectapi.Object{Kind: objectapi.Configuration, Name: configObject, Version: version, Value: value}}}}
 }
 
@@ -43,7 +43,7 @@
 			_ = b.inbox.Send(ctx, configurationUpdate(version)) // fails only when the context is done
 			synctest.Wait()
 		}
-		_ = b.inbox.Send(ctx, kindUpdate{kind: objectapi.Backends, complete: true, revision: 9, asOf: time.Now(), reply: make(chan uint64, 1),
+		_ = b.inbox.Send(ctx, kindUpdate{kind: objectapi.Backends, complete: true, position: at(9), asOf: time.Now(), reply: make(chan updateReply, 1),
 			events: []objectapi.Event{{Object: objectapi.Object{Kind: objectapi.Backends, Name: "i-1", Version: 9,
 				Value: []byte(`{"ID":"i-1","Service":"intake","Draining":true}`)}}}})
 		synctest.Wait()
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -30,6 +30,10 @@
 	// newsAge, configAge and evacuationsAge are the ages of the known entries of backend servers, of the known configuration
 	// and of the known evacuations, in milliseconds.
 	newsAge, configAge, evacuationsAge metrics.Gauge
+	// storeReturns counts the returns of the store from an older copy, unreadableEras the answers of the store whose era cannot be
+	// read. storeEra is the era of the store, -1 while none is known.
+	storeReturns, unreadableEras metrics.Counter
+	storeEra                     metrics.Gauge
 	// configOverdue counts how often the configuration or the evacuations became older than they may be.
 	configOverdue metrics.Counter
 	// time is the time that answered requests spent at this instance, in microseconds.
@@ -46,7 +50,7 @@
 )
 
 func newCounters(registry metrics.Registry) *counters {
-	return &counters{
+	c := &counters{
 		registry:       registry,
 		requests:       metrics.GetOrRegisterCounter("gateway.requests", registry),
 		answered:       metrics.GetOrRegisterCounter("gateway.answered", registry),
@@ -68,11 +72,16 @@
 		configAge:      metrics.GetOrRegisterGauge("gateway.config_age_ms", registry),
 		evacuationsAge: metrics.GetOrRegisterGauge("gateway.evacuations_age_ms", registry),
 		configOverdue:  metrics.GetOrRegisterCounter("gateway.config_overdue", registry),
+		storeReturns:   metrics.GetOrRegisterCounter("gateway.store_returns", registry),
+		unreadableEras: metrics.GetOrRegisterCounter("gateway.unreadable_eras", registry),
+		storeEra:       metrics.GetOrRegisterGauge("gateway.store_era", registry),
 		time: metrics.GetOrRegisterHistogram("gateway.time_us", registry,
 			metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)),
 		takeup: metrics.GetOrRegisterHistogram("gateway.takeup_us", registry,
 			metrics.NewExpDecaySample(reservoirSize, reservoirAlpha)),
 	}
+	c.storeEra.Update(-1)
+	return c
 }
 
 // recordAge records the age of the known objects of a kind.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -155,6 +155,8 @@
 				g.writeStrike(ctx, m)
 			case strikeWithdrawal:
 				g.removeStrikes(ctx, m)
+			case rewrite:
+				g.rewriteStrike(ctx, m)
 			}
 		case <-ctx.Done():
 			return nil
@@ -173,6 +175,21 @@
 	}
 }
 
+// rewriteStrike writes or removes a strike, or the claim of a trial, once more after the store has lost that.
+func (g *Gateway) rewriteStrike(ctx context.Context, r rewrite) {
+	err := retryWithBackoff(ctx, func() error {
+		if r.remove {
+			return g.store.Remove(ctx, objectapi.Strikes, r.object.Name)
+		}
+		err := g.store.Create(ctx, objectapi.Strikes, r.object.Name, r.object.Value)
+		if fault.Is(err, fault.Conflict) {
+			return nil // another instance has written it
+		}
+		return err
+	})
+	g.log.Info("strike that the store has lost is written again", "name", r.object.Name, "remove", r.remove, "error", err)
+}
+
 // removeStrikes removes withdrawn strikes and the claims of their trials. The instances that follow the store take them back.
 func (g *Gateway) removeStrikes(ctx context.Context, w strikeWithdrawal) {
 	remove := func(name string, err error) {
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -250,7 +250,7 @@
 func (d *director) updateServer(now time.Time, entry *fleet.Backend) {
 	s := d.servers[entry.Incarnation()]
 	if s != nil && s.entry.Address == entry.Address {
-		if until := now.Add(entry.ColdFor); entry.Revision != s.entry.Revision && entry.ColdFor > 0 && until.After(s.report.coldUntil) {
+		if until := now.Add(entry.ColdFor); isRewritten(entry, s.entry) && entry.ColdFor > 0 && until.After(s.report.coldUntil) {
 			s.report.coldUntil = until // until the next health check
 		}
 		s.entry = entry
@@ -271,6 +271,11 @@
 	go func() { _ = s.pool.Run(ctx) }() // the pool ends with its context, without an error
 }
 
+// isRewritten reports whether an entry has been written again since an older one.
+func isRewritten(entry, older *fleet.Backend) bool {
+	return entry.Revision != older.Revision || entry.Era != older.Era
+}
+
 // minConnections is the number of connections that an instance may always open to a server, whatever its share. Two
 // are needed, one for a request and one for health checks.
 const minConnections = 4
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -60,21 +60,30 @@
 // kindUpdate is an update of one kind of objects, from the store or from a peer.
 type kindUpdate struct {
 	kind objectapi.Kind
-	// complete is true if events holds all objects of the kind; otherwise it holds the changes after baseRevision.
-	complete     bool
-	events       []objectapi.Event
-	baseRevision uint64
-	revision     uint64
-	// disproved is a revision that the store had not reached before the list was read; zero if there is none.
-	disproved uint64
+	// complete is true if events holds all objects of the kind; otherwise it holds the changes after base.
+	complete bool
+	events   []objectapi.Event
+	base     objectapi.Position
+	// position is where the objects are current. Its era is zero if neither the store nor the peer named one.
+	position objectapi.Position
+	// disproved is a position that the store had not reached before the list was read; zero if there is none.
+	disproved objectapi.Position
 	// asOf is when the call of the store began; its answer is at least as recent.
 	asOf time.Time
 	// suspendedAtCall is how long the machine had been suspended in total at that time.
 	suspendedAtCall time.Duration
 	// reader is the instance that called the store.
 	reader string
-	// reply receives the revision that the board knows after the update; nil if nobody waits for it.
-	reply chan<- uint64
+	// reply receives what the board knows after the update; nil if nobody waits for it.
+	reply chan<- updateReply
+}
+
+// updateReply is the answer of the board to an update of a feed.
+type updateReply struct {
+	// known is the position that the board knows.
+	known objectapi.Position
+	// mustList is true if that is of an earlier era than the store's, so that all objects have to be listed.
+	mustList bool
 }
 
 // storeLostEvent and storeReturnEvent report to the board that the store does not answer a feed, or answers it again.
@@ -86,10 +95,10 @@
 // historyLostEvent reports to the board that the store no longer holds the changes of a kind since the last call.
 type historyLostEvent struct{ kind objectapi.Kind }
 
-// assignment instructs a feed whether to read the store, and from which revision.
+// assignment instructs a feed whether to read the store, and from which position.
 type assignment struct {
 	active   bool
-	revision uint64
+	position objectapi.Position
 }
 
 // feed is the task that follows one kind of objects in the store. It is the context of charts/feed.toml.
@@ -111,7 +120,7 @@
 
 	// step is the next call or wait. It returns the chart event with which it ended.
 	step     func(ctx context.Context) string
-	revision uint64
+	position objectapi.Position
 	// callStart is when the last call began.
 	callStart time.Time
 	// suspendedAtCall is how long the machine had been suspended in total at that time.
@@ -121,8 +130,8 @@
 	failures int
 	// unreadable counts the answers that could not be used since the last changes that could.
 	unreadable int
-	// disproved is a revision after which changes were read and that the store has not reached.
-	disproved uint64
+	// disproved is a position after which changes were read and that the store has not reached.
+	disproved objectapi.Position
 	// newestStatus is what the feed waits for. The feed stores it; any task may read it.
 	newestStatus atomic.Pointer[feedStatus]
 	// noWait is true if the next call asks for an answer at once, since the last one was interrupted.
@@ -155,7 +164,7 @@
 		return nil, err
 	}
 	bound, err := chart.Bind(ch, chart.Bindings[*feed]{
-		Guards: map[string]func(*feed) bool{"knows_revision": func(f *feed) bool { return f.revision > 0 }},
+		Guards: map[string]func(*feed) bool{"knows_revision": func(f *feed) bool { return f.position.Revision > 0 }},
 		Actions: map[string]func(*feed){
 			"plan_await":   func(f *feed) { f.step = f.awaitAssignment },
 			"plan_list":    func(f *feed) { f.step = f.readList },
@@ -221,7 +230,9 @@
 		f.failures, f.unreadable, f.noWait = 0, 0, false // earlier failures do not matter when the feed reads again
 		return "deactivate"
 	}
-	f.revision = max(f.revision, a.revision)
+	if f.position.Before(a.position) {
+		f.position = a.position
+	}
 	return "activate"
 }
 
@@ -245,7 +256,7 @@
 	f.setStatus("list")
 	f.noWait = false // the list shows what the store holds now
 	f.callStart, f.suspendedAtCall = time.Now(), f.totalSuspension()
-	objects, revision, err := f.store.List(ctx, f.kind)
+	objects, position, err := f.store.List(ctx, f.kind)
 	if err != nil {
 		return f.handleFailure(ctx, err)
 	}
@@ -253,9 +264,9 @@
 	for i, o := range objects {
 		events[i].Object = o
 	}
-	u := kindUpdate{kind: f.kind, complete: true, events: events, revision: revision, disproved: f.disproved,
+	u := kindUpdate{kind: f.kind, complete: true, events: events, position: position, disproved: f.disproved,
 		asOf: f.callStart, suspendedAtCall: f.suspendedAtCall}
-	f.disproved = 0
+	f.disproved = objectapi.Position{}
 	return f.reportUpdate(ctx, u, "listed")
 }
 
@@ -271,7 +282,7 @@
 	f.setStatus("changes")
 	f.callStart, f.suspendedAtCall = time.Now(), f.totalSuspension()
 	call, done := f.interruptible(ctx)
-	events, revision, err := f.store.Changes(call, f.kind, f.revision, wait)
+	events, position, err := f.store.Changes(call, f.kind, f.position, wait)
 	f.noWait = err != nil && call.Err() != nil
 	done()
 	if f.noWait {
@@ -280,24 +291,39 @@
 	if err != nil {
 		return f.handleFailure(ctx, err)
 	}
-	if revision < f.revision {
-		f.disproved = f.revision
+	position = position.In(f.position.Era)
+	if position.Era != f.position.Era {
+		return f.handleOtherEra(position)
+	}
+	if position.Before(f.position) {
+		f.disproved = f.position
 		f.unreadable++
 		if f.unreadable == 1 {
-			f.log.Warn("store has not reached the known revision; all objects are listed again", "revision", f.revision,
-				"reached", revision)
+			f.log.Warn("store has not reached the known revision; all objects are listed again", "revision", f.position.Revision,
+				"reached", position.Revision)
 		}
 		return "unreadable"
 	}
-	u := kindUpdate{kind: f.kind, events: events, baseRevision: f.revision, revision: revision,
+	u := kindUpdate{kind: f.kind, events: events, base: f.position, position: position,
 		asOf: f.callStart, suspendedAtCall: f.suspendedAtCall}
 	if f.unreadable > 0 {
-		f.log.Info("answers of the store can be read again", "unreadable", f.unreadable, "revision", u.revision)
+		f.log.Info("answers of the store can be read again", "unreadable", f.unreadable, "revision", u.position.Revision)
 		f.unreadable = 0
 	}
 	return f.reportUpdate(ctx, u, "changed")
 }
 
+// handleOtherEra handles changes that do not continue from the known position, and returns the chart event for them. Changes of
+// an earlier era are those of a late answer.
+func (f *feed) handleOtherEra(position objectapi.Position) string {
+	f.log.Info("answer of the store is of another era and is dropped", "known_era", f.position.Era, "era", position.Era,
+		"revision", position.Revision)
+	if position.Era < f.position.Era {
+		return "changed" // the call is repeated
+	}
+	return "too_old"
+}
+
 // interruptible returns a context that is cancelled when the feed is interrupted by interruptCall.
 func (f *feed) interruptible(ctx context.Context) (context.Context, context.CancelFunc) {
 	call, cancel := context.WithCancel(ctx)
@@ -330,22 +356,28 @@
 	f.interruptCall(cause)
 }
 
-// reportUpdate reports an update to the board and continues from the revision that the board then knows.
+// reportUpdate reports an update to the board and continues from the position that the board then knows.
 func (f *feed) reportUpdate(ctx context.Context, u kindUpdate, event string) string {
 	if f.failures > 0 {
-		f.log.Info("store answers again", "failures", f.failures, "revision", u.revision)
+		f.log.Info("store answers again", "failures", f.failures, "revision", u.position.Revision)
 		_ = f.board.Send(ctx, storeReturnEvent{kind: f.kind}) // fails only when the context is done
 	}
 	f.failures = 0
 	u.reader = f.name
-	known, err := task.Ask(ctx, f.board, func(reply chan<- uint64) any {
+	reply, err := task.Ask(ctx, f.board, func(reply chan<- updateReply) any {
 		u.reply = reply
 		return u
 	})
 	if err != nil {
 		return "failed" // the instance is stopping
 	}
-	f.revision = known
+	f.position = reply.known
+	switch {
+	case reply.mustList && event == "changed":
+		return "too_old"
+	case reply.mustList:
+		return "unreadable" // the list was of an earlier era and is read again
+	}
 	return event
 }
 
@@ -355,7 +387,7 @@
 		return "failed"
 	}
 	if fault.Is(err, fault.TooOld) {
-		f.log.Info("store no longer holds the changes since the last call; all objects are listed again", "revision", f.revision)
+		f.log.Info("store no longer holds the changes since the last call; all objects are listed again", "revision", f.position.Revision)
 		_ = f.board.Send(ctx, historyLostEvent{kind: f.kind}) // fails only when the context is done
 		return "too_old"
 	}
@@ -363,13 +395,13 @@
 		f.unreadable++
 		if f.unreadable == 1 {
 			f.log.Warn("answer of the store cannot be read; the known objects stay in force and all objects are listed again",
-				"error", err, "revision", f.revision)
+				"error", err, "revision", f.position.Revision)
 		}
 		return "unreadable"
 	}
 	f.failures++
 	if f.failures == 1 {
-		f.log.Warn("store does not answer", "error", err, "revision", f.revision)
+		f.log.Warn("store does not answer", "error", err, "revision", f.position.Revision)
 		_ = f.board.Send(ctx, storeLostEvent{kind: f.kind}) // fails only when the context is done
 	}
 	return "failed"
--- a/internal/gateway/feed_test.go
+++ b/internal/gateway/feed_test.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	u := kindUpdate{kind: kind, complete: true, revision: revision, asOf: time.Now(), reader: "edge-2"}
+	u := kindUpdate{kind: kind, complete: true, position: revision, asOf: time.Now(), reader: "edge-2"}
 	for _, o := range objects {
 		u.events = append(u.events, objectapi.Event{Object: o})
 	}
@@ -100,7 +100,7 @@
 					f.store.setFailures(map[objectapi.Kind]string{objectapi.Configuration: failure, objectapi.Evacuations: failure})
 					assign := func(active bool) {
 						for _, kind := range rare {
-							f.board.source.feeds[kind].setAssignment(assignment{active: active, revision: f.store.revision.Load()})
+							f.board.source.feeds[kind].setAssignment(assignment{active: active, position: at(f.store.revision.Load())})
 						}
 					}
 					assign(true)
@@ -222,8 +222,8 @@
 		f.start(ctx)
 		time.Sleep(time.Second)
 		u := f.list(objectapi.Backends)
-		u.revision = 1 << 40
-		reply := make(chan uint64, 1)
+		u.position = at(1 << 40)
+		reply := make(chan updateReply, 1)
 		u.reply = reply
 		if err := f.board.inbox.Send(ctx, u); err != nil {
 			t.Fatal(err)
@@ -249,9 +249,9 @@
 			select {
 			case m := <-f.board.inbox.C():
 				if u, ok := m.(kindUpdate); ok {
-					u.reply <- u.revision
+					u.reply <- updateReply{known: u.position}
 					if u.complete {
-						lists <- u.revision
+						lists <- u.position.Revision
 					}
 				}
 			case <-ctx.Done():
--- a/internal/gateway/followers_test.go
+++ b/internal/gateway/followers_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"fuchsiahub.example/fuchsiahub/internal/fault"
 	"fuchsiahub.example/fuchsiahub/internal/fleet"
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
@@ -21,6 +24,22 @@
 	silent atomic.Pointer[map[objectapi.Kind]bool]
 	// lost is the number of answers for silent kinds that are lost before the store answers again; zero loses all.
 	lost atomic.Int64
+	// observe receives the eras in the answers; nil if nobody does.
+	observe atomic.Pointer[func(context.Context, EraReport)]
+	// late is how long answers are on their way, in nanoseconds. What they say was true before.
+	late atomic.Int64
+	// hidesEras is true for an instance of the release before, which reads no eras.
+	hidesEras bool
+}
+
+// ObserveEras implements Store.
+func (s *ownStore) ObserveEras(observe func(context.Context, EraReport)) { s.observe.Store(&observe) }
+
+// report reports the era in an answer to a call that began at a time.
+func (s *ownStore) report(ctx context.Context, began time.Time, era uint64) {
+	if observe := s.observe.Load(); observe != nil && !s.hidesEras {
+		(*observe)(ctx, EraReport{Era: era, CallBegan: began})
+	}
 }
 
 func (s *ownStore) silence(lost int64, kinds ...objectapi.Kind) {
@@ -50,21 +69,41 @@
 	return fault.New(fault.StoreUnavailable, "", "silent")
 }
 
-func (s *ownStore) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, uint64, error) {
+func (s *ownStore) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, objectapi.Position, error) {
 	if s.isLost(kind) {
-		return nil, 0, hang(ctx, time.Now(), 0)
+		return nil, at(0), hang(ctx, time.Now(), 0)
 	}
-	return s.fakeStore.List(ctx, kind)
+	began := time.Now()
+	objects, position, err := s.fakeStore.List(ctx, kind)
+	era := s.era.Load()
+	task.Pause(ctx, time.Duration(s.late.Load()))
+	s.report(ctx, began, era)
+	if s.hidesEras {
+		position.Era = 0
+		for i := range objects {
+			objects[i].Era = 0
+		}
+	}
+	return objects, position, err
 }
 
-func (s *ownStore) Changes(ctx context.Context, kind objectapi.Kind, after uint64,
-	wait time.Duration) ([]objectapi.Event, uint64, error) {
+func (s *ownStore) Changes(ctx context.Context, kind objectapi.Kind, after objectapi.Position,
+	wait time.Duration) ([]objectapi.Event, objectapi.Position, error) {
 	began := time.Now()
-	events, revision, err := s.fakeStore.Changes(ctx, kind, after, wait)
+	events, position, err := s.fakeStore.Changes(ctx, kind, after, wait)
+	era := s.era.Load()
+	task.Pause(ctx, time.Duration(s.late.Load()))
 	if ctx.Err() == nil && s.isLost(kind) {
-		return nil, 0, hang(ctx, began, wait)
+		return nil, at(0), hang(ctx, began, wait)
 	}
-	return events, revision, err
+	s.report(ctx, began, era)
+	if s.hidesEras {
+		position.Era = 0
+		for i := range events {
+			events[i].Object.Era = 0
+		}
+	}
+	return events, position, err
 }
 
 // fleetTest is a fleet of instances that read one store and ask each other, in a synctest bubble. The store holds version 1 of
@@ -73,6 +112,8 @@
 	t         *testing.T
 	store     *fakeStore
 	instances []*fleetInstance
+	// prepare is called for each board before it runs; it may be nil.
+	prepare func(*fleetInstance)
 }
 
 type fleetInstance struct {
@@ -117,11 +158,28 @@
 		if i.unreachable.Load() {
 			return nil, hang(ctx, time.Now(), time.Duration(in.GetWaitMs())*time.Millisecond)
 		}
-		return task.Ask(ctx, inbox, func(reply chan<- *peerpb.NewsReply) any { return newsRequest{request: in, reply: reply} })
+		if i.store.hidesEras {
+			in = proto.Clone(in).(*peerpb.NewsRequest)
+			for _, k := range in.Known {
+				k.Era, k.ConfigVersion = 0, 0
+			}
+		}
+		reply, err := task.Ask(ctx, inbox, func(reply chan<- *peerpb.NewsReply) any { return newsRequest{request: in, reply: reply} })
+		if i.store.hidesEras || f.hidesErasOf(in.GetSender().GetInstance()) {
+			for _, k := range reply.GetKinds() {
+				k.Era, k.Held, k.Ignored = 0, nil, nil
+			}
+		}
+		return reply, err
 	}
 	return nil, fault.New(fault.StoreUnavailable, "", "no such peer")
 }
 
+// hidesErasOf reports whether an instance is of the release before.
+func (f *fleetTest) hidesErasOf(name string) bool {
+	return slices.ContainsFunc(f.instances, func(i *fleetInstance) bool { return i.self.Name == name && i.store.hidesEras })
+}
+
 // start starts the tasks of an instance.
 func (f *fleetTest) start(ctx context.Context, i *fleetInstance) {
 	i.snapshots, i.board = newTestBoard(f.t, i.store)
@@ -137,6 +195,10 @@
 		f.t.Fatal(err)
 	}
 	i.board.source.feeds = feeds
+	i.store.ObserveEras(i.board.reportEra)
+	if f.prepare != nil {
+		f.prepare(i)
+	}
 	ctx, i.stop = context.WithCancel(ctx)
 	i.board.decoder.schema = stuckSchema{stuck: &i.stuck, until: ctx}
 	for _, feed := range feeds {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,7 +120,13 @@
 	if err != nil {
 		return err
 	}
-	g.board = newBoard(g.schema, g.snapshots, g.log)
+	if g.board, err = newBoard(g.schema, g.snapshots, g.log); err != nil {
+		return err
+	}
+	g.store.ObserveEras(g.board.reportEra)
+	g.board.restoration.onReturn = func() { g.counters.storeReturns.Inc(1) }
+	g.board.restoration.onUnreadable = func() { g.counters.unreadableEras.Inc(1) }
+	g.board.restoration.onEra = func(era uint64) { g.counters.storeEra.Update(int64(era) - 1) }
 	crashes, err := newCrashDetector(g.log)
 	if err != nil {
 		return err
@@ -278,6 +284,8 @@
 		_ = g.director.inbox.Send(tasks.Context(), strikeUpdate{strike: s, withdrawn: withdrawn})
 	}
 	g.board.onTrial = func(t quarantine.Trial) { _ = g.director.inbox.Send(tasks.Context(), trialUpdate{trial: t}) }
+	// A lost rewrite leaves the strike to the instances that know it.
+	g.board.restoration.onRewrite = func(r rewrite) { _ = g.director.crashes.toStore.Offer(r) }
 	g.director.claim = g.createClaim
 	tasks.Go("strikes", g.storeStrikes)
 	tasks.Go("board", g.board.run)
--- a/internal/gateway/measured.go
+++ b/internal/gateway/measured.go
@@ -25,19 +25,24 @@
 	metrics.GetOrRegisterCounter("store.calls."+call+"."+outcome, s.registry).Inc(1)
 }
 
+// ObserveEras implements Store.
+func (s measuredStore) ObserveEras(observe func(context.Context, EraReport)) {
+	s.store.ObserveEras(observe)
+}
+
 // List implements Store.
-func (s measuredStore) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, uint64, error) {
-	objects, revision, err := s.store.List(ctx, kind)
+func (s measuredStore) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, objectapi.Position, error) {
+	objects, position, err := s.store.List(ctx, kind)
 	s.count("list", err)
-	return objects, revision, err
+	return objects, position, err
 }
 
 // Changes implements Store.
-func (s measuredStore) Changes(ctx context.Context, kind objectapi.Kind, after uint64,
-	wait time.Duration) ([]objectapi.Event, uint64, error) {
-	events, revision, err := s.store.Changes(ctx, kind, after, wait)
+func (s measuredStore) Changes(ctx context.Context, kind objectapi.Kind, after objectapi.Position,
+	wait time.Duration) ([]objectapi.Event, objectapi.Position, error) {
+	events, position, err := s.store.Changes(ctx, kind, after, wait)
 	s.count("changes", err)
-	return events, revision, err
+	return events, position, err
 }
 
 // Create implements Store.
--- a/internal/gateway/newssource.go
+++ b/internal/gateway/newssource.go
@@ -59,10 +59,10 @@
 		sentAt time.Time
 		// suspended is how long the machine had been suspended in total at that time.
 		suspended time.Duration
-		// knownRevisions holds the revisions that were known when the request was sent.
-		knownRevisions map[objectapi.Kind]uint64
-		reply          *peerpb.NewsReply
-		err            error
+		// known holds the positions that were known when the request was sent.
+		known map[objectapi.Kind]objectapi.Position
+		reply *peerpb.NewsReply
+		err   error
 	}
 )
 
@@ -150,7 +150,7 @@
 // setReading makes all feeds read the store, or stop doing so.
 func (s *newsSource) setReading(active bool) {
 	for kind, f := range s.feeds {
-		f.setAssignment(assignment{active: active, revision: s.board.cache.ofKind(kind).revision})
+		f.setAssignment(assignment{active: active, position: s.board.cache.ofKind(kind).position})
 	}
 }
 
@@ -278,16 +278,23 @@
 func (s *newsSource) requestNews(ctx context.Context, now time.Time, address string) {
 	request := &peerpb.NewsRequest{Sender: s.sender,
 		WaitMs: uint32((s.limits.Period + peerCheckInterval/2).Milliseconds()), Packed: true}
-	known := map[objectapi.Kind]uint64{}
+	known := map[objectapi.Kind]objectapi.Position{}
 	for _, kind := range followedKinds {
-		known[kind] = s.board.cache.ofKind(kind).revision
-		request.Known = append(request.Known, &peerpb.KnownKind{Kind: string(kind), Revision: known[kind]})
+		known[kind] = s.board.cache.ofKind(kind).position
+		if known[kind].Era == 0 && s.board.restoration.eras.Known() > 0 {
+			known[kind] = objectapi.Position{} // a peer would take the revision for one of its era
+		}
+		k := &peerpb.KnownKind{Kind: string(kind), Revision: known[kind].Revision, Era: known[kind].Era}
+		if kind == objectapi.Configuration && s.board.config != nil {
+			k.ConfigVersion = uint64(s.board.config.Version)
+		}
+		request.Known = append(request.Known, k)
 	}
 	s.inFlight[address], s.askedAt[address] = true, now
 	inbox, client, suspended := s.board.inbox, s.client, s.board.countedSuspension
 	go func() {
 		reply, err := client.News(ctx, address, request)
-		_ = inbox.Send(ctx, newsResult{address: address, sentAt: now, suspended: suspended, knownRevisions: known,
+		_ = inbox.Send(ctx, newsResult{address: address, sentAt: now, suspended: suspended, known: known,
 			reply: reply, err: err}) // fails only at shutdown
 	}()
 }
@@ -326,10 +333,16 @@
 			k.Objects = objects
 		}
 		u := m.toKindUpdate(now, k)
+		if u.position.Era == 0 && s.board.restoration.sawReturn() {
+			continue // a peer of the release before does not tell the eras apart
+		}
 		s.board.adjustForSuspension(&u)
 		before := s.board.asOf[u.kind]
 		applied := s.board.applyUpdate(now, u)
 		usable = usable || applied && (len(u.events) > 0 || s.board.asOf[u.kind].Sub(before) > minNewer)
+		if u.position.Era == s.board.restoration.eras.Known() {
+			s.board.restoration.adoptHolds(now, k)
+		}
 		if applied && slices.Contains(rareKinds, u.kind) && now.Sub(u.asOf) <= s.limits.RareLimitOf(s.position.Rank) {
 			recent++
 		}
@@ -356,13 +369,13 @@
 	held, age := time.Duration(m.reply.GetHeldMs())*time.Millisecond, time.Duration(k.GetAgeMs())*time.Millisecond
 	held = min(held, now.Sub(m.sentAt))
 	u := kindUpdate{
-		kind: kind, complete: k.GetWhole(), baseRevision: m.knownRevisions[kind], revision: k.GetRevision(),
+		kind: kind, complete: k.GetWhole(), base: m.known[kind], position: objectapi.Position{Era: k.GetEra(), Revision: k.GetRevision()},
 		asOf: m.sentAt.Add(held - age), suspendedAtCall: m.suspended,
 		reader: k.GetReader(),
 	}
 	for _, o := range k.GetObjects() {
 		u.events = append(u.events, objectapi.Event{
-			Object:  objectapi.Object{Kind: kind, Name: o.GetName(), Version: o.GetVersion(), Value: o.GetValue()},
+			Object:  objectapi.Object{Kind: kind, Name: o.GetName(), Version: o.GetVersion(), Era: k.GetEra(), Value: o.GetValue()},
 			Deleted: o.GetDeleted(),
 		})
 	}
@@ -385,6 +398,9 @@
 // handleRequest handles a request of a peer: it is answered at once or held until there is an update.
 func (s *newsSource) handleRequest(now time.Time, m newsRequest) {
 	m.request.Known = slices.DeleteFunc(m.request.Known, func(k *peerpb.KnownKind) bool { return !isFollowed(k.GetKind()) })
+	for _, k := range m.request.Known {
+		s.board.restoration.handleVerdict(s.board.restoration.eras.Hint(now, k.GetEra()))
+	}
 	wait := min(time.Duration(m.request.GetWaitMs())*time.Millisecond, maxNewsWait)
 	q := heldRequest{newsRequest: m, receivedAt: now, deadline: now.Add(wait)}
 	if s.hasNews(&q) || !now.Before(q.deadline) {
@@ -406,16 +422,22 @@
 	}
 	for _, k := range q.request.GetKnown() {
 		cached := s.board.cache.ofKind(objectapi.Kind(k.GetKind()))
-		if cached.revision == 0 || cached.revision <= k.GetRevision() {
+		if !positionOf(k, cached).Before(cached.position) {
 			continue
 		}
-		if events, complete := cached.changesSince(k.GetRevision()); complete || len(events) > 0 {
+		if events, complete := cached.changesSince(positionOf(k, cached)); complete || len(events) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
+// positionOf returns the position that a peer has of a kind. A peer of the release before names no era and counts as one that
+// knows that of the cache.
+func positionOf(k *peerpb.KnownKind, cached *kindCache) objectapi.Position {
+	return objectapi.Position{Era: k.GetEra(), Revision: k.GetRevision()}.In(cached.position.Era)
+}
+
 // answerHeld answers the held requests whose wait is over or for which there is an update.
 func (s *newsSource) answerHeld(now time.Time) {
 	stillHeld := s.heldRequests[:0]
@@ -437,14 +459,16 @@
 	for _, k := range q.request.GetKnown() {
 		kind := objectapi.Kind(k.GetKind())
 		cached := s.board.cache.ofKind(kind)
-		if cached.revision == 0 || cached.revision < k.GetRevision() {
+		known := positionOf(k, cached)
+		if cached.position.Revision == 0 || cached.position.Before(known) {
 			continue
 		}
 		out := &peerpb.KindNews{
-			Kind: k.GetKind(), Revision: cached.revision, Reader: s.board.readBy[kind],
+			Kind: k.GetKind(), Revision: cached.position.Revision, Era: cached.position.Era, Reader: s.board.readBy[kind],
 			AgeMs: uint32(min(now.Sub(s.board.asOf[kind]).Milliseconds()+1, math.MaxUint32)),
 		}
-		added := s.addObjects(out, cached, k.GetRevision(), q.request.GetPacked())
+		added := s.addObjects(out, cached, known, q.request.GetPacked())
+		added += s.board.restoration.addHolds(now, out, k)
 		if size > 0 && size+added > maxNewsBytes {
 			break
 		}
@@ -455,8 +479,9 @@
 }
 
 // addObjects adds the objects of a kind that a peer does not know to its reply, and returns their size in bytes.
-func (s *newsSource) addObjects(out *peerpb.KindNews, cached *kindCache, known uint64, mayPack bool) int {
-	events, complete := cached.changesSince(known)
+func (s *newsSource) addObjects(out *peerpb.KindNews, cached *kindCache, peerKnows objectapi.Position, mayPack bool) int {
+	events, complete := cached.changesSince(peerKnows)
+	known := peerKnows.Revision
 	out.Whole = complete
 	size := 0
 	for _, e := range events {
--- a/internal/gateway/objectcache.go
+++ b/internal/gateway/objectcache.go
@@ -11,10 +11,10 @@
 // objectCache caches the objects of the store in encoded form, so that they can be sent to peers. It is owned by the board.
 type objectCache map[objectapi.Kind]*kindCache
 
-// kindCache caches the objects of one kind at one revision of the store.
+// kindCache caches the objects of one kind at one position of the store. All its revisions are of the era of that position.
 type kindCache struct {
-	revision uint64
-	// unchangedSince is the earliest revision from which on the objects are known to be the same up to revision.
+	position objectapi.Position
+	// unchangedSince is the earliest revision from which on the objects are known to be the same up to the position.
 	unchangedSince uint64
 	objects        map[string]objectapi.Object
 	// log holds the changes after revision loggedSince, in order.
@@ -34,7 +34,7 @@
 	event    objectapi.Event
 }
 
-// ofKind returns the objects of a kind. It is empty at revision zero before the first update.
+// ofKind returns the objects of a kind. It is empty, at no position, before the first update.
 func (c objectCache) ofKind(kind objectapi.Kind) *kindCache {
 	cached := c[kind]
 	if cached == nil {
@@ -44,16 +44,29 @@
 	return cached
 }
 
-// advance records that the objects are the same at a later revision.
-func (c *kindCache) advance(revision uint64) { c.revision = max(c.revision, revision) }
+// revisionIn returns the revision of the position if it is of the given era, and else zero.
+func (c *kindCache) revisionIn(era uint64) uint64 {
+	if c.position.Era != era {
+		return 0
+	}
+	return c.position.Revision
+}
 
-// apply applies an update and returns the changes in it. It returns false if the update is older than the known revision or
-// does not continue from a revision with the same objects.
+// advance records that the objects are the same at a later position of the same era.
+func (c *kindCache) advance(p objectapi.Position) {
+	if p.Era == c.position.Era && c.position.Before(p) {
+		c.position = p
+	}
+}
+
+// apply applies an update and returns the changes in it. It returns false if the update is older than the known position or
+// does not continue from a position with the same objects.
 func (c *kindCache) apply(u *kindUpdate) ([]objectapi.Event, bool) {
 	if u.complete {
 		return c.replace(u)
 	}
-	if u.baseRevision < c.unchangedSince || u.baseRevision > c.revision || u.revision < c.revision || c.revision == 0 {
+	if u.base.Era != c.position.Era || u.position.Era != c.position.Era || c.position.Revision == 0 ||
+		u.base.Revision < c.unchangedSince || c.position.Before(u.base) || u.position.Before(c.position) {
 		return nil, false
 	}
 	for _, e := range u.events {
@@ -62,26 +75,27 @@
 		} else {
 			c.objects[e.Object.Name] = e.Object
 		}
-		c.log = append(c.log, loggedChange{revision: u.revision, event: e})
+		c.log = append(c.log, loggedChange{revision: u.position.Revision, event: e})
 	}
-	c.revision = u.revision
+	c.position = u.position
 	if len(u.events) > 0 {
-		c.unchangedSince = u.revision
+		c.unchangedSince = u.position.Revision
 	}
 	c.trimLog()
 	return u.events, true
 }
 
-// replace applies a complete list and returns the changes against the previous one.
+// replace applies a complete list and returns the changes against the previous one. All objects of a list of another era count
+// as changed.
 func (c *kindCache) replace(u *kindUpdate) ([]objectapi.Event, bool) {
-	if u.revision < c.revision {
+	if u.position.Before(c.position) {
 		return nil, false
 	}
 	var changes []objectapi.Event
 	listed := make(map[string]objectapi.Object, len(u.events))
 	for _, e := range u.events {
 		listed[e.Object.Name] = e.Object
-		if old, known := c.objects[e.Object.Name]; !known || old.Version != e.Object.Version {
+		if old, known := c.objects[e.Object.Name]; !known || old.Version != e.Object.Version || old.Era != e.Object.Era {
 			changes = append(changes, e)
 		}
 	}
@@ -91,16 +105,16 @@
 		}
 	}
 	c.objects = listed
-	if c.revision == 0 {
-		c.log, c.loggedSince = nil, u.revision
-	}
-	if c.revision == 0 || len(changes) > 0 {
-		c.unchangedSince = u.revision
-	}
-	for _, e := range changes {
-		c.log = append(c.log, loggedChange{revision: u.revision, event: e})
+	if c.position.Revision == 0 || u.position.Era != c.position.Era {
+		c.log, c.loggedSince, c.packed, c.packedFor = nil, u.position.Revision, nil, revisionRange{}
+		c.unchangedSince = u.position.Revision
+	} else if len(changes) > 0 {
+		c.unchangedSince = u.position.Revision
+		for _, e := range changes {
+			c.log = append(c.log, loggedChange{revision: u.position.Revision, event: e})
+		}
 	}
-	c.revision = u.revision
+	c.position = u.position
 	c.trimLog()
 	return changes, true
 }
@@ -118,17 +132,17 @@
 	c.log = append([]loggedChange(nil), c.log[cut:]...)
 }
 
-// changesSince returns what a peer that knows the objects at the revision is missing: changes, or all objects if the second
+// changesSince returns what a peer that knows the objects at the position is missing: changes, or all objects if the second
 // result is true.
-func (c *kindCache) changesSince(revision uint64) (events []objectapi.Event, complete bool) {
-	if revision == 0 || revision < c.loggedSince {
+func (c *kindCache) changesSince(p objectapi.Position) (events []objectapi.Event, complete bool) {
+	if p.Revision == 0 || p.Era != c.position.Era || p.Revision < c.loggedSince {
 		for _, o := range c.objects {
 			events = append(events, objectapi.Event{Object: o})
 		}
 		return events, true
 	}
 	for _, l := range c.log {
-		if l.revision > revision {
+		if l.revision > p.Revision {
 			events = append(events, l.event)
 		}
 	}
--- a/internal/gateway/oddentry_test.go
+++ b/internal/gateway/oddentry_test.go
@@ -43,7 +43,7 @@
 
 // applyList applies a complete list of objects of a kind to a board.
 func applyList(b *board, kind objectapi.Kind, revision uint64, objects ...objectapi.Object) {
-	u := kindUpdate{kind: kind, complete: true, revision: revision, asOf: time.Now()}
+	u := kindUpdate{kind: kind, complete: true, position: at(revision), asOf: time.Now()}
 	for _, o := range objects {
 		o.Kind = kind
 		u.events = append(u.events, objectapi.Event{Object: o})
@@ -70,7 +70,7 @@
 	if lines := strings.Count(log.String(), "object is not valid"); invalid != 3 || lines != 3 {
 		t.Errorf("3 invalid objects are counted %d times and logged in %d lines:\n%s", invalid, lines, log.String())
 	}
-	if events, _ := b.cache.ofKind(objectapi.Backends).changesSince(0); len(events) != 3 {
+	if events, _ := b.cache.ofKind(objectapi.Backends).changesSince(at(0)); len(events) != 3 {
 		t.Errorf("a peer gets %d objects: %v", len(events), events)
 	}
 }
@@ -214,11 +214,11 @@
 
 // applyReply applies the reply of a peer to a request that was sent some time ago.
 func applyReply(b *board, now time.Time, sentAgo time.Duration, reply *peerpb.NewsReply) {
-	known := map[objectapi.Kind]uint64{}
+	known := map[objectapi.Kind]objectapi.Position{}
 	for _, kind := range followedKinds {
-		known[kind] = b.cache.ofKind(kind).revision
+		known[kind] = b.cache.ofKind(kind).position
 	}
-	b.source.handleResult(now, newsResult{address: "10.0.0.2:7", sentAt: now.Add(-sentAgo), knownRevisions: known, reply: reply})
+	b.source.handleResult(now, newsResult{address: "10.0.0.2:7", sentAt: now.Add(-sentAgo), known: known, reply: reply})
 }
 
 // Guards against a peer whose news claims to come from the future: the instance did not read the store until then.
@@ -303,8 +303,8 @@
 	_, b := newTestBoard(t, newFakeStore())
 	applyList(b, objectapi.Backends, 9, objectapi.Object{Name: "i-1", Version: 8, Value: []byte(`{"ID":"i-1"}`)})
 	applyList(b, objectapi.Backends, 7)
-	if cached := b.cache.ofKind(objectapi.Backends); cached.revision != 9 || len(cached.objects) != 1 {
-		t.Errorf("revision %d with %d objects is known", cached.revision, len(cached.objects))
+	if cached := b.cache.ofKind(objectapi.Backends); cached.position.Revision != 9 || len(cached.objects) != 1 {
+		t.Errorf("revision %d with %d objects is known", cached.position.Revision, len(cached.objects))
 	}
 }
 
--- a/internal/gateway/packing.go
+++ b/internal/gateway/packing.go
@@ -78,7 +78,7 @@
 // packedNews returns the changes after a revision in compressed form, or the complete list when the revision is zero. The
 // last result is cached, since many peers ask for the same changes at the same time.
 func (c *kindCache) packedNews(from uint64, objects []*peerpb.NewsObject) ([]byte, error) {
-	revisions := revisionRange{from: from, to: c.revision}
+	revisions := revisionRange{from: from, to: c.position.Revision}
 	if c.packedFor == revisions && len(c.packed) > 0 {
 		return c.packed, nil
 	}
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -48,15 +48,29 @@
 // when the store rejects a call because of its load. An answer that cannot be read is fault.Invalid. An object whose name
 // cannot be read has an empty name; one whose revision cannot be read has revision zero and no value.
 type Store interface {
-	// List returns all objects of a kind and the revision from which Changes continues.
-	List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, uint64, error)
-	// Changes returns the changes after a revision and the revision from which the next call continues. It waits up to the
-	// given time for the first change.
-	Changes(ctx context.Context, kind objectapi.Kind, after uint64, wait time.Duration) ([]objectapi.Event, uint64, error)
+	// List returns all objects of a kind and the position from which Changes continues.
+	List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, objectapi.Position, error)
+	// Changes returns the changes after a position and the position from which the next call continues. It waits up to the
+	// given time for the first change. If the returned position is of another era, the changes do not continue from the given one.
+	Changes(ctx context.Context, kind objectapi.Kind, after objectapi.Position, wait time.Duration) ([]objectapi.Event,
+		objectapi.Position, error)
 	// Create creates an object. It fails with fault.Conflict if the object exists.
 	Create(ctx context.Context, kind objectapi.Kind, name string, value []byte) error
 	// Write creates an object or replaces its value.
 	Write(ctx context.Context, kind objectapi.Kind, name string, value []byte) error
 	// Remove deletes an object. It is not an error if the object does not exist.
 	Remove(ctx context.Context, kind objectapi.Kind, name string) error
+	// ObserveEras makes the store call a function for each answer, before the call returns. It is called once, before the first
+	// call.
+	ObserveEras(observe func(context.Context, EraReport))
+}
+
+// EraReport is the era that an answer of the store names.
+type EraReport struct {
+	// Era is zero if none is named, or none that can be read.
+	Era uint64
+	// Problem says why the era cannot be read; empty if it can or none is named.
+	Problem string
+	// CallBegan is when the call began.
+	CallBegan time.Time
 }
--- a/internal/gateway/revisions.go
+++ b/internal/gateway/revisions.go
@@ -28,27 +28,27 @@
 	listAt time.Time
 }
 
-// recordRevisions records what an answer of the store shows about all kinds.
+// recordRevisions records what an answer of the store shows about all kinds. It is of the era that the board knows.
 func (b *board) recordRevisions(now time.Time, u *kindUpdate) {
 	refreshed := false
 	for _, kind := range rareKinds {
-		b.revisions.Known(string(kind), b.cache.ofKind(kind).revision)
-		if !b.revisions.Covers(string(kind), u.revision) {
+		b.revisions.Known(string(kind), b.cache.ofKind(kind).revisionIn(u.position.Era))
+		if !b.revisions.Covers(string(kind), u.position.Revision) {
 			// Changes of servers up to this revision may not be known yet, unless this is the feed of servers.
 			if _, suspected := b.missedChanges[kind]; !suspected && u.kind == objectapi.Backends {
-				b.missedChanges[kind] = missedChange{revision: u.revision, listAt: now.Add(missedChangeDelay)}
+				b.missedChanges[kind] = missedChange{revision: u.position.Revision, listAt: now.Add(missedChangeDelay)}
 			}
 			continue
 		}
 		delete(b.missedChanges, kind)
-		b.cache.ofKind(kind).advance(u.revision) // the kind is known, since it is covered
+		b.cache.ofKind(kind).advance(u.position) // the kind is known, since it is covered
 		if b.asOf[kind].Before(u.asOf) {
 			b.asOf[kind], b.readBy[kind] = u.asOf, u.reader
 			refreshed = true
 		}
 	}
 	if refreshed {
-		if b.decoding == 0 {
+		if b.decoding == (objectapi.Position{}) {
 			b.configAsOf = b.asOf[objectapi.Configuration]
 		}
 		b.publish(false)
@@ -63,7 +63,7 @@
 			delete(b.missedChanges, kind)
 		case !now.Before(m.listAt):
 			b.log.Info("store has a revision that no known change explains", "kind", string(kind), "revision", m.revision,
-				"known", b.cache.ofKind(kind).revision)
+				"known", b.cache.ofKind(kind).position.Revision)
 			b.source.feeds[kind].listAgain("unknown revision of the store")
 			b.missedChanges[kind] = missedChange{revision: m.revision, listAt: now.Add(missedChangeRetry)}
 		}
--- a/internal/gateway/staleness.go
+++ b/internal/gateway/staleness.go
@@ -94,7 +94,7 @@
 		return "store does not answer"
 	case b.unansweredKinds[objectapi.Configuration] || b.unansweredKinds[objectapi.Evacuations]:
 		return "store answers calls for other kinds only"
-	case b.decoding != 0:
+	case b.decoding != (objectapi.Position{}):
 		return "configuration is being decoded"
 	case len(b.missedChanges) > 0:
 		return "store has changes that no call has reported"
--- a/internal/gateway/staleness_test.go
+++ b/internal/gateway/staleness_test.go
@@ -110,7 +110,7 @@
 	_, b := newTestBoard(t, newFakeStore())
 	now := time.Now()
 	for _, kind := range followedKinds {
-		b.applyUpdate(now, kindUpdate{kind: kind, complete: true, revision: 3, asOf: now.Add(-50 * 24 * time.Hour)})
+		b.applyUpdate(now, kindUpdate{kind: kind, complete: true, position: at(3), asOf: now.Add(-50 * 24 * time.Hour)})
 	}
 	reply := make(chan *peerpb.NewsReply, 1)
 	b.source.handleRequest(now, newsRequest{request: &peerpb.NewsRequest{Known: []*peerpb.KnownKind{{Kind: string(objectapi.Configuration)}}},
@@ -127,7 +127,7 @@
 	now := time.Now()
 	known := &peerpb.NewsRequest{WaitMs: 1000}
 	for _, kind := range followedKinds {
-		b.applyUpdate(now, kindUpdate{kind: kind, complete: true, revision: 3, asOf: now})
+		b.applyUpdate(now, kindUpdate{kind: kind, complete: true, position: at(3), asOf: now})
 		known.Known = append(known.Known, &peerpb.KnownKind{Kind: string(kind), Revision: 3})
 	}
 	reply := make(chan *peerpb.NewsReply, 1)
@@ -137,7 +137,7 @@
 		t.Fatal("a request is answered although nothing was read since")
 	}
 	listed := now.Add(300 * time.Millisecond)
-	b.applyUpdate(listed, kindUpdate{kind: objectapi.Configuration, complete: true, revision: 4, asOf: listed})
+	b.applyUpdate(listed, kindUpdate{kind: objectapi.Configuration, complete: true, position: at(4), asOf: listed})
 	b.source.answerHeld(listed)
 	if len(reply) == 0 {
 		t.Error("a request waits although the configuration has been read since")
--- a/internal/objectapi/api.go
+++ b/internal/objectapi/api.go
@@ -39,7 +39,9 @@
 	Kind    Kind
 	Name    string
 	Version uint64
-	Value   []byte
+	// Era is the era of the store in which the object has this version; zero if the store names none. See Position.
+	Era   uint64
+	Value []byte
 }
 
 // Event is one change reported by a watch.
