Keep only the last change of each object for peers

Cause: the cache kept the last 2,000 changes of a kind for peers, each with the whole value of the object, whatever its size, and sent all of them to a peer that was behind.

Change: the log holds the last change of each object, which is all that a peer needs. It shares the values of the objects; removals have none.

--- a/internal/gateway/objectcache.go
+++ b/internal/gateway/objectcache.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
+
 	"fuchsiahub.example/fuchsiahub/internal/objectapi"
 )
 
-// maxLoggedChanges is the maximum number of changes of a kind that are kept for peers. A peer that is further behind
+// maxLoggedChanges is the maximum number of objects of a kind whose last change is kept for peers. A peer that is further behind
 // receives all objects.
 const maxLoggedChanges = 2000
 
@@ -17,8 +20,9 @@
 	// unchangedSince is the earliest revision from which on the objects are known to be the same up to the position.
 	unchangedSince uint64
 	objects        map[string]objectapi.Object
-	// log holds the changes after revision loggedSince, in order.
-	log         []loggedChange
+	// log holds the last change of each object after revision loggedSince, by name. It shares the values of the objects, so it
+	// takes no memory for them; removals have none.
+	log         map[string]loggedChange
 	loggedSince uint64
 	// packed is the list that was last compressed for a peer, and packedFor its range of revisions.
 	packed    []byte
@@ -38,7 +42,7 @@
 func (c objectCache) ofKind(kind objectapi.Kind) *kindCache {
 	cached := c[kind]
 	if cached == nil {
-		cached = &kindCache{objects: map[string]objectapi.Object{}}
+		cached = &kindCache{objects: map[string]objectapi.Object{}, log: map[string]loggedChange{}}
 		c[kind] = cached
 	}
 	return cached
@@ -75,7 +79,7 @@
 		} else {
 			c.objects[e.Object.Name] = e.Object
 		}
-		c.log = append(c.log, loggedChange{revision: u.position.Revision, event: e})
+		c.logChange(u.position.Revision, e)
 	}
 	c.position = u.position
 	if len(u.events) > 0 {
@@ -106,12 +110,12 @@
 	}
 	c.objects = listed
 	if c.position.Revision == 0 || u.position.Era != c.position.Era {
-		c.log, c.loggedSince, c.packed, c.packedFor = nil, u.position.Revision, nil, revisionRange{}
+		c.log, c.loggedSince, c.packed, c.packedFor = map[string]loggedChange{}, u.position.Revision, nil, revisionRange{}
 		c.unchangedSince = u.position.Revision
 	} else if len(changes) > 0 {
 		c.unchangedSince = u.position.Revision
 		for _, e := range changes {
-			c.log = append(c.log, loggedChange{revision: u.position.Revision, event: e})
+			c.logChange(u.position.Revision, e)
 		}
 	}
 	c.position = u.position
@@ -119,17 +123,27 @@
 	return changes, true
 }
 
+// logChange logs the last change of an object in the place of an earlier one.
+func (c *kindCache) logChange(revision uint64, e objectapi.Event) {
+	if e.Deleted {
+		e.Object.Value = nil
+	}
+	c.log[e.Object.Name] = loggedChange{revision: revision, event: e}
+}
+
 // trimLog drops the older half of the logged changes when there are too many.
 func (c *kindCache) trimLog() {
 	if len(c.log) <= maxLoggedChanges {
 		return
 	}
-	cut := len(c.log) - maxLoggedChanges/2
-	c.loggedSince = c.log[cut-1].revision
-	for cut < len(c.log) && c.log[cut].revision == c.loggedSince {
-		cut++ // the changes of one revision are kept or dropped together
+	revisions := make([]uint64, 0, len(c.log))
+	for _, l := range c.log {
+		revisions = append(revisions, l.revision)
 	}
-	c.log = append([]loggedChange(nil), c.log[cut:]...)
+	slices.Sort(revisions)
+	c.loggedSince = revisions[len(revisions)-maxLoggedChanges/2-1]
+	// The changes of one revision are kept or dropped together.
+	maps.DeleteFunc(c.log, func(_ string, l loggedChange) bool { return l.revision <= c.loggedSince })
 }
 
 // changesSince returns what a peer that knows the objects at the position is missing: changes, or all objects if the second
