Write answers also while the budget of pipelined requests is used up

Cause: a connection took memory for a next request as soon as one was pending, and without it left out the channel of its reading goroutine, which holds the report that the stop waits for.

A request without room is held, with what follows it, until the answers before it are written; the chart of the connection has the guard and the action.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// maxPipelined is the maximum number of unanswered requests of one connection. Further ones are not read yet.
+	// maxPipelined is the maximum number of unanswered requests of one connection.
 	maxPipelined = 64
+	// maxHeld is the number of messages of the reading goroutine that wait until a request is taken up. More are not received.
+	maxHeld = 2
 	// defaultIdleTimeout is the idle timeout of a connection before a configuration is known.
 	defaultIdleTimeout = 15 * time.Second
 	// idleMargin is how long after the idle timeout a connection is closed. A request that its caller sent just before the
@@ -52,9 +54,11 @@
 			// A request may have arrived since the reading goroutine looked for the last time.
 			"request_arrived": func(c *caller) bool { unread, _ := tcp.HasUnread(c.conn); return unread && len(c.queue) == 0 },
 			"can_linger":      func(c *caller) bool { _, ok := c.conn.(halfCloser); return ok },
+			"has_room":        (*caller).hasRoom,
 		},
 		Actions: map[string]func(*caller){
-			"start_request": (*caller).startRequest, "reject": (*caller).reject,
+			"start_request": (*caller).startRequest, "hold_request": func(c *caller) { c.held = append(c.held, c.incoming) },
+			"reject":       (*caller).reject,
 			"stop_reading": func(c *caller) { c.stopReading() }, "discard_input": func(c *caller) { close(c.discarding) },
 			"read_on":          func(c *caller) { c.readOn <- struct{}{} },
 			"close_write_side": (*caller).closeWriteSide, "close_socket": (*caller).closeSocket,
@@ -100,14 +104,14 @@
 	rejection rejection
 	// idleSince is when the last answer was written.
 	idleSince time.Time
+	// held holds messages of the reading goroutine, the first of which is a request that is not taken up yet.
+	held []any
 	// nextReserved is true if memory is taken for the next request that comes behind another one.
 	nextReserved bool
 	// continuePending is true when 100 Continue has to be sent after the pending answers.
 	continuePending bool
 	// begunAt is when the first byte of the request that is being read arrived; zero when none is being read.
 	begunAt time.Time
-	// postponed is a request that is taken up when the long answer before it is written.
-	postponed *incomingRequest
 	// unwritten is the request whose answer could not be written completely.
 	unwritten *pendingRequest
 	// stopCause is the cause for which reading stops.
@@ -219,13 +223,14 @@
 
 // waitForEvent waits for one event and handles it.
 func (c *caller) waitForEvent() {
+	c.takeUpHeld()
 	leave := c.leaveOrder()
 	if isClosed(leave) {
 		c.stopFor(endStop, "leave") // comes first, so that an answer that is ready can be the last one
 		return
 	}
 	readEvents := c.readEvents
-	if !c.canTakeUpRequest() {
+	if len(c.held) >= maxHeld {
 		readEvents = nil
 	}
 	var firstReply chan reply
@@ -241,7 +246,7 @@
 	}
 	select {
 	case m := <-readEvents:
-		c.handle(m)
+		c.receive(m)
 	case r := <-firstReply:
 		c.writeAnswer(r)
 	case <-leave:
@@ -253,8 +258,31 @@
 	}
 }
 
-// canTakeUpRequest reports whether another request can be taken up, and takes the memory for one that waits behind others.
-func (c *caller) canTakeUpRequest() bool {
+// receive handles a message of the reading goroutine, or holds it behind a request that is not taken up yet. The end of the
+// connection is handled at once.
+func (c *caller) receive(m any) {
+	if _, ended := m.(readEnd); !ended && len(c.held) > 0 {
+		c.held = append(c.held, m)
+		return
+	}
+	c.handle(m)
+}
+
+// takeUpHeld handles the messages that are held, up to the first request for which there is no room.
+func (c *caller) takeUpHeld() {
+	for len(c.held) > 0 && !c.machine.Final() {
+		m := c.held[0]
+		if _, request := m.(*incomingRequest); request && !c.hasRoom() {
+			return
+		}
+		c.held = c.held[1:]
+		c.handle(m)
+	}
+}
+
+// hasRoom reports whether a request can be taken up, and takes the memory for one that waits behind others. A request without
+// room waits until the first answer before it is written; then it needs no memory of the budget.
+func (c *caller) hasRoom() bool {
 	if len(c.queue) == 0 {
 		return true
 	}
@@ -273,7 +301,7 @@
 // awaitsStop reports whether the reading goroutine is about to report that it has stopped or that a request has begun, which
 // takes no more than a look at the socket. It decides whether the answer to the only pending request is the last one.
 func (c *caller) awaitsStop() bool {
-	return len(c.queue) == 1 && c.machine.In("stopping") && c.begunAt.IsZero()
+	return len(c.queue) == 1 && len(c.held) == 0 && c.machine.In("stopping") && c.begunAt.IsZero()
 }
 
 // leaveOrder returns the channel that is closed when the connection should end: at once when it is idle, and with the
@@ -414,7 +442,7 @@
 
 // sendContinue sends 100 Continue to a caller that waits for it, as soon as no answer is pending.
 func (c *caller) sendContinue() {
-	if !c.continuePending || len(c.queue) > 0 {
+	if !c.continuePending || len(c.queue)+len(c.held) > 0 {
 		return
 	}
 	c.continuePending = false
--- a/internal/gateway/ending.go
+++ b/internal/gateway/ending.go
@@ -111,19 +111,20 @@
 		h.unanswered++
 		h.add(q.id, q.receivedAt)
 	}
-	if in := c.postponed; in != nil {
-		c.noteRead(in)
-		h.notTakenUp++
-		h.add(in.request.ID, in.receivedAt)
+	noteRead := func(m any) {
+		c.noteRead(m)
+		if in, ok := m.(*incomingRequest); ok {
+			h.notTakenUp++
+			h.add(in.request.ID, in.receivedAt)
+		}
+	}
+	for _, m := range c.held {
+		noteRead(m)
 	}
 	for {
 		select {
 		case m := <-c.readEvents:
-			c.noteRead(m)
-			if in, ok := m.(*incomingRequest); ok {
-				h.notTakenUp++
-				h.add(in.request.ID, in.receivedAt)
-			}
+			noteRead(m)
 			continue
 		default:
 		}
--- a/internal/gateway/streaming.go
+++ b/internal/gateway/streaming.go
@@ -37,13 +37,12 @@
 		written <- r.write(c.writer, q)
 	}()
 	readEvents := c.readEvents
+	if len(c.held) >= maxHeld {
+		readEvents = nil
+	}
 	for {
 		select {
 		case err := <-written:
-			if in := c.postponed; in != nil && err == nil {
-				c.postponed = nil
-				c.handle(in)
-			}
 			return err
 		case <-c.processEnding:
 			c.cancel()
@@ -61,9 +60,12 @@
 				c.readEvents <- m // nothing else is sent there any more
 				return nil
 			case *incomingRequest:
-				c.postponed, readEvents = m, nil
+				c.held = append(c.held, m) // it is taken up when the answer is written
 			default:
-				c.handle(m)
+				c.receive(m)
+			}
+			if len(c.held) >= maxHeld {
+				readEvents = nil
 			}
 		}
 	}
