--- a/internal/gateway/objectcache.go
+++ b/internal/gateway/objectcache.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -146,8 +147,8 @@
 	maps.DeleteFunc(c.log, func(_ string, l loggedChange) bool { return l.revision <= c.loggedSince })
 }
 
-// changesSince returns what a peer that knows the objects at the position is missing: changes, or all objects if the second
-// result is true.
+// changesSince returns what a peer that knows the objects at the position is missing: changes, in the order of their revisions, or
+// all objects if the second result is true.
 func (c *kindCache) changesSince(p objectapi.Position) (events []objectapi.Event, complete bool) {
 	if p.Revision == 0 || p.Era != c.position.Era || p.Revision < c.loggedSince {
 		for _, o := range c.objects {
@@ -155,10 +156,17 @@
 		}
 		return events, true
 	}
+	var missing []loggedChange
 	for _, l := range c.log {
 		if l.revision > p.Revision {
-			events = append(events, l.event)
+			missing = append(missing, l)
 		}
 	}
+	slices.SortFunc(missing, func(x, y loggedChange) int {
+		return cmp.Or(cmp.Compare(x.revision, y.revision), cmp.Compare(x.event.Object.Name, y.event.Object.Name))
+	})
+	for _, l := range missing {
+		events = append(events, l.event)
+	}
 	return events, false
 }
