Place waiting requests anew when their server or its zone leaves

Cause: a request that was granted a server waited in the queue of its pool, and was sent whatever had become of the server.

Change: the director bars the pool of a server that drains or whose zone is taken out, and recalls all waiting requests when a planned stop begins. A request that is taken back counts neither as a copy nor as a try, and is placed anew.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -48,6 +48,9 @@
 	MaxBodyBytes int
 }
 
+// isCheck reports whether the exchange is a health check.
+func (e *Exchange) isCheck() bool { return e.MaxBodyBytes > 0 }
+
 // Result is the outcome of an exchange.
 type Result struct {
 	Answer *call.Answer
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"slices"
 
@@ -29,6 +30,8 @@
 	dialing          int
 	idle             []*connection
 	waiting          []Exchange
+	// barred is true while requests must not wait for a connection. Health checks may.
+	barred bool
 	// stopping is true once the pool's context has ended; the pool then only waits for its connections to close.
 	stopping bool
 	// stopped is closed after the last exchange has been answered.
@@ -122,6 +125,27 @@
 // Resize changes the limits of the pool.
 func (p *Pool) Resize(ctx context.Context, size PoolSize) error { return p.inbox.Send(ctx, size) }
 
+// barring and recall are messages to the pool.
+type (
+	barring struct{ barred bool }
+	recall  struct{}
+)
+
+// errRecalled is the error of a request that was taken back while it waited for a connection.
+var errRecalled = fault.New(fault.NoServer, "choose a server again", "request was taken back while it waited for a connection")
+
+// IsRecalled reports whether a request was taken back before it was sent.
+func IsRecalled(err error) bool { return errors.Is(err, errRecalled) }
+
+// SetBarred decides whether requests may wait for a connection. If not, those that wait are taken back, with an error that
+// IsRecalled recognizes.
+func (p *Pool) SetBarred(ctx context.Context, barred bool) error {
+	return p.inbox.Send(ctx, barring{barred: barred})
+}
+
+// Recall takes back the requests that wait for a connection now.
+func (p *Pool) Recall(ctx context.Context) error { return p.inbox.Send(ctx, recall{}) }
+
 // Run is the body of the pool's task. After the context has ended it rejects new exchanges and waits for the busy
 // connections, which end with the contexts of their requests.
 func (p *Pool) Run(ctx context.Context) error {
@@ -151,6 +175,12 @@
 		p.retireIfIdle(m.c)
 	case connectionClosed:
 		p.handleClosed(ctx, m)
+	case barring:
+		if p.barred = m.barred; p.barred {
+			p.recallWaiting()
+		}
+	case recall:
+		p.recallWaiting()
 	case PoolSize:
 		p.maxConnections, p.spareConnections = m.MaxConnections, m.SpareConnections
 		p.openSpares(ctx)
@@ -169,12 +199,30 @@
 		p.openSpares(ctx)
 		return
 	}
+	if p.barred && !exchange.isCheck() {
+		exchange.Reply <- Result{Fate: call.NotSent, Err: errRecalled}
+		return
+	}
 	p.waiting = append(p.waiting, exchange)
 	if p.dialing < len(p.waiting) && p.open < p.maxConnections {
 		p.openConnection(ctx)
 	}
 }
 
+// recallWaiting takes back the waiting requests. Health checks go on waiting.
+func (p *Pool) recallWaiting() {
+	checks := p.waiting[:0]
+	for _, exchange := range p.waiting {
+		if exchange.isCheck() {
+			checks = append(checks, exchange)
+			continue
+		}
+		exchange.Reply <- Result{Fate: call.NotSent, Err: errRecalled}
+	}
+	clear(p.waiting[len(checks):])
+	p.waiting = checks
+}
+
 // openSpares opens connections until the configured number is spare.
 func (p *Pool) openSpares(ctx context.Context) {
 	for !p.stopping && len(p.idle)+p.dialing < p.spareConnections && p.open < p.maxConnections {
--- a/internal/gateway/director.go
+++ b/internal/gateway/director.go
@@ -107,6 +107,9 @@
 	consideredServers int
 }
 
+// stopBegun reports that a planned stop has begun.
+type stopBegun struct{}
+
 // director is the task that places requests on backend servers. It owns the connection pools and the state of all
 // backend servers.
 type director struct {
@@ -212,6 +215,8 @@
 		d.crashes.quarantine.StartTrial(now, m.trial)
 	case trialClaim:
 		d.handleTrialClaim(ctx, now, m)
+	case stopBegun:
+		d.recallWaiting()
 	case boundsUpdate:
 		d.bounds = m.bounds
 		for _, budget := range d.budgets {
@@ -237,7 +242,26 @@
 		if !known[key] {
 			s.stop()
 			delete(d.servers, key)
+			continue
 		}
+		d.barIfLeaving(s)
+	}
+}
+
+// barIfLeaving takes back the requests that wait for a connection to a server which may get no more, so that they are placed
+// again.
+func (d *director) barIfLeaving(s *server) {
+	barred := s.entry.Draining || d.snapshot.EvacuatedZones[s.entry.Place.Zone]
+	if barred != s.barred {
+		s.barred = barred
+		_ = s.pool.SetBarred(d.poolContext, barred) // fails only at shutdown
+	}
+}
+
+// recallWaiting takes back all requests that wait for a connection: in a planned stop there may be no time left for them.
+func (d *director) recallWaiting() {
+	for _, s := range d.servers {
+		_ = s.pool.Recall(d.poolContext) // fails only at shutdown
 	}
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -334,6 +335,9 @@
 		f.lastError = m.result.Err
 	case "not_run":
 		f.possibleRuns--
+		if backend.IsRecalled(m.result.Err) {
+			f.takeBack(m.grant)
+		}
 		f.lastError = m.result.Err
 	}
 	if event != "answered" {
@@ -344,6 +348,14 @@
 	f.fire(event)
 }
 
+// takeBack undoes a copy that waited for a connection and was not sent: it counts neither as a copy nor as a try of its server.
+func (f *forward) takeBack(g *grant) {
+	f.copiesSent--
+	if i := slices.Index(f.triedServers, g.entry.ID); i >= 0 {
+		f.triedServers = slices.Delete(slices.Clone(f.triedServers), i, i+1)
+	}
+}
+
 var errUndeclaredRefusal = errors.New("backend server refused the request without declaring that it did not run it")
 
 // resultEvent returns the chart event for the result of a copy.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -177,6 +177,7 @@
 			left += g.announceTime
 		}
 		g.stop.begin(time.Now().Add(left))
+		_ = g.director.inbox.Offer(stopBegun{}) // with a full inbox, requests wait for connections as before
 		g.log.Info("instance is leaving", "open_connections", g.openConnections)
 	}
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -43,6 +43,8 @@
 
 // server is the director's state of one backend server.
 type server struct {
+	// barred is true while requests may not wait for a connection, since the server or its zone is leaving.
+	barred   bool
 	entry    *fleet.Backend
 	distance placement.Distance
 	pool     *backend.Pool
