Check the statuses of the store and of the object API as they are read

With a status of 600 to 999 and an empty body, the bytes behind it could be read as the answer to the next call: net/http gives such a connection back before its caller sees the status, and what it had read with the answer stays in its buffer.

Change: the connections of both clients check the status lines while they are read, and a read fails at the first invalid one. That also ends a call whose head stays open behind it, which was waited for before. The transport has no setting any more for the size of interim answers: it is that of a head.

--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -280,8 +280,8 @@
 	}
 }
 
-// hasRoom reports whether a request can be taken up, and takes the memory for one that waits behind others. A request without
-// room waits until the first answer before it is written; then it needs no memory of the budget.
+// hasRoom reports whether a request can be taken up, and takes the memory for one that waits behind others. A request that
+// finds none of the budget is taken up when the answers before it are written, since the first one needs none.
 func (c *caller) hasRoom() bool {
 	if len(c.queue) == 0 {
 		return true
--- a/internal/httpstatus/status.go
+++ b/internal/httpstatus/status.go
@@ -3,10 +3,7 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"net/textproto"
 )
 
 const (
@@ -54,66 +51,27 @@
 // CheckLine returns an InvalidError unless the status in a status line is that of an interim or a final answer. A line of
 // another form passes: the parser of the answer rejects it.
 func CheckLine(line []byte) error {
+	if _, invalid := checkLine(line); invalid != nil {
+		return invalid
+	}
+	return nil
+}
+
+// checkLine also returns the status, which is zero for a line of another form.
+func checkLine(line []byte) (status int, invalid *InvalidError) {
 	_, rest, hasStatus := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(" "))
 	if !hasStatus {
-		return nil
+		return 0, nil
 	}
 	text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
-	status := 0
 	for _, b := range text {
 		if b < '0' || b > '9' || len(text) != digits {
-			return &InvalidError{Status: string(text)}
+			return 0, &InvalidError{Status: string(text)}
 		}
 		status = 10*status + int(b-'0')
 	}
 	if !isInterim(status) && !IsFinal(status) {
-		return &InvalidError{Status: string(text)}
-	}
-	return nil
-}
-
-// Transport is a transport of net/http that fails when the status of an answer is not valid. The connection ends then, so that
-// no byte behind the head is read.
-type Transport struct {
-	Base http.RoundTripper
-	// MaxInterimBytes is the maximum size of the heads of the interim answers to one request. The transport of net/http limits
-	// only the size of each when they are looked at.
-	MaxInterimBytes int
-}
-
-// RoundTrip implements http.RoundTripper.
-func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	var conn net.Conn // set by the goroutine that is in RoundTrip
-	interimBytes := 0 // belongs to the goroutine that reads the connection
-	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
-		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
-			if interimBytes += headSize(header); interimBytes > t.MaxInterimBytes {
-				return fmt.Errorf("interim answers exceeded %d bytes", t.MaxInterimBytes)
-			}
-			return CheckInterim(status, http.Header(header), nil)
-		},
-	})
-	response, err := t.Base.RoundTrip(request.WithContext(ctx))
-	if err != nil {
-		return nil, err
-	}
-	if err := CheckFinal(response.StatusCode); err != nil {
-		_ = response.Body.Close()
-		_ = conn.Close() // net/http would keep a connection behind a complete body
-		return nil, err
-	}
-	return response, nil
-}
-
-// headSize returns the size of a head, in bytes, with the shortest status line.
-func headSize(header textproto.MIMEHeader) int {
-	const line, end = len("HTTP/1.1 100 \r\n"), len("\r\n")
-	size := line + end
-	for name, values := range header {
-		for _, value := range values {
-			size += len(name) + len(": ") + len(value) + end
-		}
+		return 0, &InvalidError{Status: string(text)}
 	}
-	return size
+	return status, nil
 }
--- a/internal/httpstatus/transport_test.go
+++ b/internal/httpstatus/transport_test.go
@@ -20,11 +20,12 @@
 	for _, status := range []string{"000", "020", "099", "101", "104", "150", "199", "600", "999", "-00"} {
 		for name, rest := range map[string]string{
 			"silence": "Content-Length: 100\r\n\r\n", "answer behind it": "\r\n" + following, "complete": "Content-Length: 0\r\n\r\n",
+			"open head": "A: b\r\n", "answer behind a complete one": "Content-Length: 0\r\n\r\n" + following,
 		} {
 			t.Run(status+", "+name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					closed := make(chan struct{})
-					base := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+					base := &http.Transport{MaxResponseHeaderBytes: 1 << 10, DialContext: func(context.Context, string, string) (net.Conn, error) {
 						client, server := net.Pipe()
 						go func() {
 							defer close(closed)
@@ -44,7 +45,7 @@
 					if err != nil {
 						t.Fatal(err)
 					}
-					_, err = (&httpstatus.Transport{Base: base, MaxInterimBytes: 1 << 10}).RoundTrip(request)
+					_, err = httpstatus.NewTransport(base).RoundTrip(request)
 					var invalid *httpstatus.InvalidError
 					if !errors.As(err, &invalid) {
 						t.Errorf("error %v", err)
@@ -62,7 +63,7 @@
 // Guards against a call that fails because interim answers come before its answer.
 func TestTransportSkipsInterimAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		base := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+		base := &http.Transport{MaxResponseHeaderBytes: 1 << 10, DialContext: func(context.Context, string, string) (net.Conn, error) {
 			client, server := net.Pipe()
 			go func() {
 				defer func() { _ = server.Close() }()
@@ -77,7 +78,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		response, err := (&httpstatus.Transport{Base: base, MaxInterimBytes: 1 << 10}).RoundTrip(request)
+		response, err := httpstatus.NewTransport(base).RoundTrip(request)
 		if err != nil || response.StatusCode != http.StatusNoContent {
 			t.Fatalf("got %+v, %v", response, err)
 		}
--- a/internal/objecthttp/client.go
+++ b/internal/objecthttp/client.go
@@ -29,10 +29,8 @@
 
 // Client implements objectapi.API over HTTP. It is safe for concurrent use.
 type Client struct {
-	base string
-	// connections holds the connections; transport makes calls over them.
-	connections *http.Transport
-	transport   http.RoundTripper
+	base      string
+	transport *httpstatus.Transport
 }
 
 var _ objectapi.API = (*Client)(nil)
@@ -45,17 +43,16 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: callTimeout}).DialContext
 	}
-	connections := &http.Transport{
+	transport := httpstatus.NewTransport(&http.Transport{
 		DialContext: dial, ResponseHeaderTimeout: callTimeout, MaxConnsPerHost: maxConnections,
 		MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: connectionIdleTimeout, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeadBytes,
-	}
-	return &Client{base: "http://" + address + PathPrefix, connections: connections,
-		transport: &httpstatus.Transport{Base: connections, MaxInterimBytes: maxHeadBytes}}
+	})
+	return &Client{base: "http://" + address + PathPrefix, transport: transport}
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.connections.CloseIdleConnections() }
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
 // Get returns the object at its current version.
 func (c *Client) Get(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error) {
