Remember across returns what a peer holds against the copy

The process had started between two returns of the store. It had taken over from a peer that the entry of the first copy is obsolete, and used the same entry of the second copy.

Cause: an object that is taken out of force for a peer's sake was not remembered as removed, and an entry that was ignored in one era was not looked up at the next.

Change: both count at a return.

Evidence: TestProcessBetweenTwoReturns failed before ("servers [left]"), and passes.

--- a/internal/gateway/board.go
+++ b/internal/gateway/board.go
@@ -592,6 +592,7 @@
 // withdrawObject takes an object out of force that is in the store.
 func (b *board) withdrawObject(now time.Time, o objectapi.Object) {
 	if o.Kind == objectapi.Backends {
+		b.restoration.remember(now, objectKey{kind: o.Kind, name: o.Name})
 		b.deleteBackend(o.Name, "a peer knows a later state than the copy of the store")
 		return
 	}
--- a/internal/gateway/era_test.go
+++ b/internal/gateway/era_test.go
@@ -213,6 +213,33 @@
 	}
 }
 
+// Guards against a server that has left and is used after a second return, by a process that started between the two and knew of it
+// from its peers only (soak of returns, seed 42037).
+func TestProcessBetweenTwoReturns(t *testing.T) {
+	inFleetWithEras(t, func(f *fleetTest) {
+		f.store.put(objectapi.Evacuations, "ended", struct{}{})
+		f.store.put(objectapi.Backends, "left", fleet.Backend{Service: "s", StartedAtMs: 5, Sequence: 1})
+		time.Sleep(3 * time.Second)
+		before := f.store.takeCopy()
+		f.store.remove(objectapi.Evacuations, "ended")
+		f.store.put(objectapi.Backends, "left", fleet.Backend{Service: "s", StartedAtMs: 5, Sequence: 2, Draining: true})
+		time.Sleep(3 * time.Second)
+		f.store.returnFrom(before)
+		time.Sleep(2 * time.Second)
+		restarted := f.instances[3]
+		restarted.stop()
+		f.start(f.t.Context(), restarted)
+		time.Sleep(1500 * time.Millisecond)
+		f.store.returnFrom(before)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if state := stateOf(restarted); len(state.zones) > 0 || len(state.servers) > 0 {
+			t.Errorf("the process has %s", state)
+		}
+		restarted.stop()
+	})
+}
+
 // Guards against news of the former era that a follower takes for new, and against a follower that hears of the return from a
 // peer only and does not follow it.
 func TestFollowerHearsOfReturnFromPeer(t *testing.T) {
--- a/internal/gateway/restoration.go
+++ b/internal/gateway/restoration.go
@@ -184,7 +184,7 @@
 		switch {
 		case c.event.Deleted:
 			r.keep(now, c.key, c.event.Object)
-		case r.removed.Has(c.key) || kind == objectapi.Backends && r.board.isOlderEntry(c.event.Object):
+		case r.removed.Has(c.key) || r.ignored.Has(c.key) || kind == objectapi.Backends && r.board.isOlderEntry(c.event.Object):
 			r.ignore(now, c.key, c.event.Object)
 		default:
 			r.board.applyObject(c.event.Object)
